Lay the ground: shared types, messages and checks

Cause: nothing stands yet, and the parts are to be written side by side. Conclusion: the parts can now be coded against these types.

--- /dev/null
+++ b/cmd/camphorcroft/main.go
@@ -0,0 +1,5 @@
+// Command camphorcroft runs every role of the dispatcher.
+package main
+
+func main() {
+}
--- /dev/null
+++ b/core/ccwire/cell.go
@@ -0,0 +1,82 @@
+package ccwire
+
+import (
+	"net/netip"
+
+	"camphorcroft/core/ccnode"
+	"camphorcroft/core/ccsettings"
+)
+
+// Methods between an agent and the lead of its cell.
+const (
+	MethodJoin      = "cell.join"      // Request: Join, JoinReply.
+	MethodHeartbeat = "cell.heartbeat" // Request: Heartbeat, HeartbeatReply.
+	MethodLeave     = "cell.leave"     // Request: Leave, LeaveReply.
+)
+
+// Member is what the fleet knows of one agent.
+type Member struct {
+	Node    ccnode.Ref     `json:"node"`
+	Addr    netip.AddrPort `json:"addr"`
+	Domain  string         `json:"domain"`
+	Rack    string         `json:"rack,omitempty"`
+	Service string         `json:"service"`
+	Slots   int            `json:"slots"`
+	Leaving bool           `json:"leaving,omitempty"`
+	// Since is when this incarnation started, in Unix milliseconds.
+	Since int64 `json:"since"`
+}
+
+// CellRecord is the store's record of one cell. The lead writes it on change.
+type CellRecord struct {
+	Cell    int        `json:"cell"`
+	Term    uint64     `json:"term"` // Grows with each election.
+	Lead    ccnode.Ref `json:"lead"`
+	Members []Member   `json:"members"`
+	// Departed lists lives that ended inside the retention window.
+	Departed []Departure `json:"departed,omitempty"`
+}
+
+// Departure is one life of an agent that has ended.
+type Departure struct {
+	Node ccnode.Ref `json:"node"`
+	// At is when the lead noticed, in Unix milliseconds.
+	At int64 `json:"at"`
+}
+
+// Join announces an agent to its lead.
+type Join struct {
+	Cell   int    `json:"cell"`
+	Member Member `json:"member"`
+}
+
+// Heartbeat tells the lead that a member lives, and what it knows.
+type Heartbeat struct {
+	Cell    int        `json:"cell"`
+	Node    ccnode.Ref `json:"node"`
+	Version uint64     `json:"version"`
+}
+
+// HeartbeatReply carries what the member lacks. View is nil when the member is
+// up to date.
+type HeartbeatReply struct {
+	Term    uint64                `json:"term"`
+	Known   bool                  `json:"known"` // False asks the member to join again.
+	Version uint64                `json:"version"`
+	View    *ccsettings.AgentView `json:"view,omitempty"`
+}
+
+// JoinReply answers a Join as a heartbeat.
+type JoinReply = HeartbeatReply
+
+// Leave announces that an agent stops or has stopped taking work.
+type Leave struct {
+	Cell int        `json:"cell"`
+	Node ccnode.Ref `json:"node"`
+	Gone bool       `json:"gone"` // True when it has finished and exits.
+}
+
+// LeaveReply acknowledges a Leave.
+type LeaveReply struct {
+	Term uint64 `json:"term"`
+}
--- /dev/null
+++ b/core/ccwire/claim.go
@@ -0,0 +1,137 @@
+package ccwire
+
+import (
+	"camphorcroft/core/ccjob"
+	"camphorcroft/core/ccnode"
+)
+
+// Methods between entries.
+const (
+	MethodClaim   = "entry.claim"   // Request: Claim, ClaimReply.
+	MethodRelease = "entry.release" // Notification: Release.
+	MethodAwait   = "entry.await"   // Request: Await, AwaitReply.
+	MethodGather  = "entry.gather"  // Request: Gather, GatherReply.
+	MethodPulse   = "entry.pulse"   // Request: Pulse, PulseReply.
+)
+
+// Claim asks the authority of a job's hash slot for the right to drive the job.
+// The grant counts from the moment that the requester sent the claim, on the
+// requester's clock.
+type Claim struct {
+	Epoch  uint64     `json:"epoch"` // Roster epoch at the requester.
+	JobID  ccjob.ID   `json:"jobID"`
+	Digest uint64     `json:"digest"`
+	Driver ccnode.Ref `json:"driver"`
+	// Released is a claim that its driver gave back. It is zero otherwise.
+	Released uint64 `json:"released,omitempty"`
+}
+
+// ClaimVerdict is the authority's answer.
+type ClaimVerdict string
+
+const (
+	// ClaimGranted lets the requester start tasks under the claim number.
+	ClaimGranted ClaimVerdict = "granted"
+	// ClaimRecover lets the requester drive the job after it has learned from all
+	// agents what started under earlier claims.
+	ClaimRecover ClaimVerdict = "recover"
+	// ClaimAttach names the entry that drives the job or holds its answer.
+	ClaimAttach ClaimVerdict = "attach"
+	// ClaimConflict is a known job ID with another digest.
+	ClaimConflict ClaimVerdict = "conflict"
+	// ClaimUnprovable is a job that may have run, with nobody left to tell.
+	ClaimUnprovable ClaimVerdict = "unprovable"
+	// ClaimWrongEpoch is a requester or an authority whose roster is stale.
+	ClaimWrongEpoch ClaimVerdict = "wrongEpoch"
+	// ClaimNotReady is an authority that may not grant at this moment.
+	ClaimNotReady ClaimVerdict = "notReady"
+	// ClaimFull is an authority whose table is at its bound.
+	ClaimFull ClaimVerdict = "full"
+)
+
+// ClaimReply answers a Claim.
+type ClaimReply struct {
+	Verdict ClaimVerdict `json:"verdict"`
+	Epoch   uint64       `json:"epoch"`
+	Claim   uint64       `json:"claim,omitempty"`
+	Driver  ccnode.Ref   `json:"driver,omitzero"`
+}
+
+// Release gives a claim back under which nothing started and nothing will.
+type Release struct {
+	JobID ccjob.ID   `json:"jobID"`
+	Claim uint64     `json:"claim"`
+	From  ccnode.Ref `json:"from"`
+}
+
+// Await asks the driver of a job for its outcome, and waits for it.
+type Await struct {
+	JobID  ccjob.ID   `json:"jobID"`
+	Digest uint64     `json:"digest"`
+	Driver ccnode.Ref `json:"driver"`
+	WaitMS int64      `json:"waitMS"`
+}
+
+// AwaitReply carries the outcome, when there is one.
+type AwaitReply struct {
+	Known    bool          `json:"known"`
+	Released uint64        `json:"released,omitempty"` // The claim that was given back.
+	Outcome  ccjob.Outcome `json:"outcome,omitzero"`
+}
+
+// Gather asks an entry for all that it knows of the slots that the requester
+// takes over, and for the promise to grant nothing there under earlier epochs.
+type Gather struct {
+	Epoch uint64     `json:"epoch"`
+	From  ccnode.Ref `json:"from"`
+	Slots []int      `json:"slots"`
+}
+
+// GatherReply carries the claims of those slots: those that the entry granted,
+// and those of the jobs that it drives.
+type GatherReply struct {
+	Entry ccnode.Ref `json:"entry"`
+	Epoch uint64     `json:"epoch"`
+	// Since is when the memory of this incarnation begins, in Unix milliseconds.
+	Since  int64         `json:"since"`
+	Slots  []GatherSlot  `json:"slots"`
+	Claims []GatherClaim `json:"claims"`
+}
+
+// GatherSlot says from when on the entry was the authority of a slot with whole
+// knowledge. Horizon is in Unix milliseconds; a job made later and not listed
+// was never granted there.
+type GatherSlot struct {
+	Slot    int   `json:"slot"`
+	Held    bool  `json:"held"`
+	Horizon int64 `json:"horizon"`
+}
+
+// GatherClaim is one claim that the entry knows of.
+type GatherClaim struct {
+	JobID  ccjob.ID   `json:"jobID"`
+	Digest uint64     `json:"digest"`
+	Claim  uint64     `json:"claim"`
+	Driver ccnode.Ref `json:"driver"`
+}
+
+// Pulse asks a peer whether it sees the store.
+type Pulse struct {
+	From  ccnode.Ref `json:"from"`
+	Epoch uint64     `json:"epoch"`
+	// SawStore is whether the sender has seen the store since its last renewal.
+	SawStore bool `json:"sawStore"`
+	// Removing lists entries that the sender wants to remove. The receiver will
+	// not consent to their going on without the store.
+	Removing []ccnode.Ref `json:"removing,omitempty"`
+}
+
+// PulseReply answers a Pulse.
+type PulseReply struct {
+	From  ccnode.Ref `json:"from"`
+	Epoch uint64     `json:"epoch"`
+	// StoreAgeMS is how long ago the peer last saw the store, in milliseconds.
+	StoreAgeMS int64 `json:"storeAgeMS"`
+	// Consents is whether the sender may go on without the store.
+	Consents bool `json:"consents"`
+}
--- /dev/null
+++ b/core/ccwire/report.go
@@ -0,0 +1,83 @@
+package ccwire
+
+import (
+	"camphorcroft/core/ccjob"
+	"camphorcroft/core/ccnode"
+)
+
+// TaskCode says what became of a task at an agent.
+type TaskCode string
+
+const (
+	// CodeDone is a task that ran and answered.
+	CodeDone TaskCode = "done"
+	// CodeFailed is a task that ran and failed.
+	CodeFailed TaskCode = "failed"
+	// CodeLost is a task that was given to the target, with no answer to show.
+	CodeLost TaskCode = "lost"
+	// CodeRunning is a task that started and has not ended.
+	CodeRunning TaskCode = "running"
+	// CodeFull is a task that did not start, since no slot was free.
+	CodeFull TaskCode = "full"
+	// CodeStale is a task that did not start, since the dispatch was too old or
+	// its settings version lower than the agent's.
+	CodeStale TaskCode = "stale"
+	// CodeClosed is a task that did not start, since the agent is leaving or its
+	// failure domain is out.
+	CodeClosed TaskCode = "closed"
+	// CodeFenced is a task that did not start, since a later claim or a revoke
+	// got there first.
+	CodeFenced TaskCode = "fenced"
+	// CodeRefused is a task that did not start, since its target took no
+	// connection.
+	CodeRefused TaskCode = "refused"
+)
+
+// Started reports whether the task reached, or may have reached, the target.
+func (c TaskCode) Started() bool {
+	switch c {
+	case CodeFull, CodeStale, CodeClosed, CodeFenced, CodeRefused:
+		return false
+	default:
+		return true
+	}
+}
+
+// Report carries the ends of tasks, and what the agent can take. It is a
+// notification from agent to entry, and the reply to Probe.
+type Report struct {
+	Agent   ccnode.Ref `json:"agent"`
+	Session uint64     `json:"session"`
+	// Clock is the agent's monotonic clock in milliseconds since its start.
+	Clock   int64  `json:"clock"`
+	Version uint64 `json:"version"`
+	Free    int    `json:"free"` // Slots free at this moment.
+	// Offer is how many of the free slots are held for this entry, for a short
+	// time, since it asked by Want.
+	Offer   int         `json:"offer"`
+	Leaving bool        `json:"leaving"`
+	Jobs    []ReportJob `json:"jobs,omitempty"`
+}
+
+// ReportJob is the part of a report that belongs to one job.
+type ReportJob struct {
+	ID    ccjob.ID     `json:"id"`
+	Claim uint64       `json:"claim"`
+	Tasks []TaskReport `json:"tasks"`
+}
+
+// TaskReport is the end of one attempt of one task.
+type TaskReport struct {
+	Index   int      `json:"index"`
+	Attempt int      `json:"attempt"`
+	Code    TaskCode `json:"code"`
+	Payload string   `json:"payload,omitempty"`
+	Reason  string   `json:"reason,omitempty"`
+	RunMS   float64  `json:"runMS,omitempty"` // From start to end at the target.
+}
+
+// Probe asks an agent that has been silent for a sign of life.
+type Probe struct {
+	Agent   ccnode.Ref `json:"agent"`
+	Session uint64     `json:"session"`
+}
