--- /dev/null
+++ b/core/ccevent/event.go
@@ -0,0 +1,92 @@
+// Package ccevent records what the processes of the fleet do, and puts the
+// records of many processes into one time line.
+//
+// Each process keeps a bounded ring of typed events. A message between
+// processes carries the sequence number of its sender's newest event; the
+// events that it brings about name that number as their cause. Causes order the
+// events of different processes when their clocks differ.
+//
+// # Usage
+//
+//	ring := ccevent.NewRing(ccevent.RingConfig{Node: self, Size: 65536})
+//	ring.Record(now, ccevent.Event{Kind: ccevent.KindStarted, Job: id, Index: 3})
+package ccevent
+
+import (
+	"time"
+
+	"camphorcroft/core/ccjob"
+	"camphorcroft/core/ccnode"
+)
+
+// NoIndex is the Index of an event that belongs to no single task.
+const NoIndex = -1
+
+// Event is one thing that a process did or learned.
+type Event struct {
+	Node   ccnode.Ref `json:"node"`
+	Seq    uint64     `json:"seq"`
+	At     time.Time  `json:"at"`
+	Kind   Kind       `json:"kind"`
+	Job    ccjob.ID   `json:"job,omitempty"`
+	Index  int        `json:"index"`           // The task, or NoIndex.
+	Count  int        `json:"count,omitempty"` // Tasks that the event covers, when more than one.
+	Claim  uint64     `json:"claim,omitempty"`
+	Team   string     `json:"team,omitempty"`
+	Domain string     `json:"domain,omitempty"`
+	Peer   ccnode.ID  `json:"peer,omitempty"` // The other process, if any.
+	Cause  Cause      `json:"cause,omitzero"`
+	Text   string     `json:"text,omitempty"` // A short reason. Never a payload.
+}
+
+// Cause names an event of another process that came before.
+type Cause struct {
+	Node ccnode.ID `json:"node"`
+	Seq  uint64    `json:"seq"`
+}
+
+// Kind sorts events.
+type Kind string
+
+// Kinds of events at entries.
+const (
+	KindAccepted  Kind = "accepted"  // A job was read and passed its checks.
+	KindClaimed   Kind = "claimed"   // The entry may drive the job.
+	KindGranted   Kind = "granted"   // The authority granted a claim.
+	KindAttached  Kind = "attached"  // The job is driven elsewhere, and awaited.
+	KindSent      Kind = "sent"      // Tasks were dispatched to an agent.
+	KindReturned  Kind = "returned"  // Tasks came back that had not started.
+	KindAnswered  Kind = "answered"  // A task's answer arrived.
+	KindRevoked   Kind = "revoked"   // Tasks were revoked before they started.
+	KindRecovered Kind = "recovered" // A job was taken over from a lost driver.
+	KindCompleted Kind = "completed" // A job was answered whole.
+	KindRefused   Kind = "refused"   // A job was refused.
+	KindFailed    Kind = "failed"    // A job failed.
+	KindCanceled  Kind = "canceled"  // A client canceled a job.
+	KindEjected   Kind = "ejected"   // A target gets no work for a time.
+	KindReadmit   Kind = "readmitted"
+	KindAgentUp   Kind = "agentUp"
+	KindAgentDown Kind = "agentDown"
+	KindCutOff    Kind = "cutOff" // The entry may not go on without the store.
+	KindOutage    Kind = "outage" // The store is down for all; work goes on.
+)
+
+// Kinds of events at agents.
+const (
+	KindStarted  Kind = "started"  // A task was given to the target.
+	KindFinished Kind = "finished" // The target answered.
+	KindBounced  Kind = "bounced"  // A task was sent back, not started.
+	KindFenced   Kind = "fenced"   // A claim was fenced.
+	KindPaused   Kind = "paused"   // The process noticed that it had been paused.
+)
+
+// Kinds of events at any process.
+const (
+	KindUp         Kind = "up"
+	KindDown       Kind = "down"
+	KindDraining   Kind = "draining"
+	KindVersion    Kind = "version" // A settings version came into force here.
+	KindLeaseTaken Kind = "leaseTaken"
+	KindLeaseLost  Kind = "leaseLost"
+	KindRoster     Kind = "roster" // A new roster or cell record was seen.
+)
--- a/core/ccwire/cell.go
+++ b/core/ccwire/cell.go
@@ -55,6 +55,8 @@
 	Cell    int        `json:"cell"`
 	Node    ccnode.Ref `json:"node"`
 	Version uint64     `json:"version"`
+	// Cause is the sequence number of the sender's newest event, for the time line.
+	Cause uint64 `json:"cause,omitempty"`
 }
 
 // HeartbeatReply carries what the member lacks. View is nil when the member is
@@ -64,6 +66,8 @@
 	Known   bool                  `json:"known"` // False asks the member to join again.
 	Version uint64                `json:"version"`
 	View    *ccsettings.AgentView `json:"view,omitempty"`
+	// Cause is the sequence number of the sender's newest event, for the time line.
+	Cause uint64 `json:"cause,omitempty"`
 }
 
 // JoinReply answers a Join as a heartbeat.
--- a/core/ccwire/claim.go
+++ b/core/ccwire/claim.go
@@ -24,6 +24,8 @@
 	Driver ccnode.Ref `json:"driver"`
 	// Released is a claim that its driver gave back. It is zero otherwise.
 	Released uint64 `json:"released,omitempty"`
+	// Cause is the sequence number of the sender's newest event, for the time line.
+	Cause uint64 `json:"cause,omitempty"`
 }
 
 // ClaimVerdict is the authority's answer.
@@ -55,6 +57,8 @@
 	Epoch   uint64       `json:"epoch"`
 	Claim   uint64       `json:"claim,omitempty"`
 	Driver  ccnode.Ref   `json:"driver,omitzero"`
+	// Cause is the sequence number of the sender's newest event, for the time line.
+	Cause uint64 `json:"cause,omitempty"`
 }
 
 // Release gives a claim back under which nothing started and nothing will.
@@ -62,6 +66,8 @@
 	JobID ccjob.ID   `json:"jobID"`
 	Claim uint64     `json:"claim"`
 	From  ccnode.Ref `json:"from"`
+	// Cause is the sequence number of the sender's newest event, for the time line.
+	Cause uint64 `json:"cause,omitempty"`
 }
 
 // Await asks the driver of a job for its outcome, and waits for it.
@@ -85,6 +91,8 @@
 	Epoch uint64     `json:"epoch"`
 	From  ccnode.Ref `json:"from"`
 	Slots []int      `json:"slots"`
+	// Cause is the sequence number of the sender's newest event, for the time line.
+	Cause uint64 `json:"cause,omitempty"`
 }
 
 // GatherReply carries the claims of those slots: those that the entry granted,
@@ -96,6 +104,8 @@
 	Since  int64         `json:"since"`
 	Slots  []GatherSlot  `json:"slots"`
 	Claims []GatherClaim `json:"claims"`
+	// Cause is the sequence number of the sender's newest event, for the time line.
+	Cause uint64 `json:"cause,omitempty"`
 }
 
 // GatherSlot says from when on the entry was the authority of a slot with whole
--- a/core/ccwire/dispatch.go
+++ b/core/ccwire/dispatch.go
@@ -60,6 +60,8 @@
 	// Want is how many more tasks the entry would send if the agent had slots.
 	Want int           `json:"want"`
 	Jobs []DispatchJob `json:"jobs,omitempty"`
+	// Cause is the sequence number of the sender's newest event, for the time line.
+	Cause uint64 `json:"cause,omitempty"`
 }
 
 // DispatchJob is the part of a dispatch that belongs to one job.
--- a/core/ccwire/report.go
+++ b/core/ccwire/report.go
@@ -57,6 +57,8 @@
 	Offer   int         `json:"offer"`
 	Leaving bool        `json:"leaving"`
 	Jobs    []ReportJob `json:"jobs,omitempty"`
+	// Cause is the sequence number of the sender's newest event, for the time line.
+	Cause uint64 `json:"cause,omitempty"`
 }
 
 // ReportJob is the part of a report that belongs to one job.
--- a/core/ccwire/revoke.go
+++ b/core/ccwire/revoke.go
@@ -11,6 +11,8 @@
 type Revoke struct {
 	Agent ccnode.Ref  `json:"agent"` // The life of the agent that was sent the tasks.
 	Jobs  []RevokeJob `json:"jobs"`
+	// Cause is the sequence number of the sender's newest event, for the time line.
+	Cause uint64 `json:"cause,omitempty"`
 }
 
 // RevokeJob names tasks of one job, each with the attempt that was sent.
@@ -32,12 +34,16 @@
 type RevokeReply struct {
 	Agent ccnode.Ref  `json:"agent"` // The life that answers. It may be a later one.
 	Jobs  []ReportJob `json:"jobs"`
+	// Cause is the sequence number of the sender's newest event, for the time line.
+	Cause uint64 `json:"cause,omitempty"`
 }
 
 // Recover asks an agent for all it knows of jobs whose driver is gone, and
 // fences every claim below the given one.
 type Recover struct {
 	Jobs []RecoverJob `json:"jobs"`
+	// Cause is the sequence number of the sender's newest event, for the time line.
+	Cause uint64 `json:"cause,omitempty"`
 }
 
 // RecoverJob names a job and the claim under which it goes on.
@@ -53,4 +59,6 @@
 	// Since is when the memory of this incarnation begins, in Unix milliseconds.
 	Since int64       `json:"since"`
 	Jobs  []ReportJob `json:"jobs"`
+	// Cause is the sequence number of the sender's newest event, for the time line.
+	Cause uint64 `json:"cause,omitempty"`
 }
