Number dispatches so that counts of free slots can be compared

Cause: a report's count of free slots leaves out dispatches that crossed it on the way, so an entry would send too much and see it bounce. Change: Dispatch carries a sequence number, Report the newest one handled. Figures: none yet; no sender exists.

--- a/core/ccwire/dispatch.go
+++ b/core/ccwire/dispatch.go
@@ -53,6 +53,9 @@
 type Dispatch struct {
 	Agent   ccnode.Ref `json:"agent"` // The life of the agent that it is meant for.
 	Session uint64     `json:"session"`
+	// Seq numbers the dispatches of a session from 1, so that a report can say
+	// which ones its count of free slots takes into account.
+	Seq uint64 `json:"seq"`
 	// Echo is the greatest Clock that the entry got from this agent. The agent
 	// reads from it how old the dispatch can be at the most, by its own clock.
 	Echo    int64  `json:"echo"`
--- a/core/ccwire/report.go
+++ b/core/ccwire/report.go
@@ -48,10 +48,15 @@
 type Report struct {
 	Agent   ccnode.Ref `json:"agent"`
 	Session uint64     `json:"session"`
+	// Seen is the Seq of the newest dispatch of this session that the agent has
+	// handled.
+	Seen uint64 `json:"seen"`
 	// Clock is the agent's monotonic clock in milliseconds since its start.
 	Clock   int64  `json:"clock"`
 	Version uint64 `json:"version"`
-	Free    int    `json:"free"` // Slots free at this moment.
+	// Free counts the slots that neither run a task nor are held for another
+	// entry.
+	Free int `json:"free"`
 	// Offer is how many of the free slots are held for this entry, for a short
 	// time, since it asked by Want.
 	Offer   int         `json:"offer"`
