Plan loads and work out their ideal

Cause: response time is judged against an ideal, and no part of the tree could say what the ideal of a given load on a given fleet is. Change: core/ccload makes seeded open-loop plans for the two users' shapes, reads and writes them as traces, replays them with no latency on the same targets (first come or one task of each job in turn) and sums up a run.

--- /dev/null
+++ b/core/ccload/ideal_test.go
@@ -0,0 +1,62 @@
+package ccload
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+var twoTargets = []Target{{Domain: "a", Speed: 2, Slots: 1}, {Domain: "b", Speed: 1, Slots: 1}}
+
+func assertResponses(t *testing.T, got []time.Duration, want ...time.Duration) {
+	t.Helper()
+	if !slices.Equal(got, want) {
+		t.Errorf("responses are %v, want %v", got, want)
+	}
+}
+
+func TestIdeal(t *testing.T) {
+	t.Run("fastestFreeSlotFirst", func(t *testing.T) {
+		arrivals := []Arrival{
+			{At: 0, Tasks: []time.Duration{100 * ms}},
+			{At: 0, Tasks: []time.Duration{100 * ms}},
+			{At: 60 * ms, Tasks: []time.Duration{100 * ms}},
+		}
+		// The third finds the fast slot free again at 50 ms.
+		assertResponses(t, Ideal(arrivals, twoTargets, OrderFirstCome), 50*ms, 100*ms, 50*ms)
+	})
+	t.Run("waitsForASlot", func(t *testing.T) {
+		arrivals := []Arrival{
+			{At: 0, Tasks: []time.Duration{100 * ms, 100 * ms, 100 * ms}},
+			{At: 10 * ms, Tasks: []time.Duration{20 * ms}},
+		}
+		// Two start at once, the third at 50 ms on the fast slot, the other job at
+		// 100 ms, when both are free.
+		assertResponses(t, Ideal(arrivals, twoTargets, OrderFirstCome), 100*ms, 100*ms)
+	})
+	t.Run("fairOrderTakesTurns", func(t *testing.T) {
+		tasks := slices.Repeat([]time.Duration{100 * ms}, 10)
+		arrivals := []Arrival{{At: 0, Tasks: tasks}, {At: 10 * ms, Tasks: []time.Duration{20 * ms}}}
+		single := []Target{{Speed: 1, Slots: 1}}
+		assertResponses(t, Ideal(arrivals, single, OrderFirstCome), 1000*ms, 1010*ms)
+		assertResponses(t, Ideal(arrivals, single, OrderFair), 1020*ms, 210*ms)
+	})
+	t.Run("aloneIsNeverLonger", func(t *testing.T) {
+		profile, _ := ProfileByName("maregrafo")
+		plan, err := NewPlan(PlanConfig{Profile: profile, Load: 0.9, Duration: 20 * time.Second, Seed: 3})
+		if err != nil {
+			t.Fatal(err)
+		}
+		longer := 0
+		for number, response := range Ideal(plan.Arrivals, profile.Targets, OrderFirstCome) {
+			if single := plan.Arrivals[number]; len(single.Tasks) == 1 && Alone(single, profile.Targets) > response {
+				longer++
+			}
+		}
+		if longer > 0 {
+			t.Errorf("%d jobs of one task took longer alone than together with others", longer)
+		}
+	})
+}
--- /dev/null
+++ b/core/ccload/report_test.go
@@ -0,0 +1,66 @@
+package ccload
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"camphorcroft/core/ccjob"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+var runStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// newTestReport has one job of each end, and one broken promise of each kind.
+func newTestReport() Report {
+	plan := &Plan{Duration: time.Second, Arrivals: []Arrival{
+		{Number: 0, Team: "a", Tasks: []time.Duration{100 * ms, 100 * ms}},
+		{Number: 1, Team: "a", At: 100 * ms, Tasks: []time.Duration{100 * ms}},
+		{Number: 2, Team: "b", At: 200 * ms, Tasks: []time.Duration{100 * ms}},
+		{Number: 3, Team: "b", At: 300 * ms, Tasks: []time.Duration{100 * ms}},
+	}}
+	summary := NewSummary(SummaryConfig{
+		Name: "test", Plan: plan, Profile: Profile{Name: "two", Targets: twoTargets}, RoundTrip: 3 * ms,
+	})
+	complete := ccjob.StateComplete
+	summary.Add(Result{Number: 0, JobID: "j0", Answered: true, State: complete, Response: 206 * ms})
+	summary.Add(Result{Number: 1, JobID: "j1", Answered: true, State: ccjob.StateRefused, Kind: ccjob.KindQuota, NotRun: true, Call: 4 * ms})
+	summary.Add(Result{Number: 2, JobID: "j2", Answered: true, State: complete, Response: 53 * ms, Wrong: true})
+	summary.Add(Result{Number: 3, JobID: "j3"})
+	return summary.Report(Observed{From: runStart, Messages: Messages{Dispatch: 3, Report: 4, Claims: 2, Sent: 5}, Starts: []Start{
+		{JobID: "j0", Index: 0, At: runStart},
+		{JobID: "j0", Index: 1, At: runStart},
+		{JobID: "j0", Index: 1, At: runStart},
+		{JobID: "j1", Index: 0, At: runStart},
+		{JobID: "nobody", Index: 0, At: runStart},
+	}})
+}
+
+func TestReport(t *testing.T) {
+	report := newTestReport()
+	golden := goldie.New(t)
+	t.Run("table", func(t *testing.T) {
+		var table bytes.Buffer
+		if err := WriteTable(&table, []Report{report, report}); err != nil {
+			t.Fatal(err)
+		}
+		golden.Assert(t, "table", table.Bytes())
+	})
+	t.Run("json", func(t *testing.T) {
+		data, err := json.MarshalIndent(report, "", "  ")
+		if err != nil {
+			t.Fatal(err)
+		}
+		golden.Assert(t, "report", data)
+	})
+	t.Run("brokenPromisesAreCounted", func(t *testing.T) {
+		if report.Doubled != 1 || report.Lost != 1 || report.FalseNotRun != 1 || report.Unknown != 1 || report.NoAnswer != 1 || report.Wrong != 1 {
+			t.Errorf("the report misses a broken promise: %+v", report)
+		}
+		if report.Holds() {
+			t.Error("the report says that all promises held")
+		}
+	})
+}
--- /dev/null
+++ b/core/ccload/result.go
@@ -0,0 +1,53 @@
+package ccload
+
+import (
+	"time"
+
+	"camphorcroft/core/ccjob"
+)
+
+// Result is what a client saw of one arrival.
+type Result struct {
+	Number int
+	JobID  ccjob.ID
+	// Response counts from the planned time of the arrival to the last byte of
+	// the answer.
+	Response time.Duration
+	// Late is how long after the planned time the generator submitted the job.
+	Late time.Duration
+	// Call is from the submission to the answer, in which a refusal is judged.
+	Call time.Duration
+	// Answered is false for a client that got no answer, or left.
+	Answered bool
+	// Left is a client that closed its connection as planned.
+	Left  bool
+	State ccjob.State
+	Kind  ccjob.Kind
+	// NotRun is the promise that came with the answer.
+	NotRun bool
+	// Wrong is an answer that is not whole, not in order, or another job's.
+	Wrong bool
+}
+
+// Start is one start of a task at a target.
+type Start struct {
+	JobID  ccjob.ID
+	Index  int
+	At     time.Time
+	Domain string
+}
+
+// Messages counts what the processes of the fleet sent each other.
+type Messages struct {
+	// Dispatch is messages with tasks from entries to agents.
+	Dispatch uint64 `json:"dispatch"`
+	// Report is messages from agents to entries.
+	Report uint64 `json:"report"`
+	// Claims is messages between entries.
+	Claims uint64 `json:"claims"`
+	// Control is all others.
+	Control uint64 `json:"control"`
+	// Sent is how often a task was sent to an agent. What exceeds the number of
+	// tasks came back without a start.
+	Sent uint64 `json:"sent"`
+}
