Decide which entry drives a job, and who goes on without the store

A job that is submitted twice, or whose entry died, must not start a task twice, and no store write a job is wanted. The roster now gives each of 256 slots to one entry, ccclaim grants claims there and vouches for jobs above a horizon only, and ccoutage lets a majority go on when the store is away.

Knowledge of a slot is told with the roster epoch up to which it is whole. A new authority compares it with the epoch of the last loss, so that missed epochs and quick joins need no wait. After a loss the horizon moves ahead by twice the clock margin: a client's clock may be ahead of the lost entry's, and that one ahead of the new authority's. A majority under an older roster can't outlive two changes, since each waits until a majority uses the last.

--- /dev/null
+++ b/core/ccclaim/authority_test.go
@@ -0,0 +1,287 @@
+package ccclaim_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"testing"
+	"time"
+
+	"camphorcroft/core/ccclaim"
+	"camphorcroft/core/ccjob"
+	"camphorcroft/core/ccnode"
+	"camphorcroft/core/ccroster"
+	"camphorcroft/core/ccwire"
+
+	"github.com/google/uuid"
+)
+
+const (
+	margin    = 2 * time.Second
+	driveLife = 20 * time.Second
+	retention = time.Minute
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func ref(id string) ccnode.Ref { return ccnode.Ref{ID: ccnode.ID(id), Incarnation: 1} }
+
+func entry(id string) ccroster.Member { return ccroster.Member{Ref: ref(id)} }
+
+// jobAt returns an ID of UUID version 7 that carries the time.
+func jobAt(at time.Time, n int) ccjob.ID {
+	var id uuid.UUID
+	binary.BigEndian.PutUint64(id[:8], uint64(at.UnixMilli())<<16|0x7000|uint64(n)&0xfff)
+	id[8] = 0x80
+	return ccjob.ID(id.String())
+}
+
+// jobOf returns such an ID in a slot whose authority is the given one.
+func jobOf(roster *ccroster.Roster, id string, at time.Time) ccjob.ID {
+	for n := range 0x1000 {
+		job := jobAt(at, n)
+		if owner, _ := roster.Authority(ccroster.SlotOf(job)); owner.Ref == ref(id) {
+			return job
+		}
+	}
+	panic("no job found")
+}
+
+func newAuthority(id string, maxClaims int) *ccclaim.Authority {
+	return ccclaim.NewAuthority(ccclaim.Config{
+		Self: ref(id), MaxClaims: maxClaims, ClockMargin: margin, DriveLife: driveLife,
+		GrantLife: ccclaim.DefaultGrantLife, Retention: retention, Guards: ccclaim.AllGuards(),
+	})
+}
+
+func claimOf(a *ccclaim.Authority, driver string, job ccjob.ID) ccwire.Claim {
+	return ccwire.Claim{Epoch: a.Epoch(), JobID: job, Digest: 1, Driver: ref(driver)}
+}
+
+func assertVerdict(t *testing.T, a *ccclaim.Authority, now time.Time, message ccwire.Claim, want ccwire.ClaimVerdict) ccwire.ClaimReply {
+	t.Helper()
+	reply := a.Claim(now, message, now.Add(time.Second))
+	if reply.Verdict != want {
+		t.Errorf("verdict %s, want %s", reply.Verdict, want)
+	}
+	return reply
+}
+
+// pair returns a new fleet of entries a and b, where both know all.
+func pair(t *testing.T) (*ccroster.Roster, *ccclaim.Authority, *ccclaim.Authority) {
+	t.Helper()
+	roster := ccroster.Genesis(entry("a"))
+	a, b := newAuthority("a", 100), newAuthority("b", 100)
+	a.RosterChanged(start, roster)
+	roster = roster.With(entry("b"))
+	a.RosterChanged(start, roster)
+	gather(start, b, b.RosterChanged(start, roster), a)
+	if a.Ready()+b.Ready() != ccroster.Slots {
+		t.Fatalf("ready in %d and %d slots", a.Ready(), b.Ready())
+	}
+	return roster, a, b
+}
+
+func gather(now time.Time, asker *ccclaim.Authority, requests []ccclaim.GatherRequest, asked *ccclaim.Authority, driven ...ccwire.GatherClaim) {
+	for _, request := range requests {
+		asker.GatherAnswered(now, request.Message.Epoch, asked.Gather(request.Message, driven))
+	}
+}
+
+func TestClaim(t *testing.T) {
+	t.Run("the first is granted, the second attaches", func(t *testing.T) {
+		roster, a, _ := pair(t)
+		job := jobOf(roster, "a", start)
+		first := assertVerdict(t, a, start, claimOf(a, "a", job), ccwire.ClaimGranted)
+		second := assertVerdict(t, a, start, claimOf(a, "b", job), ccwire.ClaimAttach)
+		if second.Driver != ref("a") || second.Claim != first.Claim {
+			t.Errorf("attached to %+v", second)
+		}
+	})
+	t.Run("other content is a conflict", func(t *testing.T) {
+		roster, a, _ := pair(t)
+		message := claimOf(a, "a", jobOf(roster, "a", start))
+		assertVerdict(t, a, start, message, ccwire.ClaimGranted)
+		message.Digest++
+		assertVerdict(t, a, start, message, ccwire.ClaimConflict)
+	})
+	t.Run("a released claim is granted anew, with a greater number", func(t *testing.T) {
+		roster, a, _ := pair(t)
+		job := jobOf(roster, "a", start)
+		first := assertVerdict(t, a, start, claimOf(a, "a", job), ccwire.ClaimGranted)
+		a.Release(ccwire.Release{JobID: job, Claim: first.Claim, From: ref("a")})
+		second := assertVerdict(t, a, start, claimOf(a, "b", job), ccwire.ClaimGranted)
+		if second.Claim <= first.Claim {
+			t.Errorf("claim %d after %d", second.Claim, first.Claim)
+		}
+		a.Release(ccwire.Release{JobID: job, Claim: first.Claim, From: ref("a")})
+		assertVerdict(t, a, start, claimOf(a, "a", job), ccwire.ClaimAttach)
+	})
+	t.Run("a claim that its driver does not know is recovered", func(t *testing.T) {
+		roster, a, _ := pair(t)
+		message := claimOf(a, "a", jobOf(roster, "a", start))
+		first := assertVerdict(t, a, start, message, ccwire.ClaimGranted)
+		assertVerdict(t, a, start, message, ccwire.ClaimRecover)
+		message.Driver, message.Disowned = ref("b"), first.Claim+1
+		assertVerdict(t, a, start, message, ccwire.ClaimRecover)
+	})
+	t.Run("refusals", func(t *testing.T) {
+		roster, a, b := pair(t)
+		job := jobOf(roster, "a", start)
+		stale := claimOf(a, "b", job)
+		stale.Epoch--
+		assertVerdict(t, a, start, stale, ccwire.ClaimWrongEpoch)
+		assertVerdict(t, b, start, claimOf(b, "b", job), ccwire.ClaimWrongEpoch)
+		assertVerdict(t, a, start, claimOf(a, "stranger", job), ccwire.ClaimWrongEpoch)
+		assertVerdict(t, a, start, claimOf(a, "b", jobOf(roster, "a", start.Add(margin+time.Second))), ccwire.ClaimInvalid)
+		if reply := a.Claim(start, claimOf(a, "b", job), start); reply.Verdict != ccwire.ClaimNotReady {
+			t.Errorf("verdict %s at the end of the lease", reply.Verdict)
+		}
+	})
+}
+
+func TestUsable(t *testing.T) {
+	roster, a, b := pair(t)
+	job := jobOf(roster, "a", start)
+	reply := assertVerdict(t, a, start, claimOf(a, "b", job), ccwire.ClaimGranted)
+	assertUsable := func(after time.Duration, want bool) {
+		t.Helper()
+		if got := b.Usable(start.Add(after), start, job, reply); got != want {
+			t.Errorf("usable after %s: %t", after, got)
+		}
+	}
+	assertUsable(499*time.Millisecond, true)
+	assertUsable(500*time.Millisecond, false)
+	b.Gather(ccwire.Gather{Epoch: roster.Epoch + 1, From: ref("c"), Slots: []int{ccroster.SlotOf(job)}}, nil)
+	assertUsable(time.Millisecond, false)
+}
+
+func TestTakeover(t *testing.T) {
+	t.Run("a member that leaves hands all over", func(t *testing.T) {
+		roster, a, b := pair(t)
+		known := jobOf(roster, "a", start)
+		untimed := jobWithoutTime(roster, "a")
+		assertVerdict(t, a, start, claimOf(a, "b", known), ccwire.ClaimGranted)
+		roster = roster.WithLeaving(ref("a"))
+		a.RosterChanged(start, roster)
+		requests := b.RosterChanged(start, roster)
+		assertVerdict(t, b, start, claimOf(b, "b", known), ccwire.ClaimNotReady)
+		assertHandedOver(t, a, b, false)
+		gather(start, b, requests, a)
+		assertHandedOver(t, a, b, true)
+		assertVerdict(t, b, start, claimOf(b, "a", known), ccwire.ClaimAttach)
+		assertVerdict(t, b, start, claimOf(b, "a", untimed), ccwire.ClaimGranted)
+	})
+	t.Run("after a loss only later jobs are new", func(t *testing.T) {
+		roster, a, b := pair(t)
+		job := jobOf(roster, "a", start)
+		untimed, old := jobWithoutTime(roster, "a"), jobOf(roster, "a", start.Add(-retention))
+		assertVerdict(t, a, start, claimOf(a, "a", job), ccwire.ClaimGranted)
+		roster = roster.Without(ref("a"))
+		b.RosterChanged(start, roster)
+		assertVerdict(t, b, start, claimOf(b, "b", job), ccwire.ClaimNotReady)
+		taken := start.Add(ccclaim.DefaultGrantLife)
+		b.Tick(taken)
+		assertVerdict(t, b, taken, claimOf(b, "b", job), ccwire.ClaimRecover)
+		assertVerdict(t, b, taken, claimOf(b, "b", untimed), ccwire.ClaimUnprovable)
+		after := taken.Add(2*margin + time.Millisecond)
+		assertVerdict(t, b, after, claimOf(b, "b", jobAt(after, 1)), ccwire.ClaimGranted)
+		assertVerdict(t, b, after, claimOf(b, "b", old), ccwire.ClaimUnprovable)
+	})
+	t.Run("a driver is heard when the authority is lost", func(t *testing.T) {
+		roster := ccroster.Genesis(entry("a")).With(entry("b")).With(entry("c"))
+		job := jobOf(roster.Without(ref("a")), "b", start)
+		b, c := newAuthority("b", 100), newAuthority("c", 100)
+		b.RosterChanged(start, roster)
+		c.RosterChanged(start, roster)
+		roster = roster.Without(ref("a"))
+		c.RosterChanged(start, roster)
+		driven := ccwire.GatherClaim{JobID: job, Digest: 1, Claim: 7, Driver: ref("c"), Granted: start.UnixMilli()}
+		gather(start, b, b.RosterChanged(start, roster), c, driven)
+		later := start.Add(time.Second)
+		b.Tick(later)
+		assertVerdict(t, b, later, claimOf(b, "b", job), ccwire.ClaimAttach)
+	})
+	t.Run("a driver that is lost leaves its claims to be recovered", func(t *testing.T) {
+		roster, a, _ := pair(t)
+		job := jobOf(roster, "a", start)
+		first := assertVerdict(t, a, start, claimOf(a, "b", job), ccwire.ClaimGranted)
+		a.RosterChanged(start, roster.Without(ref("b")))
+		second := assertVerdict(t, a, start, claimOf(a, "a", job), ccwire.ClaimRecover)
+		if second.Claim <= first.Claim || second.Since > start.UnixMilli() {
+			t.Errorf("recover %+v after %+v", second, first)
+		}
+	})
+	t.Run("an entry that missed an epoch asks again", func(t *testing.T) {
+		roster, a, b := pair(t)
+		roster = roster.Renewed().Renewed()
+		requests := a.RosterChanged(start, roster)
+		assertVerdict(t, a, start, claimOf(a, "a", jobOf(roster, "a", start)), ccwire.ClaimNotReady)
+		gather(start, a, requests, b)
+		assertVerdict(t, a, start, claimOf(a, "a", jobOf(roster, "a", start)), ccwire.ClaimGranted)
+	})
+	t.Run("a promise stops grants under the older epoch", func(t *testing.T) {
+		roster, a, _ := pair(t)
+		job := jobOf(roster, "a", start)
+		a.Gather(ccwire.Gather{Epoch: roster.Epoch + 1, From: ref("c"), Slots: []int{ccroster.SlotOf(job)}}, nil)
+		assertVerdict(t, a, start, claimOf(a, "a", job), ccwire.ClaimNotReady)
+	})
+}
+
+func assertHandedOver(t *testing.T, from, to *ccclaim.Authority, want bool) {
+	t.Helper()
+	for _, request := range from.Handover() {
+		if got := ccclaim.HandedOver(from.Epoch(), to.Gather(request.Message, nil)); got != want {
+			t.Errorf("handed over: %t", got)
+		}
+	}
+}
+
+func jobWithoutTime(roster *ccroster.Roster, id string) ccjob.ID {
+	for n := range 0x1000 {
+		job := ccjob.ID(fmt.Sprintf("job-%d", n))
+		if owner, _ := roster.Authority(ccroster.SlotOf(job)); owner.Ref == ref(id) {
+			return job
+		}
+	}
+	panic("no job found")
+}
+
+func TestBound(t *testing.T) {
+	alone := func(maxClaims int) *ccclaim.Authority {
+		a := newAuthority("a", maxClaims)
+		a.RosterChanged(start, ccroster.Genesis(entry("a")))
+		return a
+	}
+	t.Run("a full table refuses while its oldest claim may be worked on", func(t *testing.T) {
+		a := alone(2)
+		for n := range 2 {
+			assertVerdict(t, a, start, claimOf(a, "a", jobAt(start, n)), ccwire.ClaimGranted)
+		}
+		assertVerdict(t, a, start, claimOf(a, "a", jobAt(start, 2)), ccwire.ClaimFull)
+	})
+	t.Run("then it forgets the oldest and says so", func(t *testing.T) {
+		a := alone(2)
+		for n := range 2 {
+			assertVerdict(t, a, start, claimOf(a, "a", jobAt(start, n)), ccwire.ClaimGranted)
+		}
+		later := start.Add(driveLife)
+		for n := range 2 {
+			assertVerdict(t, a, later, claimOf(a, "a", jobAt(later, n)), ccwire.ClaimGranted)
+		}
+		if a.Len() != 2 {
+			t.Errorf("%d claims", a.Len())
+		}
+		again := later.Add(driveLife)
+		assertVerdict(t, a, again, claimOf(a, "a", jobAt(start, 0)), ccwire.ClaimRecover)
+	})
+	t.Run("past retention a job is unprovable, and no untimed one is new", func(t *testing.T) {
+		a := alone(10)
+		assertVerdict(t, a, start, claimOf(a, "a", "untimed"), ccwire.ClaimGranted)
+		later := start.Add(retention + time.Second)
+		a.Tick(later)
+		if a.Len() != 0 {
+			t.Errorf("%d claims", a.Len())
+		}
+		assertVerdict(t, a, later, claimOf(a, "a", "untimed"), ccwire.ClaimUnprovable)
+	})
+}
--- /dev/null
+++ b/core/ccclaim/recovery.go
@@ -0,0 +1,190 @@
+package ccclaim
+
+import (
+	"time"
+
+	"camphorcroft/core/ccjob"
+	"camphorcroft/core/ccnode"
+	"camphorcroft/core/ccwire"
+)
+
+// Life is one incarnation of an agent. End is zero while it lives.
+type Life struct {
+	Ref   ccnode.Ref
+	Start time.Time
+	End   time.Time
+}
+
+// RecoveryConfig describes a job that goes on under a new claim.
+type RecoveryConfig struct {
+	JobID ccjob.ID
+	Claim uint64
+	// Tasks is the number of tasks, which the client's resubmission tells.
+	Tasks int
+	// Since is the earliest time at which a task of the job can have started.
+	Since time.Time
+	// Lives are all lives of agents that ended after Since or have not ended.
+	// Those that ended earlier may be in the list.
+	Lives []Life
+}
+
+// Recovery works out what is left of a job whose driver is gone. Whatever it
+// decides counts from when all agents were asked, since asking also fences the
+// earlier claims.
+type Recovery struct {
+	cfg   RecoveryConfig
+	lives map[ccnode.Ref]*lifeAnswer
+	found map[int]Found
+}
+
+// lifeAnswer is how one life answered.
+type lifeAnswer struct {
+	life    Life
+	heard   bool
+	vouches bool
+}
+
+// Found is what an agent knows of one task that started.
+type Found struct {
+	Agent  ccnode.Ref
+	Report ccwire.TaskReport
+}
+
+// Fate is what to do about one task.
+type Fate struct {
+	Index int
+	Kind  FateKind
+	// Found is set for FateEnded and FateRunning.
+	Found Found
+}
+
+// FateKind sorts fates.
+type FateKind string
+
+const (
+	// FateEnded is a task that ran; its report says how it ended.
+	FateEnded FateKind = "ended"
+	// FateRunning is a task that an agent runs. Its report will follow.
+	FateRunning FateKind = "running"
+	// FateFresh is a task that started nowhere and may be run.
+	FateFresh FateKind = "fresh"
+	// FateLost is a task that may have started where nobody can be asked.
+	FateLost FateKind = "lost"
+)
+
+// NewRecovery returns a recovery that has heard nobody.
+func NewRecovery(cfg RecoveryConfig) *Recovery {
+	r := &Recovery{cfg: cfg, lives: map[ccnode.Ref]*lifeAnswer{}, found: map[int]Found{}}
+	for _, life := range cfg.Lives {
+		if life.End.IsZero() || !life.End.Before(cfg.Since) {
+			r.lives[life.Ref] = &lifeAnswer{life: life, heard: !life.End.IsZero()}
+		}
+	}
+	return r
+}
+
+// Ask returns the message to send, and the lives that have not answered it.
+func (r *Recovery) Ask() ([]ccnode.Ref, ccwire.Recover) {
+	var refs []ccnode.Ref
+	for _, life := range r.cfg.Lives {
+		if answer, ok := r.lives[life.Ref]; ok && !answer.heard {
+			refs = append(refs, life.Ref)
+		}
+	}
+	return refs, ccwire.Recover{Jobs: []ccwire.RecoverJob{{ID: r.cfg.JobID, Claim: r.cfg.Claim}}}
+}
+
+// Answered takes an agent's reply. A reply of a later life than was asked says
+// nothing about the earlier one, which is then over.
+func (r *Recovery) Answered(reply ccwire.RecoverReply) {
+	for ref, answer := range r.lives {
+		if ref.ID == reply.Agent.ID && ref.Incarnation < reply.Agent.Incarnation {
+			answer.heard = true
+		}
+	}
+	since := time.UnixMilli(reply.Since)
+	answer, ok := r.lives[reply.Agent]
+	if !ok {
+		// The life began after the list was made, so it began with reply.Since.
+		answer = &lifeAnswer{life: Life{Ref: reply.Agent, Start: since}}
+		r.lives[reply.Agent] = answer
+	}
+	answer.heard = true
+	answer.vouches = !since.After(r.cfg.Since) || !since.After(answer.life.Start)
+	for _, job := range reply.Jobs {
+		if job.ID == r.cfg.JobID {
+			r.collect(reply.Agent, job.Tasks)
+		}
+	}
+}
+
+func (r *Recovery) collect(agent ccnode.Ref, tasks []ccwire.TaskReport) {
+	for _, task := range tasks {
+		if !task.Code.Started() {
+			continue
+		}
+		if earlier, ok := r.found[task.Index]; ok && earlier.Report.Code != ccwire.CodeRunning {
+			continue
+		}
+		r.found[task.Index] = Found{Agent: agent, Report: task}
+	}
+}
+
+// Unheard gives up on a life: it can't be reached, or its time is over.
+func (r *Recovery) Unheard(ref ccnode.Ref) {
+	if answer, ok := r.lives[ref]; ok {
+		answer.heard = true
+	}
+}
+
+// Done reports whether every life has answered or was given up.
+func (r *Recovery) Done() bool {
+	for _, answer := range r.lives {
+		if !answer.heard {
+			return false
+		}
+	}
+	return true
+}
+
+// Whole reports whether every life that can have started a task vouches for
+// what it started.
+func (r *Recovery) Whole() bool {
+	for _, answer := range r.lives {
+		if !answer.vouches {
+			return false
+		}
+	}
+	return true
+}
+
+// Fates returns what to do about each task, in order. Call it once Done.
+func (r *Recovery) Fates() []Fate {
+	missing := FateLost
+	if r.Done() && r.Whole() {
+		missing = FateFresh
+	}
+	fates := make([]Fate, r.cfg.Tasks)
+	for index := range fates {
+		found, ok := r.found[index]
+		switch {
+		case !ok:
+			fates[index] = Fate{Index: index, Kind: missing}
+		case found.Report.Code == ccwire.CodeRunning:
+			fates[index] = Fate{Index: index, Kind: FateRunning, Found: found}
+		default:
+			fates[index] = Fate{Index: index, Kind: FateEnded, Found: found}
+		}
+	}
+	return fates
+}
+
+// NotRun reports whether the fates prove that no task started.
+func NotRun(fates []Fate) bool {
+	for _, fate := range fates {
+		if fate.Kind != FateFresh {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/core/ccoutage/removal.go
@@ -0,0 +1,70 @@
+package ccoutage
+
+import (
+	"time"
+
+	"camphorcroft/core/ccnode"
+	"camphorcroft/core/ccwire"
+)
+
+// Removal collects what an entry needs before it may take another out of the
+// roster in use. Start one only after the store has shown, under that roster,
+// that the other's lease has ended.
+type Removal struct {
+	rule     *Rule
+	epoch    uint64
+	target   ccnode.Ref
+	deniers  map[ccnode.Ref]struct{}
+	provedAt time.Time
+}
+
+// NewRemoval returns a removal of target from the roster that the rule uses.
+func NewRemoval(rule *Rule, target ccnode.Ref) *Removal {
+	return &Removal{rule: rule, epoch: rule.roster.Epoch, target: target, deniers: map[ccnode.Ref]struct{}{}}
+}
+
+// Target returns the life that is to be removed.
+func (r *Removal) Target() ccnode.Ref { return r.target }
+
+// Denied takes a peer's reply to the rule's message that named the target.
+func (r *Removal) Denied(reply ccwire.PulseReply) {
+	if reply.Epoch != r.epoch || reply.From == r.target {
+		return
+	}
+	for _, ref := range reply.Denies {
+		if ref == r.target {
+			r.deniers[reply.From] = struct{}{}
+		}
+	}
+}
+
+// May reports whether the target may be removed now. Once enough members refuse,
+// it waits until what they consented to before has ended. A removal that began
+// under another roster never may.
+func (r *Removal) May(now time.Time) bool {
+	if r.epoch != r.rule.roster.Epoch || !r.rule.Settled() || !r.proved() {
+		return false
+	}
+	if r.provedAt.IsZero() {
+		r.provedAt = now
+	}
+	return now.Sub(r.provedAt) >= r.rule.cfg.ConsentLife
+}
+
+// proved reports whether the target is dead, or so many members are dead or
+// refuse that the rest are no majority.
+func (r *Removal) proved() bool {
+	if _, dead := r.rule.dead[r.target]; dead {
+		return true
+	}
+	refusing := 0
+	for _, member := range r.rule.roster.Entries {
+		_, denies := r.deniers[member.Ref]
+		_, dead := r.rule.dead[member.Ref]
+		_, own := r.rule.withheld[r.target]
+		if denies || dead || (own && member.Ref == r.rule.cfg.Self) {
+			refusing++
+		}
+	}
+	return refusing > len(r.rule.roster.Entries)-r.rule.roster.Majority()
+}
--- a/core/ccwire/claim.go
+++ b/core/ccwire/claim.go
@@ -24,6 +24,9 @@
 	Driver ccnode.Ref `json:"driver"`
 	// Released is a claim that its driver gave back. It is zero otherwise.
 	Released uint64 `json:"released,omitempty"`
+	// Disowned is a claim that its driver says it doesn't know. It is zero
+	// otherwise.
+	Disowned uint64 `json:"disowned,omitempty"`
 	// Cause is the sequence number of the sender's newest event, for the time line.
 	Cause uint64 `json:"cause,omitempty"`
 }
@@ -49,6 +52,8 @@
 	ClaimNotReady ClaimVerdict = "notReady"
 	// ClaimFull is an authority whose table is at its bound.
 	ClaimFull ClaimVerdict = "full"
+	// ClaimInvalid is a job whose ID carries a time that lies ahead.
+	ClaimInvalid ClaimVerdict = "invalid"
 )
 
 // ClaimReply answers a Claim.
@@ -57,6 +62,9 @@
 	Epoch   uint64       `json:"epoch"`
 	Claim   uint64       `json:"claim,omitempty"`
 	Driver  ccnode.Ref   `json:"driver,omitzero"`
+	// Since is the earliest time at which a task of the job can have started, in
+	// Unix milliseconds. It comes with ClaimRecover.
+	Since int64 `json:"since,omitempty"`
 	// Cause is the sequence number of the sender's newest event, for the time line.
 	Cause uint64 `json:"cause,omitempty"`
 }
@@ -108,13 +116,17 @@
 	Cause uint64 `json:"cause,omitempty"`
 }
 
-// GatherSlot says from when on the entry was the authority of a slot with whole
-// knowledge. Horizon is in Unix milliseconds; a job made later and not listed
-// was never granted there.
+// GatherSlot says what the entry knows of one slot as a whole. Horizon is in
+// Unix milliseconds; a job made later and not listed was granted by nobody under
+// Epoch or before.
 type GatherSlot struct {
-	Slot    int   `json:"slot"`
-	Held    bool  `json:"held"`
-	Horizon int64 `json:"horizon"`
+	Slot int `json:"slot"`
+	// Epoch is the newest roster epoch up to which the entry knows all grants. It
+	// is zero when the entry never knew all.
+	Epoch   uint64 `json:"epoch"`
+	Horizon int64  `json:"horizon"`
+	// Complete is whether no claim of the slot was ever forgotten.
+	Complete bool `json:"complete"`
 }
 
 // GatherClaim is one claim that the entry knows of.
@@ -123,6 +135,10 @@
 	Digest uint64     `json:"digest"`
 	Claim  uint64     `json:"claim"`
 	Driver ccnode.Ref `json:"driver"`
+	// Granted is when the claim was granted, in Unix milliseconds.
+	Granted int64 `json:"granted"`
+	// Released is whether the driver gave the claim back.
+	Released bool `json:"released,omitempty"`
 }
 
 // Pulse asks a peer whether it sees the store.
@@ -144,4 +160,7 @@
 	StoreAgeMS int64 `json:"storeAgeMS"`
 	// Consents is whether the sender may go on without the store.
 	Consents bool `json:"consents"`
+	// Denies lists those of the entries to be removed from which the peer will
+	// withhold its consent until the roster changes.
+	Denies []ccnode.Ref `json:"denies,omitempty"`
 }
