Merge the events of many processes into one time line

Each process numbers its own events and each effect names its cause, but nothing yet put them in one order. Merge keeps every lane's order and every cause before its effect, estimates how far clocks are apart from the pairs of cause and effect, and notes dropped events and silent processes. A cause can name the incarnation, so that a restart is not taken for the earlier life.

--- a/core/ccevent/event.go
+++ b/core/ccevent/event.go
@@ -39,10 +39,12 @@
 	Text   string     `json:"text,omitempty"` // A short reason. Never a payload.
 }
 
-// Cause names an event of another process that came before.
+// Cause names an event of another process that came before. A zero Incarnation
+// means the life of that process that was the newest at the time.
 type Cause struct {
-	Node ccnode.ID `json:"node"`
-	Seq  uint64    `json:"seq"`
+	Node        ccnode.ID          `json:"node"`
+	Incarnation ccnode.Incarnation `json:"incarnation,omitempty"`
+	Seq         uint64             `json:"seq"`
 }
 
 // Kind sorts events.
--- /dev/null
+++ b/core/ccevent/lane.go
@@ -0,0 +1,65 @@
+package ccevent
+
+import (
+	"cmp"
+	"slices"
+	"sort"
+	"time"
+
+	"camphorcroft/core/ccnode"
+)
+
+// lane is one life of one process while a time line is made.
+type lane struct {
+	node   ccnode.Ref
+	events []Event // In the order of their numbers, each number once.
+	offset time.Duration
+	next   int       // The first event that is not placed yet.
+	last   time.Time // When the newest placed event was.
+}
+
+// cutLanes sorts the events into lanes, ordered by node and incarnation. Of each
+// lane the newest events are kept, so that all are at most limit in number.
+func cutLanes(events []Event, limit int) []*lane {
+	byNode := make(map[ccnode.Ref]*lane)
+	var lanes []*lane
+	for i := range events {
+		ref := events[i].Node
+		if byNode[ref] == nil {
+			byNode[ref] = &lane{node: ref}
+			lanes = append(lanes, byNode[ref])
+		}
+		byNode[ref].events = append(byNode[ref].events, events[i])
+	}
+	slices.SortFunc(lanes, func(a, b *lane) int { return compareRefs(a.node, b.node) })
+	for _, l := range lanes {
+		slices.SortStableFunc(l.events, func(a, b Event) int { return cmp.Compare(a.Seq, b.Seq) })
+		l.events = slices.CompactFunc(l.events, func(a, b Event) bool { return a.Seq == b.Seq })
+		if most := max(1, limit/len(lanes)); len(l.events) > most {
+			l.events = l.events[len(l.events)-most:]
+		}
+	}
+	return lanes
+}
+
+func compareRefs(a, b ccnode.Ref) int {
+	return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Incarnation, b.Incarnation))
+}
+
+// upTo returns how many of the lane's events have a number of seq or less.
+func (l *lane) upTo(seq uint64) int {
+	return sort.Search(len(l.events), func(i int) bool { return l.events[i].Seq > seq })
+}
+
+// missingBefore returns how many events are missing right before the i-th.
+func (l *lane) missingBefore(i int) uint64 {
+	if i == 0 {
+		return l.events[0].Seq - 1
+	}
+	return l.events[i].Seq - l.events[i-1].Seq - 1
+}
+
+// missing returns how many events are missing in all.
+func (l *lane) missing() uint64 {
+	return l.events[len(l.events)-1].Seq - uint64(len(l.events))
+}
--- a/core/ccevent/ring.go
+++ b/core/ccevent/ring.go
@@ -10,7 +10,9 @@
 // RingConfig says whose events a ring holds, and how many.
 type RingConfig struct {
 	Node ccnode.Ref
-	Size int // Events kept; the oldest go first. Zero keeps none.
+	// Domain is the failure domain of the process. Events that name none get it.
+	Domain string
+	Size   int // Events kept; the oldest go first. Zero keeps none.
 }
 
 // Ring keeps the newest events of one process. Its methods may be called from
@@ -18,13 +20,14 @@
 type Ring struct {
 	mu     sync.Mutex
 	node   ccnode.Ref
+	domain string
 	events []Event
 	seq    uint64
 }
 
 // NewRing returns an empty ring.
 func NewRing(cfg RingConfig) *Ring {
-	return &Ring{node: cfg.Node, events: make([]Event, 0, cfg.Size)}
+	return &Ring{node: cfg.Node, domain: cfg.Domain, events: make([]Event, 0, cfg.Size)}
 }
 
 // Record gives the event its node, number and time and keeps it. It returns the
@@ -33,10 +36,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.seq++
-	event.Node, event.Seq, event.At = r.node, r.seq, now
-	if size := cap(r.events); size == 0 {
+	size := cap(r.events)
+	if size == 0 {
 		return r.seq
-	} else if len(r.events) < size {
+	}
+	event.Node, event.Seq, event.At = r.node, r.seq, now
+	if event.Domain == "" {
+		event.Domain = r.domain
+	}
+	if len(r.events) < size {
 		r.events = append(r.events, event)
 	} else {
 		r.events[(r.seq-1)%uint64(size)] = event
