--- a/core/ccevent/clocks.go
+++ b/core/ccevent/clocks.go
@@ -19,6 +19,7 @@
 type offsetRange struct {
 	lanePair
 	low, high time.Duration
+	guessed   bool // From messages of a third process, not between the two.
 }
 
 // estimate returns the offset that changes the clock the least, if its range
@@ -38,7 +39,7 @@
 
 // width says how far the estimate may be off.
 func (r offsetRange) width() time.Duration {
-	if r.low == -unbounded || r.high == unbounded {
+	if r.guessed || r.low == -unbounded || r.high == unbounded {
 		return unbounded
 	}
 	return r.high - r.low
@@ -50,7 +51,7 @@
 func setOffsets(lanes []*lane, causes *causes) {
 	ranges := offsetRanges(lanes, causes)
 	slices.SortFunc(ranges, func(x, y offsetRange) int {
-		return cmp.Or(cmp.Compare(x.width(), y.width()), cmp.Compare(x.a, y.a), cmp.Compare(x.b, y.b))
+		return cmp.Or(compareBool(x.guessed, y.guessed), cmp.Compare(x.width(), y.width()), cmp.Compare(x.a, y.a), cmp.Compare(x.b, y.b), cmp.Compare(x.low, y.low))
 	})
 	group := make([]int, len(lanes)) // The group of each lane, by its index.
 	members := make([][]int, len(lanes))
@@ -114,13 +115,24 @@
 			byPair[pair] = offsetRange{lanePair: pair}
 		}
 	}
-	ranges := make([]offsetRange, 0, len(byPair))
+	ranges := guessedRanges(lanes, causes)
 	for _, r := range byPair {
 		ranges = append(ranges, r)
 	}
 	return ranges
 }
 
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // tighten notes a message that seemed to take the given time.
 func tighten(byPair map[lanePair]offsetRange, cause, effect int, took time.Duration) {
 	pair := lanePair{a: min(cause, effect), b: max(cause, effect)}
--- /dev/null
+++ b/core/ccevent/explain.go
@@ -0,0 +1,186 @@
+package ccevent
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"camphorcroft/core/ccjob"
+	"camphorcroft/core/ccnode"
+)
+
+const secondLayout = "15:04:05.000"
+
+// Explain tells in short sentences what became of a job: who accepted it, how
+// long it waited and for what, where its tasks ran, and how it ended.
+func Explain(timeline Timeline, job ccjob.ID) []string {
+	around := Filter{Job: job, Around: true}.Apply(timeline)
+	story := newStory(around, job)
+	if len(story.steps) == 0 {
+		return append([]string{"No event of this job is kept."}, story.missing(true)...)
+	}
+	var sentences []string
+	sentences = append(sentences, story.beginning()...)
+	sentences = append(sentences, story.waiting()...)
+	sentences = append(sentences, story.ran()...)
+	sentences = append(sentences, story.returns()...)
+	sentences = append(sentences, story.doubled()...)
+	sentences = append(sentences, story.meanwhile()...)
+	sentences = append(sentences, story.end()...)
+	return append(sentences, story.missing(false)...)
+}
+
+// story is the events of one job, and those around it.
+type story struct {
+	lanes  []Lane
+	steps  []*Step // Of the job.
+	around []*Step // Of no job.
+	places []*place
+	byNode map[ccnode.ID]*place
+}
+
+func newStory(timeline Timeline, job ccjob.ID) *story {
+	s := &story{lanes: timeline.Lanes, byNode: make(map[ccnode.ID]*place)}
+	for i := range timeline.Steps {
+		step := &timeline.Steps[i]
+		if step.Job != job {
+			s.around = append(s.around, step)
+			continue
+		}
+		s.steps = append(s.steps, step)
+		s.note(step)
+	}
+	return s
+}
+
+// first returns the first step of one of the kinds, or nil.
+func (s *story) first(kinds ...Kind) *Step {
+	for _, step := range s.steps {
+		if slices.Contains(kinds, step.Kind) {
+			return step
+		}
+	}
+	return nil
+}
+
+// beginning tells who got the job, and who may drive it.
+func (s *story) beginning() []string {
+	var sentences []string
+	for _, step := range s.steps {
+		if text := beginningText(step); text != "" {
+			sentences = append(sentences, text)
+		}
+	}
+	return sentences
+}
+
+func beginningText(step *Step) string {
+	node, at := step.Node.ID, step.When.UTC().Format(secondLayout)
+	switch step.Kind {
+	case KindAccepted:
+		return fmt.Sprintf("%s accepted it at %s with %s%s.", node, at, taskCount(tasks(step)), ofTeam(step))
+	case KindGranted:
+		if step.Peer == "" || step.Peer == node {
+			return ""
+		}
+		return fmt.Sprintf("%s let %s drive it.", node, step.Peer)
+	case KindAttached:
+		return fmt.Sprintf("%s got it too at %s and waited for %s.", node, at, orSomeone(step.Peer))
+	case KindRecovered:
+		return fmt.Sprintf("%s took it over from %s at %s%s.", node, orSomeone(step.Peer), at, reason(step))
+	default:
+		return ""
+	}
+}
+
+// waiting splits the time until the first start.
+func (s *story) waiting() []string {
+	accepted, claimed := s.first(KindAccepted), s.first(KindClaimed)
+	sent, started := s.first(KindSent), s.first(KindStarted)
+	if accepted == nil {
+		return nil
+	}
+	under := first(sent, started)
+	if under == nil {
+		return []string{"No task was sent to an agent."}
+	}
+	if under.When.Before(accepted.When) {
+		return []string{fmt.Sprintf("Its first task was under way at %s, for an entry whose events are missing.", under.When.UTC().Format(secondLayout))}
+	}
+	var parts []string
+	from := accepted.When
+	until := func(step *Step, what string) {
+		if step != nil && !step.When.Before(from) {
+			parts = append(parts, shortDuration(step.When.Sub(from))+" "+what)
+			from = step.When
+		}
+	}
+	until(claimed, "for the claim")
+	until(sent, "in the queue")
+	until(started, "on the way to the agent")
+	sentences := []string{fmt.Sprintf("It waited %s before its first task was under way: %s.", shortDuration(from.Sub(accepted.When)), strings.Join(parts, ", "))}
+	if last := s.last(KindStarted); last != nil && last != started {
+		sentences = append(sentences, fmt.Sprintf("Its last task started %s after it was accepted.", shortDuration(last.When.Sub(accepted.When))))
+	}
+	return sentences
+}
+
+// first returns the earlier of two steps, either of which may be nil.
+func first(a, b *Step) *Step {
+	if a == nil || b != nil && b.When.Before(a.When) {
+		return b
+	}
+	return a
+}
+
+func (s *story) last(kind Kind) *Step {
+	for _, step := range slices.Backward(s.steps) {
+		if step.Kind == kind {
+			return step
+		}
+	}
+	return nil
+}
+
+func tasks(step *Step) int { return max(1, step.Count) }
+
+func taskCount(n int) string {
+	if n == 1 {
+		return "1 task"
+	}
+	return fmt.Sprintf("%d tasks", n)
+}
+
+func ofTeam(step *Step) string {
+	if step.Team == "" {
+		return ""
+	}
+	return " of team " + step.Team
+}
+
+func orSomeone(id ccnode.ID) string {
+	if id == "" {
+		return "another process"
+	}
+	return string(id)
+}
+
+func reason(step *Step) string {
+	if step.Text == "" {
+		return ""
+	}
+	return ": " + step.Text
+}
+
+// shortDuration writes a duration with three figures or so.
+func shortDuration(d time.Duration) string {
+	switch {
+	case d < time.Millisecond:
+		return d.Round(time.Microsecond).String()
+	case d < time.Second:
+		return d.Round(100 * time.Microsecond).String()
+	default:
+		return d.Round(10 * time.Millisecond).String()
+	}
+}
--- /dev/null
+++ b/core/ccevent/explain_end.go
@@ -0,0 +1,106 @@
+package ccevent
+
+import (
+	"fmt"
+
+	"camphorcroft/core/ccnode"
+)
+
+// meanwhile tells what befell the processes while they had a part in the job.
+func (s *story) meanwhile() []string {
+	var sentences []string
+	for _, step := range s.around {
+		if text := meanwhileText(step); text != "" {
+			sentences = append(sentences, fmt.Sprintf("At %s %s.", step.When.UTC().Format(secondLayout), text))
+		}
+	}
+	return sentences
+}
+
+func meanwhileText(step *Step) string {
+	node, peer := step.Node.ID, orSomeone(step.Peer)
+	switch step.Kind {
+	case KindUp:
+		return fmt.Sprintf("%s started", node)
+	case KindDown:
+		return fmt.Sprintf("%s stopped", node)
+	case KindDraining:
+		return fmt.Sprintf("%s began to drain", node)
+	case KindAgentDown:
+		return fmt.Sprintf("%s lost %s%s", node, peer, reason(step))
+	case KindAgentUp:
+		return fmt.Sprintf("%s reached %s", node, peer)
+	case KindEjected:
+		return fmt.Sprintf("%s ejected %s%s", node, peer, reason(step))
+	case KindPaused:
+		return fmt.Sprintf("%s noticed that it had been paused%s", node, reason(step))
+	case KindOutage:
+		return fmt.Sprintf("%s saw that the store is down for all", node)
+	case KindCutOff:
+		return fmt.Sprintf("%s was cut off from the store and stopped sending", node)
+	case KindLeaseLost:
+		return fmt.Sprintf("%s lost its lease", node)
+	case KindVersion:
+		return fmt.Sprintf("a settings version came into force at %s%s", node, reason(step))
+	default:
+		return ""
+	}
+}
+
+// end tells how each entry that had the job answered it.
+func (s *story) end() []string {
+	accepted := s.first(KindAccepted)
+	var sentences []string
+	for _, step := range s.steps {
+		after := " at " + step.When.UTC().Format(secondLayout)
+		if accepted != nil {
+			after = " after " + shortDuration(step.When.Sub(accepted.When))
+		}
+		if text := endText(step, after); text != "" {
+			sentences = append(sentences, text)
+		}
+	}
+	if len(sentences) == 0 {
+		return []string{"No end of it is recorded."}
+	}
+	return sentences
+}
+
+func endText(step *Step, after string) string {
+	node := step.Node.ID
+	switch step.Kind {
+	case KindCompleted:
+		return fmt.Sprintf("%s answered it whole%s.", node, after)
+	case KindFailed:
+		return fmt.Sprintf("%s failed it%s%s.", node, after, reason(step))
+	case KindRefused:
+		return fmt.Sprintf("%s refused it%s%s. No task of it ran for that submission.", node, after, reason(step))
+	case KindCanceled:
+		return fmt.Sprintf("Its client canceled it at %s%s.", node, after)
+	default:
+		return ""
+	}
+}
+
+// missing tells which processes may know more: those of the job, or all.
+func (s *story) missing(all bool) []string {
+	named := make(map[ccnode.ID]bool)
+	for _, step := range s.steps {
+		named[step.Node.ID], named[step.Peer], named[step.Cause.Node] = true, true, true
+	}
+	var sentences []string
+	for i := range s.lanes {
+		l := &s.lanes[i]
+		switch {
+		case !all && !named[l.Node.ID]:
+		case l.Silent && l.Named != nil:
+			sentences = append(sentences, fmt.Sprintf("%s is silent; %s named it last, at %s (%s).",
+				l.Node.ID, l.Named.By, l.Named.Last.UTC().Format(secondLayout), l.Named.Kind))
+		case l.Silent:
+			sentences = append(sentences, fmt.Sprintf("%s is silent.", l.Node.ID))
+		case l.Dropped > 0:
+			sentences = append(sentences, fmt.Sprintf("%s has dropped %s, so some may be missing here.", l.Node.ID, eventCount(l.Dropped)))
+		}
+	}
+	return sentences
+}
--- a/core/ccevent/filter.go
+++ b/core/ccevent/filter.go
@@ -79,12 +79,15 @@
 type span struct {
 	first, last time.Time
 	nodes       map[ccnode.ID]bool
+	// gaps is set when some of these processes are silent, so that more may have
+	// had a part than are known.
+	gaps bool
 }
 
 // holds reports whether the step lies in the span, at a process with a part in
-// the job, and names no process without one.
+// the job, and names no process that is known to have none.
 func (s span) holds(step *Step) bool {
-	if !s.nodes[step.Node.ID] || step.Peer != "" && !s.nodes[step.Peer] {
+	if !s.nodes[step.Node.ID] || step.Peer != "" && !s.nodes[step.Peer] && !s.gaps {
 		return false
 	}
 	return !step.When.Before(s.first) && !step.When.After(s.last)
@@ -109,5 +112,9 @@
 			s.nodes[step.Peer] = true
 		}
 	}
+	for i := range timeline.Lanes {
+		l := &timeline.Lanes[i]
+		s.gaps = s.gaps || l.Silent && s.nodes[l.Node.ID]
+	}
 	return s
 }
--- a/core/ccevent/text.go
+++ b/core/ccevent/text.go
@@ -5,57 +5,94 @@
 	"io"
 	"strings"
 	"time"
+
+	"camphorcroft/core/ccjob"
 )
 
 const clockLayout = "15:04:05.000000"
 
 // WriteText writes the time line for people: what is known of each process, then
-// one short line an event.
+// one short line an event. A job that all events share is named once.
 func WriteText(w io.Writer, timeline Timeline) error {
-	width := 0
+	text := TextWriter{Out: w, Job: onlyJob(timeline.Steps)}
 	for i := range timeline.Lanes {
-		width = max(width, len(timeline.Lanes[i].Node.ID))
+		text.Width = max(text.Width, len(timeline.Lanes[i].Node.ID))
 	}
 	for i := range timeline.Lanes {
-		if _, err := fmt.Fprintf(w, "# %-*s  %s\n", width, timeline.Lanes[i].Node.ID, laneText(&timeline.Lanes[i])); err != nil {
+		if err := text.Lane(&timeline.Lanes[i]); err != nil {
+			return err
+		}
+	}
+	if text.Job != "" {
+		if _, err := fmt.Fprintf(w, "# job %s\n", text.Job); err != nil {
 			return err
 		}
 	}
 	for i := range timeline.Steps {
-		if err := WriteStep(w, &timeline.Steps[i], width); err != nil {
+		if err := text.Step(&timeline.Steps[i]); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// WriteStep writes the line of one event. Width is that of the column of nodes,
-// in characters.
-func WriteStep(w io.Writer, step *Step, width int) error {
+// onlyJob returns the job of all steps that have one, or "" when they differ.
+func onlyJob(steps []Step) ccjob.ID {
+	var only ccjob.ID
+	for i := range steps {
+		job := steps[i].Job
+		if job == "" || job == only {
+			continue
+		}
+		if only != "" {
+			return ""
+		}
+		only = job
+	}
+	return only
+}
+
+// TextWriter writes the parts of a time line one by one.
+type TextWriter struct {
+	Out   io.Writer
+	Width int      // Of the column of nodes, in characters.
+	Job   ccjob.ID // A job that goes without saying.
+}
+
+// Lane writes what is known of a process.
+func (t TextWriter) Lane(l *Lane) error {
+	_, err := fmt.Fprintf(t.Out, "# %-*s  %s\n", t.Width, l.Node.ID, laneText(l))
+	return err
+}
+
+// Step writes the line of one event, and a line for the events dropped before.
+func (t TextWriter) Step(step *Step) error {
 	if step.Dropped > 0 {
-		if _, err := fmt.Fprintf(w, "%-*s  %-*s  (%d earlier events dropped)\n", len(clockLayout), "", width, step.Node.ID, step.Dropped); err != nil {
+		if _, err := fmt.Fprintf(t.Out, "%-*s  %-*s  (%s dropped)\n", len(clockLayout), "", t.Width, step.Node.ID, eventCount(step.Dropped)); err != nil {
 			return err
 		}
 	}
-	_, err := fmt.Fprintf(w, "%s  %-*s  %-10s  %s\n",
-		step.When.UTC().Format(clockLayout), width, step.Node.ID, step.Kind, strings.Join(details(step), " "))
+	line := fmt.Sprintf("%s  %-*s  %-10s  %s",
+		step.When.UTC().Format(clockLayout), t.Width, step.Node.ID, step.Kind, strings.Join(t.details(step), " "))
+	_, err := fmt.Fprintln(t.Out, strings.TrimRight(line, " "))
 	return err
 }
 
 // details returns the fields of an event that are set, in a fixed order.
-func details(step *Step) []string {
+func (t TextWriter) details(step *Step) []string {
 	var parts []string
-	add := func(set bool, format string, value any) {
+	add := func(set bool, format string, values ...any) {
 		if set {
-			parts = append(parts, fmt.Sprintf(format, value))
+			parts = append(parts, fmt.Sprintf(format, values...))
 		}
 	}
-	add(step.Job != "", "job=%s", step.Job)
+	add(step.Job != "" && step.Job != t.Job, "job=%s", step.Job)
 	add(step.Job != "" && step.Index != NoIndex && step.Count <= 1, "task=%d", step.Index)
-	add(step.Count > 1, "tasks=%d", step.Count)
+	add(step.Count > 1 || step.Count == 1 && step.Index == NoIndex, "tasks=%d", step.Count)
+	add(step.Claim != 0, "claim=%d", step.Claim)
 	add(step.Peer != "", "peer=%s", step.Peer)
 	add(step.Team != "", "team=%s", step.Team)
-	add(step.Cause.Node != "", "after=%s", fmt.Sprintf("%s:%d", step.Cause.Node, step.Cause.Seq))
+	add(step.Cause.Node != "", "after=%s:%d", step.Cause.Node, step.Cause.Seq)
 	add(step.Text != "", "%q", step.Text)
 	return parts
 }
@@ -65,7 +102,7 @@
 	if l.Silent {
 		return silentText(l)
 	}
-	parts := []string{fmt.Sprintf("%d events", l.Events)}
+	parts := []string{eventCount(uint64(l.Events))}
 	if l.Domain != "" {
 		parts = append(parts, "domain "+l.Domain)
 	}
@@ -82,6 +119,13 @@
 	if l.Named == nil {
 		return "silent"
 	}
-	return fmt.Sprintf("silent, named in %d events, last by %s (%s) at %s",
-		l.Named.Events, l.Named.By, l.Named.Kind, l.Named.Last.UTC().Format(clockLayout))
+	return fmt.Sprintf("silent, named in %s, last by %s (%s) at %s",
+		eventCount(uint64(l.Named.Events)), l.Named.By, l.Named.Kind, l.Named.Last.UTC().Format(clockLayout))
+}
+
+func eventCount(n uint64) string {
+	if n == 1 {
+		return "1 event"
+	}
+	return fmt.Sprintf("%d events", n)
 }
