--- /dev/null
+++ b/io/ccagent/web.go
@@ -0,0 +1,71 @@
+package ccagent
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/juju/errors"
+)
+
+const headerTimeout = 5 * time.Second
+
+// startWeb serves health, metrics and events.
+func (a *Agent) startWeb(ctx context.Context) error {
+	var config net.ListenConfig
+	socket, err := config.Listen(ctx, "tcp", a.cfg.HTTP.String())
+	if err != nil {
+		return errors.Annotate(err, "listen for HTTP")
+	}
+	gin.SetMode(gin.ReleaseMode)
+	router := gin.New()
+	router.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
+	router.GET("/readyz", a.getReady)
+	router.GET("/debug/vars", a.getVars)
+	router.GET("/events", a.getEvents)
+	a.web = &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
+	a.webAddr = addrOf(socket.Addr())
+	a.goRun(func() { _ = a.web.Serve(socket) })
+	return nil
+}
+
+// getReady answers 200 while the agent takes work.
+func (a *Agent) getReady(c *gin.Context) {
+	ready := make(chan bool, 1)
+	a.post(func(time.Time) { ready <- !a.table.Closed() })
+	select {
+	case ok := <-ready:
+		if ok {
+			c.String(http.StatusOK, "ready\n")
+			return
+		}
+	case <-a.ctx.Done():
+	}
+	c.String(http.StatusServiceUnavailable, "not ready\n")
+}
+
+// getVars writes the process's variables and the agent's own.
+func (a *Agent) getVars(c *gin.Context) {
+	var out strings.Builder
+	out.WriteString("{\n")
+	expvar.Do(func(kv expvar.KeyValue) {
+		out.WriteString(strconv.Quote(kv.Key) + ": " + kv.Value.String() + ",\n")
+	})
+	out.WriteString("\"agent\": " + a.stats.all.String() + "\n}\n")
+	c.Data(http.StatusOK, "application/json; charset=utf-8", []byte(out.String()))
+}
+
+// getEvents writes the events after the number in the query.
+func (a *Agent) getEvents(c *gin.Context) {
+	after, err := strconv.ParseUint(c.DefaultQuery("after", "0"), 10, 64)
+	if err != nil {
+		c.String(http.StatusBadRequest, "after is a number\n")
+		return
+	}
+	c.JSON(http.StatusOK, a.ring.After(after))
+}
