--- a/core/ccagent/dispatch.go
+++ b/core/ccagent/dispatch.go
@@ -24,6 +24,7 @@
 		return Result{Ignored: true}
 	}
 	t.saw(s, msg.Version)
+	s.seen = max(s.seen, msg.Seq)
 	if s.want == 0 && msg.Want > 0 {
 		s.served = t.leastServed()
 	}
--- a/core/ccagent/report.go
+++ b/core/ccagent/report.go
@@ -47,7 +47,7 @@
 
 func (t *Table) describe(now time.Time, s *session) ccwire.Report {
 	return ccwire.Report{
-		Agent: t.cfg.Self, Session: s.number, Clock: t.Clock(now).Milliseconds(), Version: t.Version(),
+		Agent: t.cfg.Self, Session: s.number, Seen: s.seen, Clock: t.Clock(now).Milliseconds(), Version: t.Version(),
 		Free: t.free(s), Offer: s.newOffers, Leaving: t.leaving,
 	}
 }
--- a/core/ccagent/session.go
+++ b/core/ccagent/session.go
@@ -14,6 +14,7 @@
 type session struct {
 	entry     ccnode.Ref
 	number    uint64
+	seen      uint64 // The greatest number of a dispatch that was handled.
 	connected bool
 	version   uint64 // Settings version that the entry was last seen with.
 	want      int    // Tasks that the entry would send if it had slots here.
@@ -38,7 +39,7 @@
 
 // reset forgets what belonged to an earlier connection.
 func (s *session) reset() {
-	s.want, s.served, s.newOffers, s.dirty = 0, 0, 0, false
+	s.want, s.served, s.newOffers, s.seen, s.dirty = 0, 0, 0, 0, false
 	s.offers, s.jobs = nil, nil
 }
 
--- /dev/null
+++ b/io/ccagent/agent_test.go
@@ -0,0 +1,224 @@
+package ccagent
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"camphorcroft/core/ccnode"
+	"camphorcroft/core/ccwire"
+	"camphorcroft/io/ccrpc"
+	"camphorcroft/io/ccstandin"
+	"camphorcroft/io/ccstore"
+
+	"github.com/go-logr/logr"
+)
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+// fakeStore is a store in memory.
+type fakeStore struct {
+	mu    sync.Mutex
+	items map[string]ccstore.Item
+	next  uint64
+}
+
+func newFakeStore() *fakeStore { return &fakeStore{items: make(map[string]ccstore.Item)} }
+
+func (s *fakeStore) Get(_ context.Context, key string) (ccstore.Item, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key], nil
+}
+
+func (s *fakeStore) Swap(_ context.Context, key string, expected uint64, value []byte, lease ccstore.LeaseID) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.items[key].Revision != expected {
+		return 0, &ccstore.Error{Op: "swap", Kind: ccstore.KindConflict}
+	}
+	s.next++
+	s.items[key] = ccstore.Item{Key: key, Value: value, Revision: s.next, Lease: lease}
+	return s.next, nil
+}
+
+// testEntry is the entry's end of a connection.
+type testEntry struct {
+	*testing.T
+	ref     ccnode.Ref
+	peer    *ccrpc.Peer
+	hello   ccwire.HelloReply
+	reports chan ccwire.Report
+	closed  chan struct{}
+	echo    int64
+}
+
+func (e *testEntry) Notified(_ *ccrpc.Peer, _ string, params json.RawMessage) {
+	var report ccwire.Report
+	if err := json.Unmarshal(params, &report); err == nil {
+		e.reports <- report
+	}
+}
+
+func (e *testEntry) Called(*ccrpc.Peer, string, json.RawMessage, func(any, error)) {}
+
+func (e *testEntry) Closed(*ccrpc.Peer) { close(e.closed) }
+
+func dialAgent(t *testing.T, agent *Agent) *testEntry {
+	t.Helper()
+	e := &testEntry{
+		T: t, ref: ccnode.Ref{ID: "entry", Incarnation: 1},
+		reports: make(chan ccwire.Report, 1024), closed: make(chan struct{}),
+	}
+	peer, err := ccrpc.Dial(t.Context(), agent.Addr(), e)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.peer = peer
+	if err := peer.Call(t.Context(), ccwire.MethodHello, ccwire.Hello{Entry: e.ref, Session: 1}, &e.hello); err != nil {
+		t.Fatal(err)
+	}
+	e.echo = e.hello.Clock
+	return e
+}
+
+func (e *testEntry) send(indexes ...int) {
+	e.Helper()
+	part := ccwire.DispatchJob{ID: "j", Claim: 1, Service: "proof", BudgetMS: 60_000}
+	for _, index := range indexes {
+		part.Tasks = append(part.Tasks, ccwire.DispatchTask{Index: index, Attempt: 1, Payload: `{"runMS":1,"echo":"y"}`})
+	}
+	msg := ccwire.Dispatch{Agent: e.hello.Agent, Session: 1, Echo: e.echo, Jobs: []ccwire.DispatchJob{part}}
+	if err := e.peer.Notify(e.Context(), ccwire.MethodDispatch, msg); err != nil {
+		e.Fatal(err)
+	}
+}
+
+// collect waits for the ends of n tasks.
+func (e *testEntry) collect(n int) map[int]ccwire.TaskReport {
+	e.Helper()
+	ends := make(map[int]ccwire.TaskReport)
+	for len(ends) < n {
+		report := <-e.reports
+		e.echo = report.Clock
+		for _, part := range report.Jobs {
+			for _, task := range part.Tasks {
+				ends[task.Index] = task
+			}
+		}
+	}
+	return ends
+}
+
+func startAgent(t *testing.T, store Store) (*Agent, *ccstandin.Target) {
+	t.Helper()
+	target := ccstandin.NewTarget(ccstandin.TargetConfig{Listen: loopback})
+	if err := target.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(target.Stop)
+	agent := New(Config{
+		Node: ccnode.Ref{ID: "agent"}, Domain: "a", Service: "proof", Slots: 4,
+		Listen: loopback, HTTP: loopback, Target: target.Addr(), Store: store, Log: logr.Discard(),
+	})
+	if err := agent.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(agent.Kill)
+	return agent, target
+}
+
+// readRecord waits until the record meets the condition.
+func readRecord(t *testing.T, store Store, met func(ccwire.CellRecord) bool) {
+	t.Helper()
+	for {
+		item, _ := store.Get(t.Context(), "cells/0")
+		var record ccwire.CellRecord
+		_ = json.Unmarshal(item.Value, &record)
+		if met(record) {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestAgent(t *testing.T) {
+	t.Run("announces itself and leaves", func(t *testing.T) {
+		store := newFakeStore()
+		agent, _ := startAgent(t, store)
+		readRecord(t, store, func(r ccwire.CellRecord) bool {
+			return len(r.Members) == 1 && r.Members[0].Node == agent.Ref() && r.Members[0].Addr == agent.Addr()
+		})
+		if err := agent.Stop(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		readRecord(t, store, func(r ccwire.CellRecord) bool { return len(r.Members) == 0 })
+	})
+	t.Run("runs tasks and reports each once", func(t *testing.T) {
+		agent, target := startAgent(t, newFakeStore())
+		entry := dialAgent(t, agent)
+		entry.send(0, 1, 2, 3)
+		for index, end := range entry.collect(4) {
+			if end.Code != ccwire.CodeDone || end.Payload != "y" {
+				t.Errorf("task %d ended with %+v", index, end)
+			}
+		}
+		entry.send(0, 1, 2, 3)
+		entry.collect(4)
+		if got := len(target.Starts()); got != 4 || target.Doubles() != 0 {
+			t.Errorf("the target saw %d starts, %d doubles", got, target.Doubles())
+		}
+	})
+	t.Run("a graceful stop finishes what runs and bounces what comes", func(t *testing.T) {
+		agent, target := startAgent(t, newFakeStore())
+		entry := dialAgent(t, agent)
+		target.SetFaults(ccstandin.TargetFaults{Pausing: true})
+		entry.send(0)
+		for len(target.Starts()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		stopped := make(chan error, 1)
+		go func() { stopped <- agent.Stop(t.Context()) }()
+		for report := range entry.reports {
+			entry.echo = report.Clock
+			if report.Leaving {
+				break
+			}
+		}
+		entry.send(1)
+		if end := entry.collect(1)[1]; end.Code != ccwire.CodeClosed {
+			t.Errorf("new work ended with %+v", end)
+		}
+		target.SetFaults(ccstandin.TargetFaults{})
+		if end := entry.collect(1)[0]; end.Code != ccwire.CodeDone {
+			t.Errorf("running work ended with %+v", end)
+		}
+		if err := <-stopped; err != nil {
+			t.Error(err)
+		}
+		<-entry.closed
+	})
+	t.Run("a kill closes the sockets", func(t *testing.T) {
+		agent, _ := startAgent(t, newFakeStore())
+		entry := dialAgent(t, agent)
+		agent.Kill()
+		<-entry.closed
+	})
+	t.Run("serves health and events", func(t *testing.T) {
+		agent, _ := startAgent(t, newFakeStore())
+		for _, path := range []string{"/healthz", "/readyz", "/debug/vars", "/events?after=0"} {
+			resp, err := http.Get("http://" + agent.HTTPAddr().String() + path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = resp.Body.Close()
+			if resp.StatusCode != http.StatusOK {
+				t.Errorf("%s answered %s", path, resp.Status)
+			}
+		}
+	})
+}
