--- a/core/ccagent/dispatch.go
+++ b/core/ccagent/dispatch.go
@@ -20,7 +20,8 @@
 	if !ok {
 		return Result{Ignored: true}
 	}
-	if !(s.connected && s.entry == from && s.number == msg.Session) && !t.cfg.Guards.SkipSession {
+	newest := s.connected && s.entry == from && s.number == msg.Session
+	if !newest && !t.cfg.Guards.SkipSession {
 		return Result{Ignored: true}
 	}
 	t.saw(s, msg.Version)
--- a/io/ccagent/stats.go
+++ b/io/ccagent/stats.go
@@ -1,40 +1,34 @@
 package ccagent
 
-import "expvar"
+import (
+	"expvar"
 
-// stats counts what an agent does. Several agents may live in one process, so
-// nothing here is published under a global name.
+	"camphorcroft/core/ccnode"
+	"camphorcroft/io/ccmetric"
+)
+
+// stats counts what an agent does.
 type stats struct {
-	all                        *expvar.Map
-	dispatches, ignored        *expvar.Int
-	started, reports, offers   *expvar.Int
-	revokes, recovers, pauses  *expvar.Int
-	running, marks             *expvar.Int
-	resultBytes, version       *expvar.Int
-	controlBytesIn, controlOut *expvar.Int
-	storeCalls                 *expvar.Int
-	bounced, finished          *expvar.Map
+	set                           *ccmetric.Set
+	dispatches, ignored           *expvar.Int
+	started, reports, offers      *expvar.Int
+	revokes, recovers, pauses     *expvar.Int
+	running, marks, resultBytes   *expvar.Int
+	version, storeCalls           *expvar.Int
+	controlBytesIn, controlBytesO *expvar.Int
+	bounced, finished             *expvar.Map
 }
 
-func newStats() *stats {
-	s := &stats{all: new(expvar.Map).Init()}
-	count := func(name string) *expvar.Int {
-		v := new(expvar.Int)
-		s.all.Set(name, v)
-		return v
-	}
-	byCode := func(name string) *expvar.Map {
-		v := new(expvar.Map).Init()
-		s.all.Set(name, v)
-		return v
+func newStats(node ccnode.ID) *stats {
+	set := ccmetric.NewSet(string(node))
+	return &stats{
+		set:        set,
+		dispatches: set.Int("dispatches"), ignored: set.Int("dispatchesIgnored"),
+		started: set.Int("tasksStarted"), reports: set.Int("reports"), offers: set.Int("offers"),
+		revokes: set.Int("revokes"), recovers: set.Int("recovers"), pauses: set.Int("pauses"),
+		running: set.Int("tasksRunning"), marks: set.Int("marks"), resultBytes: set.Int("resultBytes"),
+		version: set.Int("settingsVersion"), storeCalls: set.Int("storeCalls"),
+		controlBytesIn: set.Int("controlBytesIn"), controlBytesO: set.Int("controlBytesOut"),
+		bounced: set.Map("tasksBounced"), finished: set.Map("tasksFinished"),
 	}
-	s.dispatches, s.ignored = count("dispatches"), count("ignored")
-	s.started, s.reports, s.offers = count("started"), count("reports"), count("offers")
-	s.revokes, s.recovers, s.pauses = count("revokes"), count("recovers"), count("pauses")
-	s.running, s.marks = count("running"), count("marks")
-	s.resultBytes, s.version = count("resultBytes"), count("version")
-	s.controlBytesIn, s.controlOut = count("controlBytesIn"), count("controlBytesOut")
-	s.storeCalls = count("storeCalls")
-	s.bounced, s.finished = byCode("bounced"), byCode("finished")
-	return s
 }
--- a/io/ccagent/web.go
+++ b/io/ccagent/web.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"expvar"
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -26,7 +24,7 @@
 	router := gin.New()
 	router.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
 	router.GET("/readyz", a.getReady)
-	router.GET("/debug/vars", a.getVars)
+	router.GET("/debug/vars", gin.WrapH(a.stats.set))
 	router.GET("/events", a.getEvents)
 	a.web = &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
 	a.webAddr = addrOf(socket.Addr())
@@ -49,17 +47,6 @@
 	c.String(http.StatusServiceUnavailable, "not ready\n")
 }
 
-// getVars writes the process's variables and the agent's own.
-func (a *Agent) getVars(c *gin.Context) {
-	var out strings.Builder
-	out.WriteString("{\n")
-	expvar.Do(func(kv expvar.KeyValue) {
-		out.WriteString(strconv.Quote(kv.Key) + ": " + kv.Value.String() + ",\n")
-	})
-	out.WriteString("\"agent\": " + a.stats.all.String() + "\n}\n")
-	c.Data(http.StatusOK, "application/json; charset=utf-8", []byte(out.String()))
-}
-
 // getEvents writes the events after the number in the query.
 func (a *Agent) getEvents(c *gin.Context) {
 	after, err := strconv.ParseUint(c.DefaultQuery("after", "0"), 10, 64)
