Submit jobs as a client, and whole plans in time

Cause: nothing could submit a job, alone or by the thousand. Change: io/ccclient submits one job and goes to another entry when an answer is lost or an entry drains; io/ccgenerator submits a plan open-loop and checks each answer for order, wholeness and owner; core/ccfault holds plans of faults.

--- /dev/null
+++ b/core/ccfault/fault.go
@@ -0,0 +1,156 @@
+// Package ccfault holds plans of faults for an experiment: what breaks, where
+// and when.
+//
+// # Usage
+//
+//	plan, err := ccfault.Parse(data)
+//	plan, err := ccfault.Named("domain", 20*time.Second)
+package ccfault
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"camphorcroft/core/ccsettings"
+)
+
+// Kind is what happens.
+type Kind string
+
+const (
+	// KindKillEntry ends an entry abruptly.
+	KindKillEntry Kind = "killEntry"
+	// KindStopEntry stops an entry gracefully.
+	KindStopEntry Kind = "stopEntry"
+	// KindStartEntry starts an entry again, with an empty memory.
+	KindStartEntry Kind = "startEntry"
+	// KindKillAgent ends an agent abruptly. Its target goes on.
+	KindKillAgent Kind = "killAgent"
+	// KindStopAgent stops an agent gracefully.
+	KindStopAgent Kind = "stopAgent"
+	// KindStartAgent starts an agent again, with an empty memory.
+	KindStartAgent Kind = "startAgent"
+	// KindSlow divides a target's speed by Factor. A factor of 1 ends it.
+	KindSlow Kind = "slow"
+	// KindBlackHole makes a target fail all tasks at once, or ends it with Off.
+	KindBlackHole Kind = "blackHole"
+	// KindPause makes a target hold all answers, or ends it with Off.
+	KindPause Kind = "pause"
+	// KindDomainOut takes a failure domain out.
+	KindDomainOut Kind = "domainOut"
+	// KindDomainIn brings it back.
+	KindDomainIn Kind = "domainIn"
+	// KindStoreOutage makes the store refuse all calls, or ends it with Off.
+	KindStoreOutage Kind = "storeOutage"
+)
+
+// Fault is one thing that happens.
+type Fault struct {
+	At   ccsettings.Duration `json:"at"`
+	Kind Kind                `json:"kind"`
+	// Number is the entry or the agent, from zero.
+	Number int     `json:"number,omitempty"`
+	Domain string  `json:"domain,omitempty"`
+	Factor float64 `json:"factor,omitempty"`
+	Off    bool    `json:"off,omitempty"`
+}
+
+// String says what happens, for a log.
+func (f Fault) String() string {
+	switch f.Kind {
+	case KindDomainOut, KindDomainIn:
+		return fmt.Sprintf("%s %s", f.Kind, f.Domain)
+	case KindStoreOutage:
+		return fmt.Sprintf("%s %s", f.Kind, onOff(!f.Off))
+	case KindBlackHole, KindPause:
+		return fmt.Sprintf("%s %d %s", f.Kind, f.Number, onOff(!f.Off))
+	case KindSlow:
+		return fmt.Sprintf("%s %d by %g", f.Kind, f.Number, f.Factor)
+	default:
+		return fmt.Sprintf("%s %d", f.Kind, f.Number)
+	}
+}
+
+func onOff(on bool) string {
+	if on {
+		return "on"
+	}
+	return "off"
+}
+
+// Parse reads a JSON list of faults and sorts it by time. The error is an *Error.
+func Parse(data []byte) ([]Fault, error) {
+	var faults []Fault
+	if err := json.Unmarshal(data, &faults); err != nil {
+		return nil, &Error{Op: "parse", Kind: KindSyntax, Text: err.Error()}
+	}
+	for i, fault := range faults {
+		if text := fault.problem(); text != "" {
+			return nil, &Error{Op: "parse", Kind: KindValue, Text: fmt.Sprintf("fault %d: %s", i+1, text)}
+		}
+	}
+	slices.SortStableFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
+	return faults, nil
+}
+
+func (f Fault) problem() string {
+	switch f.Kind {
+	case KindKillEntry, KindStopEntry, KindStartEntry, KindKillAgent, KindStopAgent, KindStartAgent,
+		KindBlackHole, KindPause, KindStoreOutage:
+	case KindSlow:
+		if f.Factor <= 0 {
+			return "factor is above zero"
+		}
+	case KindDomainOut, KindDomainIn:
+		if f.Domain == "" {
+			return "domain is missing"
+		}
+	default:
+		return fmt.Sprintf("kind %q is unknown", f.Kind)
+	}
+	if f.At < 0 || f.Number < 0 {
+		return "at and number are not below zero"
+	}
+	return ""
+}
+
+// Names lists the built-in plans.
+var Names = []string{"none", "badTargets", "agent", "entry", "domain", "store", "all"}
+
+// straggling is how much slower the built-in straggler gets.
+const straggling = 10
+
+// Named returns a built-in plan, scaled to the length of the run. The domain is
+// the one that plans take out. The error is an *Error of KindName.
+func Named(name string, length time.Duration, domain string) ([]Fault, error) {
+	at := func(share float64) ccsettings.Duration {
+		return ccsettings.Duration(share * float64(length))
+	}
+	badTargets := []Fault{{At: at(0), Kind: KindBlackHole, Number: 4}, {At: at(0), Kind: KindSlow, Number: 7, Factor: straggling}}
+	agent := []Fault{{At: at(0.3), Kind: KindKillAgent, Number: 2}, {At: at(0.6), Kind: KindStartAgent, Number: 2}}
+	entry := []Fault{{At: at(0.4), Kind: KindKillEntry, Number: 1}, {At: at(0.7), Kind: KindStartEntry, Number: 1}}
+	domains := []Fault{{At: at(0.3), Kind: KindDomainOut, Domain: domain}, {At: at(0.6), Kind: KindDomainIn, Domain: domain}}
+	store := []Fault{{At: at(0.25), Kind: KindStoreOutage}, {At: at(0.75), Kind: KindStoreOutage, Off: true}}
+	switch name {
+	case "", "none":
+		return nil, nil
+	case "badTargets":
+		return badTargets, nil
+	case "agent":
+		return agent, nil
+	case "entry":
+		return entry, nil
+	case "domain":
+		return domains, nil
+	case "store":
+		return store, nil
+	case "all":
+		all := slices.Concat(badTargets, agent, entry, domains)
+		slices.SortStableFunc(all, func(a, b Fault) int { return int(a.At - b.At) })
+		return all, nil
+	default:
+		return nil, &Error{Op: "name", Kind: KindName, Text: fmt.Sprintf("no plan is named %q", name)}
+	}
+}
--- /dev/null
+++ b/io/ccclient/client.go
@@ -0,0 +1,229 @@
+// Package ccclient submits jobs to entries over HTTP.
+//
+// A client may lose an answer, or its entry. It then submits the same job ID
+// again at another entry, which is safe: the fleet runs a job once and gives
+// each submitter the same outcome.
+//
+// # Usage
+//
+//	client := ccclient.New(ccclient.Config{Entries: []netip.AddrPort{addr}})
+//	defer client.Close()
+//	outcome, err := client.Submit(ctx, spec)
+package ccclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"camphorcroft/core/ccjob"
+)
+
+const (
+	defaultConnections = 256
+	dialTimeout        = time.Second
+	idleTimeout        = 30 * time.Second
+	firstPause         = 10 * time.Millisecond
+	longestPause       = time.Second
+	pauseGrowth        = 2
+	// answerGrace is how much longer than the deadline an answer is awaited.
+	answerGrace = 3 * time.Second
+	// maxAnswerBytes bounds an answer: the greatest number of tasks with the
+	// greatest payloads would be more than any client here asks for.
+	maxAnswerBytes = 256 << 20
+)
+
+// Config configures a Client.
+type Config struct {
+	// Entries are tried in turn. At least one is needed.
+	Entries []netip.AddrPort
+	// Connections bounds the connections to one entry. A submission beyond it
+	// waits. Zero is 256.
+	Connections int
+	// Distance is a round trip that is added to each call. Zero adds none.
+	Distance time.Duration
+}
+
+// Client submits jobs. Its methods may be called from any goroutine.
+type Client struct {
+	cfg  Config
+	http *http.Client
+	next atomic.Uint64
+}
+
+// New returns a client.
+func New(cfg Config) *Client {
+	if cfg.Connections <= 0 {
+		cfg.Connections = defaultConnections
+	}
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Client{cfg: cfg, http: &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxConnsPerHost:     cfg.Connections,
+		MaxIdleConnsPerHost: cfg.Connections,
+		IdleConnTimeout:     idleTimeout,
+	}}}
+}
+
+// Close ends the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Submit submits the job until it has an outcome that another submission would
+// not change, at one entry after the other. The deadline counts from here; a
+// later submission asks for what is left of it. The error is an *Error, when no
+// entry gave any outcome until a few seconds after the deadline.
+func (c *Client) Submit(ctx context.Context, spec *ccjob.Spec) (ccjob.Outcome, error) {
+	due := time.Now().Add(spec.Deadline)
+	ctx, cancel := context.WithDeadline(ctx, due.Add(answerGrace))
+	defer cancel()
+	first := c.next.Add(1)
+	pause := firstPause
+	for attempt := uint64(0); ; attempt++ {
+		entry := c.cfg.Entries[(first+attempt)%uint64(len(c.cfg.Entries))]
+		outcome, err := c.SubmitOnce(ctx, entry, spec)
+		if err == nil && !worthAnotherEntry(outcome) {
+			return outcome, nil
+		}
+		// Each entry is tried once before the first pause.
+		if (attempt+1)%uint64(len(c.cfg.Entries)) == 0 {
+			sleep(ctx, pause/pauseGrowth+time.Duration(rand.Int64N(int64(pause))))
+			pause = min(pause*pauseGrowth, longestPause)
+		}
+		left := time.Until(due).Truncate(time.Millisecond)
+		if ctx.Err() != nil || left <= 0 {
+			return outcome, err
+		}
+		again := *spec
+		again.Deadline = left
+		spec = &again
+	}
+}
+
+// worthAnotherEntry reports whether a refusal is the entry's own.
+func worthAnotherEntry(outcome ccjob.Outcome) bool {
+	if outcome.State != ccjob.StateRefused {
+		return false
+	}
+	return outcome.Kind == ccjob.KindUnavailable || outcome.Kind == ccjob.KindDraining
+}
+
+// SubmitOnce submits the job at one entry. An error says that the outcome is not
+// known, but for KindRefused, which says that the job did not reach the entry.
+func (c *Client) SubmitOnce(ctx context.Context, entry netip.AddrPort, spec *ccjob.Spec) (ccjob.Outcome, error) {
+	body, err := marshalJob(spec)
+	if err != nil {
+		return ccjob.Outcome{}, newError("submit", KindAnswer, err)
+	}
+	path := "/v1/services/" + spec.Service + "/jobs"
+	return c.call(ctx, http.MethodPost, entry, path, body)
+}
+
+// State asks one entry for a job.
+func (c *Client) State(ctx context.Context, entry netip.AddrPort, id ccjob.ID) (ccjob.Outcome, error) {
+	return c.call(ctx, http.MethodGet, entry, "/v1/jobs/"+string(id), nil)
+}
+
+// Cancel asks one entry to cancel what has not started of a job.
+func (c *Client) Cancel(ctx context.Context, entry netip.AddrPort, id ccjob.ID) (ccjob.Outcome, error) {
+	return c.call(ctx, http.MethodDelete, entry, "/v1/jobs/"+string(id), nil)
+}
+
+func (c *Client) call(ctx context.Context, method string, entry netip.AddrPort, path string, body []byte) (ccjob.Outcome, error) {
+	sleep(ctx, c.cfg.Distance/2)
+	url := "http://" + entry.String() + path
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return ccjob.Outcome{}, newError(method, KindAnswer, err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.http.Do(request)
+	if err != nil {
+		return ccjob.Outcome{}, newError(method, transportKind(err), err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	outcome, err := readOutcome(response)
+	if err != nil {
+		return ccjob.Outcome{}, err
+	}
+	sleep(ctx, c.cfg.Distance/2)
+	return outcome, nil
+}
+
+func marshalJob(spec *ccjob.Spec) ([]byte, error) {
+	type task struct {
+		Payload string `json:"payload"`
+	}
+	tasks := make([]task, len(spec.Payloads))
+	for index, payload := range spec.Payloads {
+		tasks[index].Payload = payload
+	}
+	return json.Marshal(struct {
+		JobID      ccjob.ID `json:"jobID"`
+		Team       string   `json:"team"`
+		Deadline   string   `json:"deadline"`
+		Idempotent bool     `json:"idempotent"`
+		Tasks      []task   `json:"tasks"`
+	}{spec.ID, spec.Team, spec.Deadline.String(), spec.Idempotent, tasks})
+}
+
+func readOutcome(response *http.Response) (ccjob.Outcome, error) {
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return ccjob.Outcome{}, newError("read answer", KindUnknown, err)
+	}
+	var body struct {
+		JobID   ccjob.ID       `json:"jobID"`
+		State   ccjob.State    `json:"state"`
+		Answers []ccjob.Answer `json:"answers"`
+		NotRun  bool           `json:"notRun"`
+		Kind    ccjob.Kind     `json:"kind"`
+		Reason  string         `json:"reason"`
+	}
+	if err := json.Unmarshal(data, &body); err != nil {
+		return ccjob.Outcome{}, newError("read answer", KindAnswer, err)
+	}
+	outcome := ccjob.Outcome{
+		JobID: body.JobID, State: body.State, Answers: body.Answers,
+		NotRun: body.NotRun, Kind: body.Kind, Reason: body.Reason,
+	}
+	if seconds, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil {
+		outcome.RetryAfter = time.Duration(seconds) * time.Second
+	}
+	return outcome, nil
+}
+
+// transportKind tells a connection that was never made from one that broke.
+func transportKind(err error) Kind {
+	var operation *net.OpError
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return KindRefused
+	case errors.As(err, &operation) && operation.Op == "dial":
+		return KindRefused
+	default:
+		return KindUnknown
+	}
+}
+
+// sleep waits, or returns early when the context ends.
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/io/ccgenerator/generator.go
@@ -0,0 +1,249 @@
+// Package ccgenerator submits the jobs of a plan at their times, whether or not
+// earlier ones have been answered, and records what the clients saw.
+//
+// # Usage
+//
+//	generator := ccgenerator.New(ccgenerator.Config{Plan: plan, Entries: entries})
+//	run := generator.Run(ctx)
+//	for _, result := range run.Results {
+//		summary.Add(result)
+//	}
+package ccgenerator
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"camphorcroft/core/ccjob"
+	"camphorcroft/core/ccload"
+	"camphorcroft/io/ccclient"
+
+	"github.com/google/uuid"
+)
+
+const (
+	// maxInFlight bounds the jobs without an answer. At the bound the generator
+	// falls behind its plan, which the results show as late.
+	maxInFlight = 20_000
+	// connections bounds the connections to each entry.
+	connections      = 1500
+	progressInterval = time.Second
+)
+
+// Config configures a Generator.
+type Config struct {
+	Plan    *ccload.Plan
+	Entries []netip.AddrPort
+	// Distance is the round trip between clients and entries.
+	Distance time.Duration
+	// Progress is called about once a second. Nil is not called.
+	Progress func(Progress)
+}
+
+// Progress is how far a run is.
+type Progress struct {
+	Elapsed   time.Duration
+	Planned   int
+	Submitted int64
+	InFlight  int64
+	Complete  int64
+	Refused   int64
+	Failed    int64
+}
+
+// Run is a finished run.
+type Run struct {
+	From    time.Time // Planned times count from here.
+	Results []ccload.Result
+}
+
+// Generator submits one plan.
+type Generator struct {
+	cfg     Config
+	client  *ccclient.Client
+	results []ccload.Result
+	slots   chan struct{}
+	jobs    sync.WaitGroup
+
+	submitted, complete, refused, failed, ended atomic.Int64
+}
+
+// New returns a generator that has not run.
+func New(cfg Config) *Generator {
+	return &Generator{
+		cfg: cfg,
+		client: ccclient.New(ccclient.Config{
+			Entries: cfg.Entries, Connections: connections, Distance: cfg.Distance,
+		}),
+		results: make([]ccload.Result, len(cfg.Plan.Arrivals)),
+		slots:   make(chan struct{}, maxInFlight),
+	}
+}
+
+// Run submits all jobs and waits for their ends. When the context ends, what is
+// not submitted is left out and what is under way counts as unanswered.
+func (g *Generator) Run(ctx context.Context) Run {
+	defer g.client.Close()
+	from := time.Now()
+	stop := g.startProgress(from)
+	defer stop()
+	submitted := 0
+	for i := range g.cfg.Plan.Arrivals {
+		arrival := &g.cfg.Plan.Arrivals[i]
+		planned := from.Add(arrival.At)
+		if !sleepUntil(ctx, planned) {
+			break
+		}
+		g.slots <- struct{}{}
+		g.submitted.Add(1)
+		submitted++
+		g.jobs.Go(func() {
+			g.results[i] = g.runJob(ctx, arrival, planned)
+			g.count(&g.results[i])
+			<-g.slots
+		})
+	}
+	g.jobs.Wait()
+	return Run{From: from, Results: g.results[:submitted]}
+}
+
+// runJob is one client.
+func (g *Generator) runJob(ctx context.Context, arrival *ccload.Arrival, planned time.Time) ccload.Result {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return ccload.Result{Number: arrival.Number}
+	}
+	spec := arrival.Spec(ccjob.ID(id.String()))
+	ctx, leave := context.WithCancel(ctx)
+	defer leave()
+	if arrival.LeaveAfter > 0 {
+		defer time.AfterFunc(arrival.LeaveAfter, leave).Stop()
+	}
+	again := g.resubmit(ctx, arrival, &spec)
+	if arrival.CancelAfter > 0 {
+		defer time.AfterFunc(arrival.CancelAfter, func() { g.cancel(ctx, spec.ID) }).Stop()
+	}
+	submitted := time.Now()
+	outcome, err := g.client.Submit(ctx, &spec)
+	now := time.Now()
+	result := ccload.Result{
+		Number:   arrival.Number,
+		JobID:    spec.ID,
+		Response: now.Sub(planned),
+		Late:     submitted.Sub(planned),
+		Call:     now.Sub(submitted),
+		Answered: err == nil,
+		Left:     err != nil && arrival.LeaveAfter > 0,
+		State:    outcome.State,
+		Kind:     outcome.Kind,
+		NotRun:   outcome.NotRun,
+		Wrong:    isWrong(arrival, spec.ID, &outcome),
+	}
+	if second, ok := <-again; ok && isWrong(arrival, spec.ID, &second) {
+		result.Wrong = true
+	}
+	return result
+}
+
+// resubmit submits the job a second time, if the plan says so, and sends the
+// outcome, if there is one.
+func (g *Generator) resubmit(ctx context.Context, arrival *ccload.Arrival, spec *ccjob.Spec) <-chan ccjob.Outcome {
+	outcomes := make(chan ccjob.Outcome, 1)
+	if arrival.ResubmitAfter == 0 {
+		close(outcomes)
+		return outcomes
+	}
+	go func() {
+		defer close(outcomes)
+		if !sleepUntil(ctx, time.Now().Add(arrival.ResubmitAfter)) {
+			return
+		}
+		if outcome, err := g.client.Submit(ctx, spec); err == nil {
+			outcomes <- outcome
+		}
+	}()
+	return outcomes
+}
+
+// cancel asks every entry, since the client doesn't know which one drives the
+// job.
+func (g *Generator) cancel(ctx context.Context, id ccjob.ID) {
+	for _, entry := range g.cfg.Entries {
+		if _, err := g.client.Cancel(ctx, entry, id); err != nil && ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// isWrong reports whether a complete answer is not whole, not in order, or
+// another job's.
+func isWrong(arrival *ccload.Arrival, id ccjob.ID, outcome *ccjob.Outcome) bool {
+	if outcome.State != ccjob.StateComplete {
+		return len(outcome.Answers) > 0
+	}
+	if outcome.JobID != id || len(outcome.Answers) != len(arrival.Tasks) {
+		return true
+	}
+	for index, answer := range outcome.Answers {
+		if answer.Index != index || answer.Payload != arrival.Echo(index) {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Generator) count(result *ccload.Result) {
+	g.ended.Add(1)
+	switch result.State {
+	case ccjob.StateComplete:
+		g.complete.Add(1)
+	case ccjob.StateRefused:
+		g.refused.Add(1)
+	default:
+		g.failed.Add(1)
+	}
+}
+
+// startProgress reports until the returned function is called.
+func (g *Generator) startProgress(from time.Time) func() {
+	if g.cfg.Progress == nil {
+		return func() {}
+	}
+	done := make(chan struct{})
+	ticker := time.NewTicker(progressInterval)
+	go func() {
+		defer ticker.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case now := <-ticker.C:
+				g.cfg.Progress(g.progress(now.Sub(from)))
+			}
+		}
+	}()
+	return func() { close(done) }
+}
+
+func (g *Generator) progress(elapsed time.Duration) Progress {
+	ended, submitted := g.ended.Load(), g.submitted.Load()
+	return Progress{
+		Elapsed: elapsed, Planned: len(g.cfg.Plan.Arrivals), Submitted: submitted, InFlight: submitted - ended,
+		Complete: g.complete.Load(), Refused: g.refused.Load(), Failed: g.failed.Load(),
+	}
+}
+
+// sleepUntil reports whether the time came before the context ended.
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
