--- a/core/ccagent/table_test.go
+++ b/core/ccagent/table_test.go
@@ -159,7 +159,7 @@
 			return b.dispatch("j", 0)
 		}},
 		{"tombstone", Guards{SkipTombstone: true}, ccwire.CodeFenced, func(b *bench) ccwire.Dispatch {
-			b.revoke(0, 1, ccwire.CodeFenced)
+			b.revoke(0, ccwire.CodeFenced)
 			return b.dispatch("j", 0)
 		}},
 		{"slots", Guards{SkipSlots: true}, ccwire.CodeFull, func(b *bench) ccwire.Dispatch {
@@ -184,10 +184,10 @@
 	}
 }
 
-func (b *bench) revoke(index, attempt int, want ccwire.TaskCode) {
+func (b *bench) revoke(index int, want ccwire.TaskCode) {
 	b.Helper()
 	reply, err := b.table.Revoke(b.now, ccwire.Revoke{Agent: agentRef, Jobs: []ccwire.RevokeJob{
-		{ID: "j", Claim: 3, Tasks: []ccwire.RevokeTask{{Index: index, Attempt: attempt}}},
+		{ID: "j", Claim: 3, Tasks: []ccwire.RevokeTask{{Index: index, Attempt: 1}}},
 	}})
 	if err != nil || len(reply.Jobs) != 1 || len(reply.Jobs[0].Tasks) != 1 || reply.Jobs[0].Tasks[0].Code != want {
 		b.Fatalf("revoke gave %+v, %v, want %s", reply, err, want)
@@ -252,8 +252,8 @@
 		b := newBench(t, Config{})
 		b.table.Dispatch(b.now, entryA, b.dispatch("j", 0, 1))
 		b.finish("j", 0, ccwire.CodeDone, "y")
-		b.revoke(0, 1, ccwire.CodeDone)
-		b.revoke(1, 1, ccwire.CodeRunning)
+		b.revoke(0, ccwire.CodeDone)
+		b.revoke(1, ccwire.CodeRunning)
 	})
 	t.Run("a revoke of an earlier life proves nothing", func(t *testing.T) {
 		b := newBench(t, Config{})
@@ -300,8 +300,8 @@
 		b.table.Dispatch(b.now, entryA, b.dispatch("j", 0, 1))
 		b.finish("j", 0, ccwire.CodeDone, "123456")
 		b.finish("j", 1, ccwire.CodeDone, "123456")
-		b.revoke(0, 1, ccwire.CodeLost)
-		b.revoke(1, 1, ccwire.CodeDone)
+		b.revoke(0, ccwire.CodeLost)
+		b.revoke(1, ccwire.CodeDone)
 	})
 	t.Run("a full memory refuses starts, then promises", func(t *testing.T) {
 		b := newBench(t, Config{MaxMarks: 8, Slots: 100})
@@ -318,7 +318,7 @@
 		b := newBench(t, Config{})
 		b.table.Dispatch(b.now, entryA, b.dispatch("j", 0))
 		b.advance(2 * time.Minute)
-		b.revoke(0, 1, ccwire.CodeRunning)
+		b.revoke(0, ccwire.CodeRunning)
 		b.finish("j", 0, ccwire.CodeDone, "y")
 		b.advance(2 * time.Minute)
 		if b.table.Marks() != 0 || b.table.ResultBytes() != 0 {
