--- a/io/ccclient/client.go
+++ b/io/ccclient/client.go
@@ -81,18 +81,23 @@
 // Submit submits the job until it has an outcome that another submission would
 // not change, at one entry after the other. The deadline counts from here; a
 // later submission asks for what is left of it. The error is an *Error, when no
-// entry gave any outcome until a few seconds after the deadline.
+// entry gave any outcome until a few seconds after the deadline; KindRefused
+// says that the job never reached one.
 func (c *Client) Submit(ctx context.Context, spec *ccjob.Spec) (ccjob.Outcome, error) {
 	due := time.Now().Add(spec.Deadline)
 	ctx, cancel := context.WithDeadline(ctx, due.Add(answerGrace))
 	defer cancel()
-	first := c.next.Add(1)
+	first := c.next.Add(1) - 1
 	pause := firstPause
+	var unknown error // A submission that may have had an effect.
 	for attempt := uint64(0); ; attempt++ {
 		entry := c.cfg.Entries[(first+attempt)%uint64(len(c.cfg.Entries))]
 		outcome, err := c.SubmitOnce(ctx, entry, spec)
+		if err != nil && !isKind(err, KindRefused) {
+			unknown = err
+		}
 		if err == nil && !worthAnotherEntry(outcome) {
-			return outcome, nil
+			return afterUnknown(outcome, unknown), nil
 		}
 		// Each entry is tried once before the first pause.
 		if (attempt+1)%uint64(len(c.cfg.Entries)) == 0 {
@@ -100,15 +105,31 @@
 			pause = min(pause*pauseGrowth, longestPause)
 		}
 		left := time.Until(due).Truncate(time.Millisecond)
-		if ctx.Err() != nil || left <= 0 {
-			return outcome, err
+		if ctx.Err() == nil && left > 0 {
+			again := *spec
+			again.Deadline = left
+			spec = &again
+			continue
+		}
+		if err != nil && unknown != nil {
+			err = unknown
 		}
-		again := *spec
-		again.Deadline = left
-		spec = &again
+		return afterUnknown(outcome, unknown), err
 	}
 }
 
+// afterUnknown takes back the promise of a refusal when an earlier submission
+// may have had an effect, of which the refusing entry can't know.
+func afterUnknown(outcome ccjob.Outcome, unknown error) ccjob.Outcome {
+	outcome.NotRun = outcome.NotRun && unknown == nil
+	return outcome
+}
+
+func isKind(err error, kind Kind) bool {
+	var own *Error
+	return errors.As(err, &own) && own.Kind == kind
+}
+
 // worthAnotherEntry reports whether a refusal is the entry's own.
 func worthAnotherEntry(outcome ccjob.Outcome) bool {
 	if outcome.State != ccjob.StateRefused {
--- a/io/ccclient/client_test.go
+++ b/io/ccclient/client_test.go
@@ -81,6 +81,15 @@
 		outcome, err := submit(t, netip.MustParseAddrPort("127.0.0.1:1"), second)
 		assertState(t, outcome, err, ccjob.StateComplete)
 	})
+	t.Run("takesBackAPromiseAfterALostAnswer", func(t *testing.T) {
+		first, _ := serve(t, "")
+		second, _ := serve(t, overload)
+		outcome, err := submit(t, first, second)
+		assertState(t, outcome, err, ccjob.StateRefused)
+		if outcome.NotRun {
+			t.Error("the outcome promises that the job did not run")
+		}
+	})
 	t.Run("keepsARefusalForOverload", func(t *testing.T) {
 		entry, calls := serve(t, overload, complete)
 		outcome, err := submit(t, entry)
--- a/io/ccgenerator/generator.go
+++ b/io/ccgenerator/generator.go
@@ -142,8 +142,9 @@
 		NotRun:   outcome.NotRun,
 		Wrong:    isWrong(arrival, spec.ID, &outcome),
 	}
-	if second, ok := <-again; ok && isWrong(arrival, spec.ID, &second) {
-		result.Wrong = true
+	if second, ok := <-again; ok {
+		result.Wrong = result.Wrong || isWrong(arrival, spec.ID, &second)
+		result.NotRun = result.NotRun || second.NotRun
 	}
 	return result
 }
