Seek claims in a pure state machine

The steps from a submission to a driven job were to live in the entry's I/O, where no property test reaches them. Requester now decides them: when to claim again, attach, recover, give back, and what to tell a gatherer.

--- a/core/ccclaim/grant.go
+++ b/core/ccclaim/grant.go
@@ -95,6 +95,11 @@
 		return reply
 	}
 	if !a.makeRoom(now) {
+		if reply.Verdict == ccwire.ClaimRecover {
+			// Full would say that the job is new, so the requester tries again.
+			reply.Verdict = ccwire.ClaimNotReady
+			return reply
+		}
 		reply.Verdict = ccwire.ClaimFull
 		return reply
 	}
--- a/core/ccclaim/recovery.go
+++ b/core/ccclaim/recovery.go
@@ -1,6 +1,7 @@
 package ccclaim
 
 import (
+	"slices"
 	"time"
 
 	"camphorcroft/core/ccjob"
@@ -75,22 +76,34 @@
 // NewRecovery returns a recovery that has heard nobody.
 func NewRecovery(cfg RecoveryConfig) *Recovery {
 	r := &Recovery{cfg: cfg, lives: map[ccnode.Ref]*lifeAnswer{}, found: map[int]Found{}}
-	for _, life := range cfg.Lives {
-		if life.End.IsZero() || !life.End.Before(cfg.Since) {
-			r.lives[life.Ref] = &lifeAnswer{life: life, heard: !life.End.IsZero()}
+	r.Extend(cfg.Lives)
+	return r
+}
+
+// Extend adds lives that began since, and reports whether any has to be asked.
+// Lives that ended are known not to answer.
+func (r *Recovery) Extend(lives []Life) bool {
+	more := false
+	for _, life := range lives {
+		_, known := r.lives[life.Ref]
+		if known || !life.End.IsZero() && life.End.Before(r.cfg.Since) {
+			continue
 		}
+		r.lives[life.Ref] = &lifeAnswer{life: life, heard: !life.End.IsZero()}
+		more = more || life.End.IsZero()
 	}
-	return r
+	return more
 }
 
 // Ask returns the message to send, and the lives that have not answered it.
 func (r *Recovery) Ask() ([]ccnode.Ref, ccwire.Recover) {
 	var refs []ccnode.Ref
-	for _, life := range r.cfg.Lives {
-		if answer, ok := r.lives[life.Ref]; ok && !answer.heard {
-			refs = append(refs, life.Ref)
+	for ref, answer := range r.lives {
+		if !answer.heard {
+			refs = append(refs, ref)
 		}
 	}
+	slices.SortFunc(refs, compareRefs)
 	return refs, ccwire.Recover{Jobs: []ccwire.RecoverJob{{ID: r.cfg.JobID, Claim: r.cfg.Claim}}}
 }
 
--- /dev/null
+++ b/core/ccclaim/seek.go
@@ -0,0 +1,223 @@
+package ccclaim
+
+import (
+	"time"
+
+	"camphorcroft/core/ccjob"
+	"camphorcroft/core/ccnode"
+	"camphorcroft/core/ccwire"
+)
+
+// seek is a job on its way to being driven.
+type seek struct {
+	id       ccjob.ID
+	digest   uint64
+	tasks    int
+	due      time.Time
+	token    Token     // Of the request that is under way.
+	sent     time.Time // When that was sent.
+	next     time.Time // When to send it again.
+	released uint64    // What the last driver said of its claim.
+	disowned uint64
+	attached uint64 // The claim of the driver that is awaited.
+	recovery *Recovery
+	claimed  uint64 // The claim under which the recovery runs.
+}
+
+// claim asks the authority, which may be this entry.
+func (r *Requester) claim(now time.Time, s *seek) {
+	s.recovery, s.attached = nil, 0
+	s.token, s.sent = r.nextToken(s.id), now
+	s.next = now.Add(r.cfg.GrantLife)
+	to, epoch, ok := r.cfg.Authority.AuthorityOf(s.id)
+	if !ok {
+		s.next = now.Add(claimRetry)
+		return
+	}
+	message := ccwire.Claim{
+		Epoch: epoch, JobID: s.id, Digest: s.digest, Driver: r.cfg.Self,
+		Released: s.released, Disowned: s.disowned,
+	}
+	if to.Ref != r.cfg.Self {
+		r.act(&SendClaim{To: to, Token: s.token, Message: message})
+		return
+	}
+	r.ClaimAnswered(now, s.token, r.cfg.Authority.Claim(now, message, r.cfg.ValidUntil()))
+}
+
+// ClaimAnswered takes an authority's reply.
+func (r *Requester) ClaimAnswered(now time.Time, token Token, reply ccwire.ClaimReply) {
+	s, ok := r.seeks[token.JobID]
+	if !ok || s.token != token || !r.usable(now, s, reply) {
+		r.giveBack(token.JobID, reply)
+		return
+	}
+	switch reply.Verdict {
+	case ccwire.ClaimGranted:
+		r.take(now, s, reply.Claim, nil)
+	case ccwire.ClaimRecover:
+		r.recover(now, s, reply)
+	case ccwire.ClaimAttach:
+		r.await(now, s, reply.Driver, reply.Claim)
+	case ccwire.ClaimConflict:
+		r.finish(s, ccjob.Fail(s.id, ccjob.KindConflict, false, "the jobID is known with other content"))
+	case ccwire.ClaimUnprovable:
+		r.finish(s, ccjob.Fail(s.id, ccjob.KindUnprovable, false, "nobody can tell whether the job ran before"))
+	case ccwire.ClaimInvalid:
+		r.finish(s, ccjob.Refuse(s.id, ccjob.KindInvalid, "the jobID carries a time that lies ahead"))
+	case ccwire.ClaimFull:
+		r.finish(s, ccjob.Refuse(s.id, ccjob.KindOverload, "the table of claims is full"))
+	default:
+		s.next = now.Add(claimRetry)
+	}
+}
+
+// usable reports whether a grant may be taken up now. Replies that grant nothing
+// always may.
+func (r *Requester) usable(now time.Time, s *seek, reply ccwire.ClaimReply) bool {
+	if reply.Verdict != ccwire.ClaimGranted && reply.Verdict != ccwire.ClaimRecover {
+		return true
+	}
+	valid := !r.cfg.Authority.cfg.Guards.Leases || now.Before(r.cfg.ValidUntil())
+	return valid && r.cfg.Authority.Usable(now, s.sent, s.id, reply)
+}
+
+// giveBack returns a grant that is not taken up. A claim to recover isn't given
+// back, since tasks may have started under an earlier one.
+func (r *Requester) giveBack(id ccjob.ID, reply ccwire.ClaimReply) {
+	held, ok := r.held[id]
+	if reply.Verdict == ccwire.ClaimGranted && (!ok || held.claim != reply.Claim) {
+		r.release(id, reply.Claim)
+	}
+	if s, seeking := r.seeks[id]; seeking && s.recovery == nil && s.attached == 0 {
+		s.next = s.sent.Add(claimRetry)
+	}
+}
+
+// ClaimFailed notes that a request had no reply.
+func (r *Requester) ClaimFailed(now time.Time, token Token) {
+	if s, ok := r.seeks[token.JobID]; ok && s.token == token {
+		s.next = now.Add(claimRetry)
+	}
+}
+
+// await asks the driver for the outcome.
+func (r *Requester) await(now time.Time, s *seek, driver ccnode.Ref, claim uint64) {
+	to, ok := r.find(driver)
+	if !ok {
+		s.next = now.Add(claimRetry)
+		return
+	}
+	wait := min(awaitTime, s.due.Sub(now))
+	s.token, s.sent, s.attached = r.nextToken(s.id), now, claim
+	s.next = now.Add(wait + awaitSlack)
+	r.act(&SendAwait{To: to, Token: s.token, Message: ccwire.Await{
+		JobID: s.id, Digest: s.digest, Driver: driver, WaitMS: wait.Milliseconds(),
+	}})
+}
+
+// AwaitAnswered takes a driver's reply.
+func (r *Requester) AwaitAnswered(now time.Time, token Token, reply ccwire.AwaitReply) {
+	s, ok := r.seeks[token.JobID]
+	if !ok || s.token != token {
+		return
+	}
+	if reply.Known && reply.Outcome.State != "" {
+		r.finish(s, reply.Outcome)
+		return
+	}
+	s.released, s.disowned = 0, 0
+	switch {
+	case reply.Known:
+	case reply.Released == s.attached:
+		s.released = s.attached
+	default:
+		s.disowned = s.attached
+	}
+	r.claim(now, s)
+}
+
+// AwaitFailed notes that a request had no reply. The driver may be gone, which
+// the authority learns from the roster.
+func (r *Requester) AwaitFailed(now time.Time, token Token) {
+	if s, ok := r.seeks[token.JobID]; ok && s.token == token {
+		s.attached = 0
+		s.next = now.Add(claimRetry)
+	}
+}
+
+// recover asks all agents what they know of the job.
+func (r *Requester) recover(now time.Time, s *seek, reply ccwire.ClaimReply) {
+	lives, whole := r.cfg.Lives()
+	if !whole {
+		s.next = now.Add(claimRetry)
+		return
+	}
+	s.claimed = reply.Claim
+	s.recovery = NewRecovery(RecoveryConfig{
+		JobID: s.id, Claim: reply.Claim, Tasks: s.tasks, Since: time.UnixMilli(reply.Since), Lives: lives,
+	})
+	s.token = r.nextToken(s.id)
+	r.askAgents(now, s)
+	r.endRecovery(now, s)
+}
+
+func (r *Requester) askAgents(now time.Time, s *seek) {
+	s.next = now.Add(recoverRetry)
+	refs, message := s.recovery.Ask()
+	for _, ref := range refs {
+		r.act(&SendRecover{Agent: ref, Token: s.token, Message: message})
+	}
+}
+
+// RecoverAnswered takes an agent's reply.
+func (r *Requester) RecoverAnswered(now time.Time, token Token, reply ccwire.RecoverReply) {
+	s, ok := r.seeks[token.JobID]
+	if !ok || s.token != token || s.recovery == nil {
+		return
+	}
+	s.recovery.Answered(reply)
+	r.endRecovery(now, s)
+}
+
+// AgentGone notes that a life of an agent has ended.
+func (r *Requester) AgentGone(now time.Time, ref ccnode.Ref) {
+	for _, s := range r.seeks {
+		if s.recovery != nil {
+			s.recovery.Unheard(ref)
+			r.endRecovery(now, s)
+		}
+	}
+}
+
+// endRecovery drives the job once all agents are heard, those included that
+// appeared meanwhile. Without a valid lease it starts over.
+func (r *Requester) endRecovery(now time.Time, s *seek) {
+	if !s.recovery.Done() {
+		return
+	}
+	lives, _ := r.cfg.Lives()
+	if s.recovery.Extend(lives) {
+		r.askAgents(now, s)
+		return
+	}
+	if r.cfg.Authority.cfg.Guards.Leases && !now.Before(r.cfg.ValidUntil()) {
+		s.recovery = nil
+		s.next = now.Add(claimRetry)
+		return
+	}
+	r.take(now, s, s.claimed, s.recovery.Fates())
+}
+
+// tickSeek gives up a job that is due, or sends again what is overdue.
+func (r *Requester) tickSeek(now time.Time, s *seek) {
+	switch {
+	case !now.Before(s.due):
+		r.finish(s, ccjob.Fail(s.id, ccjob.KindDeadline, false, "the deadline passed before the job was claimed"))
+	case now.Before(s.next):
+	case s.recovery != nil:
+		r.askAgents(now, s)
+	default:
+		r.claim(now, s)
+	}
+}
