Drive jobs: queue, place, send, collect

Cause: nothing turns a claimed job into dispatches and an answer yet. Change: the dispatcher as a state machine over dispatch, report and revoke; learned speed and health of targets; three placement policies; a queue with turns by team and job. Conclusion: decisions stand apart from sockets and clocks.

--- /dev/null
+++ b/core/ccdispatch/events.go
@@ -0,0 +1,19 @@
+package ccdispatch
+
+import (
+	"time"
+
+	"camphorcroft/core/ccevent"
+	"camphorcroft/core/ccjob"
+)
+
+func (d *Dispatcher) recordEnd(now time.Time, j *job, outcome ccjob.Outcome) {
+	event := ccevent.Event{
+		Kind: ccevent.KindFailed, Job: j.spec.ID, Index: ccevent.NoIndex, Count: len(j.tasks),
+		Claim: j.claim, Team: j.spec.Team, Text: string(outcome.Kind),
+	}
+	if outcome.State == ccjob.StateComplete {
+		event.Kind = ccevent.KindCompleted
+	}
+	d.record(now, event)
+}
--- /dev/null
+++ b/core/ccplacement/policy.go
@@ -0,0 +1,149 @@
+// Package ccplacement chooses the target for the next task.
+//
+// # Usage
+//
+//	policy, err := ccplacement.New("lateBinding", seed)
+//	policy.Rank(candidates)
+//	index := policy.Pick(candidates)
+package ccplacement
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Names of the policies, as in the settings.
+const (
+	// LateBinding gives each task to the fastest target with a free slot.
+	LateBinding = "lateBinding"
+	// TwoChoices draws two targets with a free slot and takes the one whose work
+	// in flight ends sooner.
+	TwoChoices = "twoChoices"
+	// RoundRobin goes through the targets with a free slot in turn.
+	RoundRobin = "roundRobin"
+)
+
+// None is what Pick returns when no candidate has a free slot.
+const None = -1
+
+// Candidate is what a policy knows of one target.
+type Candidate struct {
+	Free     int           // Slots that may be used now.
+	InFlight int           // Tasks of this entry at the target.
+	Typical  time.Duration // Learned run time; zero when unknown.
+	Near     bool          // In the entry's own failure domain.
+	Weight   float64       // Share by failure domain; 1 is the usual one.
+}
+
+// Policy chooses targets. Its methods are called from one goroutine.
+type Policy interface {
+	// Rank prepares for a run of picks over the candidates. Only their Free and
+	// InFlight change until the next call.
+	Rank(candidates []Candidate)
+	// Pick returns the index of a candidate with a free slot, or None.
+	Pick(candidates []Candidate) int
+}
+
+// New returns the policy of that name; an unknown name gives late binding. The
+// seed makes draws repeatable.
+func New(name string, seed uint64) Policy {
+	random := rand.New(rand.NewPCG(seed, seed))
+	switch name {
+	case TwoChoices:
+		return &twoChoices{random: random}
+	case RoundRobin:
+		return &roundRobin{}
+	default:
+		return &lateBinding{random: random}
+	}
+}
+
+// similar is how much longer a run time may be and still count as equal, so
+// that nearness can decide and noise in what was learned does not.
+const similar = 1.1
+
+type lateBinding struct {
+	random *rand.Rand
+	order  []int
+	next   int // Candidates before it have no free slot in this run.
+}
+
+func (p *lateBinding) Rank(candidates []Candidate) {
+	p.next = 0
+	p.order = p.order[:0]
+	for i := range candidates {
+		p.order = append(p.order, i)
+	}
+	// Several entries that rank alike would all send to the same target first;
+	// a shuffle before the stable sort spreads them over equals.
+	p.random.Shuffle(len(p.order), func(i, j int) { p.order[i], p.order[j] = p.order[j], p.order[i] })
+	slices.SortStableFunc(p.order, func(a, b int) int {
+		return cmp.Compare(score(&candidates[a]), score(&candidates[b]))
+	})
+}
+
+// score is the learned run time, with a little in favor of near targets.
+func score(c *Candidate) float64 {
+	s := float64(c.Typical) / max(c.Weight, 0.001)
+	if c.Near {
+		s /= similar
+	}
+	return s
+}
+
+func (p *lateBinding) Pick(candidates []Candidate) int {
+	for ; p.next < len(p.order); p.next++ {
+		if candidates[p.order[p.next]].Free > 0 {
+			return p.order[p.next]
+		}
+	}
+	return None
+}
+
+type twoChoices struct {
+	random *rand.Rand
+	free   []int
+}
+
+func (p *twoChoices) Rank([]Candidate) {}
+
+func (p *twoChoices) Pick(candidates []Candidate) int {
+	p.free = p.free[:0]
+	for i := range candidates {
+		if candidates[i].Free > 0 {
+			p.free = append(p.free, i)
+		}
+	}
+	if len(p.free) == 0 {
+		return None
+	}
+	a := p.free[p.random.IntN(len(p.free))]
+	b := p.free[p.random.IntN(len(p.free))]
+	if load(&candidates[b]) < load(&candidates[a]) {
+		return b
+	}
+	return a
+}
+
+func load(c *Candidate) float64 {
+	return float64(c.InFlight+1) * float64(max(c.Typical, time.Millisecond))
+}
+
+type roundRobin struct {
+	next int
+}
+
+func (p *roundRobin) Rank([]Candidate) {}
+
+func (p *roundRobin) Pick(candidates []Candidate) int {
+	for range candidates {
+		i := p.next % len(candidates)
+		p.next++
+		if candidates[i].Free > 0 {
+			return i
+		}
+	}
+	return None
+}
--- /dev/null
+++ b/core/ccqueue/turn.go
@@ -0,0 +1,67 @@
+package ccqueue
+
+import "camphorcroft/core/ccjob"
+
+// minShare keeps a team's turns finite.
+const minShare = 1e-6
+
+// team is one team's waiting tasks.
+type team struct {
+	name   string
+	share  float64
+	turn   float64 // Grows by 1/share with each task taken.
+	length int
+	jobs   map[ccjob.ID]*job
+	order  turnHeap[*job]
+	place  int
+}
+
+// job is one job's waiting tasks.
+type job struct {
+	id      ccjob.ID
+	team    *team
+	turn    float64 // Grows by 1 with each task taken.
+	indexes []int
+	place   int
+}
+
+func (t *team) at() float64    { return t.turn }
+func (t *team) setPlace(i int) { t.place = i }
+func (j *job) at() float64     { return j.turn }
+func (j *job) setPlace(i int)  { j.place = i }
+func (h turnHeap[T]) Len() int { return len(h) }
+func (h *turnHeap[T]) Push(x any) {
+	item, ok := x.(T)
+	if !ok {
+		return
+	}
+	item.setPlace(len(*h))
+	*h = append(*h, item)
+}
+
+// turner is what a turnHeap orders.
+type turner interface {
+	at() float64
+	setPlace(i int)
+}
+
+// turnHeap keeps whoever has the next turn at the front.
+type turnHeap[T turner] []T
+
+// Less orders by turn.
+func (h turnHeap[T]) Less(i, j int) bool { return h[i].at() < h[j].at() }
+
+// Swap exchanges two and tells them their places.
+func (h turnHeap[T]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].setPlace(i)
+	h[j].setPlace(j)
+}
+
+// Pop takes the last, as container/heap asks.
+func (h *turnHeap[T]) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
