--- /dev/null
+++ b/io/ccentry/claimer.go
@@ -0,0 +1,26 @@
+package ccentry
+
+import "time"
+
+// claimer gets the right to drive a job. Its methods are called on the control
+// goroutine and must not wait.
+type claimer interface {
+	// claim leads to drive, or to finish with another entry's outcome or a
+	// refusal.
+	claim(e *Entry, now time.Time, p *pendingJob)
+	// release gives back the claim of a job that did not start.
+	release(e *Entry, p *pendingJob)
+}
+
+// localClaims asks nobody. It is right for a fleet with one entry that never
+// fails, and the baseline that the cost of safety is measured against.
+type localClaims struct {
+	next uint64
+}
+
+func (c *localClaims) claim(e *Entry, now time.Time, p *pendingJob) {
+	c.next++
+	e.drive(now, p, c.next, nil)
+}
+
+func (c *localClaims) release(*Entry, *pendingJob) {}
--- /dev/null
+++ b/io/ccentry/entry.go
@@ -0,0 +1,203 @@
+// Package ccentry is the entry process: it takes jobs from clients, claims them,
+// drives them with core/ccdispatch, and answers.
+//
+// One goroutine, the control goroutine, owns all state. HTTP handlers and
+// connections hand it commands and carry traffic; none of them decides anything.
+//
+// # Usage
+//
+//	entry := ccentry.New(ccentry.Config{Node: "entry-1", Domain: "north", Listen: listen, HTTP: http, Store: store, Log: log, Ring: ring})
+//	err := entry.Start(ctx)
+//	defer entry.Stop(ctx)
+package ccentry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"camphorcroft/core/ccanswer"
+	"camphorcroft/core/ccdispatch"
+	"camphorcroft/core/ccevent"
+	"camphorcroft/core/ccjob"
+	"camphorcroft/core/ccnode"
+	"camphorcroft/io/ccrpc"
+	"camphorcroft/io/ccstore"
+)
+
+const (
+	tickInterval = 10 * time.Millisecond
+	// commandQueue bounds the commands that wait for the control goroutine; who
+	// hands over one more waits.
+	commandQueue = 4096
+	// batchCommands bounds how many commands are handled before their actions are
+	// carried out.
+	batchCommands = 256
+	// drainBound is the longest that a graceful stop waits for jobs in flight.
+	drainBound = 30 * time.Second
+	// answerBytes bounds the kept answers.
+	answerBytes = 64 << 20
+)
+
+// Config says who an entry is and what it works with.
+type Config struct {
+	Node   ccnode.ID
+	Domain string
+	Listen netip.AddrPort // For other entries. Port 0 takes any.
+	HTTP   netip.AddrPort // For clients. Port 0 takes any.
+	Store  ccstore.Store
+	Log    logr.Logger
+	Ring   *ccevent.Ring
+	Seed   uint64
+}
+
+// Entry is a running entry.
+type Entry struct {
+	cfg        Config
+	self       ccnode.Ref
+	log        logr.Logger
+	commands   chan command
+	stopped    chan struct{} // Closed when the control goroutine has ended.
+	cancel     context.CancelFunc
+	background sync.WaitGroup
+	listener   net.Listener
+	httpSocket net.Listener
+	httpServer *http.Server
+
+	// The control goroutine alone touches what follows.
+	dispatcher *ccdispatch.Dispatcher
+	answers    *ccanswer.Cache
+	pending    map[ccjob.ID]*pendingJob
+	links      map[ccnode.ID]*link
+	claims     claimer
+	draining   bool
+}
+
+// command is work for the control goroutine.
+type command func(now time.Time)
+
+// New returns an entry that has not started.
+func New(cfg Config) *Entry {
+	self := ccnode.Ref{ID: cfg.Node, Incarnation: ccnode.NewIncarnation(time.Now())}
+	if cfg.Ring == nil {
+		cfg.Ring = ccevent.NewRing(ccevent.RingConfig{Node: self})
+	}
+	e := &Entry{
+		cfg:      cfg,
+		self:     self,
+		log:      cfg.Log.WithName("entry"),
+		commands: make(chan command, commandQueue),
+		stopped:  make(chan struct{}),
+		pending:  make(map[ccjob.ID]*pendingJob),
+		links:    make(map[ccnode.ID]*link),
+	}
+	e.dispatcher = ccdispatch.New(ccdispatch.Config{
+		Entry: self, Domain: cfg.Domain, Seed: cfg.Seed, Record: cfg.Ring.Record,
+	})
+	e.answers = ccanswer.NewCache(ccanswer.CacheConfig{Retention: defaultRetention, MaxBytes: answerBytes})
+	e.claims = &localClaims{}
+	return e
+}
+
+// Start opens the sockets and begins to follow the store. It returns before the
+// first settings have arrived; /readyz tells when the entry takes jobs.
+func (e *Entry) Start(ctx context.Context) error {
+	var err error
+	listen := net.ListenConfig{}
+	if e.listener, err = listen.Listen(ctx, "tcp", e.cfg.Listen.String()); err != nil {
+		return &Error{Op: "start", Kind: KindListen, Err: err}
+	}
+	if e.httpSocket, err = listen.Listen(ctx, "tcp", e.cfg.HTTP.String()); err != nil {
+		_ = e.listener.Close()
+		return &Error{Op: "start", Kind: KindListen, Err: err}
+	}
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	e.cancel = cancel
+	e.httpServer = e.newHTTPServer()
+	go e.control(running)
+	e.goBackground(func() { ccrpc.Serve(e.listener, &peerHandler{entry: e}) })
+	e.goBackground(func() { _ = e.httpServer.Serve(e.httpSocket) })
+	e.goBackground(func() { e.followSettings(running) })
+	e.goBackground(func() { e.followCells(running) })
+	e.cfg.Ring.Record(time.Now(), ccevent.Event{Kind: ccevent.KindUp, Index: ccevent.NoIndex, Domain: e.cfg.Domain})
+	e.log.Info("Entry has started.", "node", e.self.String(), "http", e.HTTPAddr().String())
+	return nil
+}
+
+func (e *Entry) goBackground(work func()) {
+	e.background.Add(1)
+	go func() {
+		defer e.background.Done()
+		work()
+	}()
+}
+
+// Addr returns where other entries reach this one.
+func (e *Entry) Addr() netip.AddrPort { return addrOf(e.listener) }
+
+// HTTPAddr returns where clients reach this entry.
+func (e *Entry) HTTPAddr() netip.AddrPort { return addrOf(e.httpSocket) }
+
+// Ref returns the name and incarnation of this entry.
+func (e *Entry) Ref() ccnode.Ref { return e.self }
+
+func addrOf(listener net.Listener) netip.AddrPort {
+	addr, _ := netip.ParseAddrPort(listener.Addr().String())
+	return addr
+}
+
+// Stop is the planned stop: the entry turns unready, refuses new jobs, answers
+// those in flight, and leaves. It waits until ctx ends or 30 s at the longest.
+func (e *Entry) Stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, drainBound)
+	defer cancel()
+	e.log.Info("Entry is draining.")
+	e.do(func(now time.Time) {
+		e.draining = true
+		e.cfg.Ring.Record(now, ccevent.Event{Kind: ccevent.KindDraining, Index: ccevent.NoIndex})
+	})
+	err := e.waitQuiet(ctx)
+	if shutdownErr := e.httpServer.Shutdown(ctx); err == nil && shutdownErr != nil {
+		err = &Error{Op: "stop", Kind: KindUnfinished, Err: shutdownErr}
+	}
+	e.close()
+	e.log.Info("Entry has stopped.")
+	return err
+}
+
+// waitQuiet waits until no job is pending.
+func (e *Entry) waitQuiet(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		left := 0
+		e.ask(func(time.Time) { left = len(e.pending) })
+		if left == 0 {
+			return nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return &Error{Op: "stop", Kind: KindUnfinished, Err: ctx.Err()}
+		}
+	}
+}
+
+// Kill ends the entry at once, as a crash would.
+func (e *Entry) Kill() {
+	_ = e.httpServer.Close()
+	e.close()
+}
+
+func (e *Entry) close() {
+	e.cancel()
+	_ = e.listener.Close()
+	_ = e.httpServer.Close()
+	<-e.stopped
+	e.background.Wait()
+}
--- /dev/null
+++ b/io/ccentry/follow.go
@@ -0,0 +1,84 @@
+package ccentry
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"camphorcroft/core/ccevent"
+	"camphorcroft/core/ccnode"
+	"camphorcroft/core/ccwire"
+	"camphorcroft/io/ccstore"
+)
+
+const (
+	cellPrefix    = "cells/"
+	watchWait     = 20 * time.Second
+	storeRetry    = 200 * time.Millisecond
+	storeDeadline = 2 * time.Second
+)
+
+// followCells keeps a link to each agent that the cells' records name.
+func (e *Entry) followCells(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := e.watchCells(ctx); err != nil && ctx.Err() == nil {
+			e.log.V(1).Info("Cells can't be read.", "error", err.Error())
+			sleep(ctx, storeRetry/2+time.Duration(rand.Int64N(int64(storeRetry))))
+		}
+	}
+}
+
+// watchCells lists all records and then follows changes until a call fails.
+func (e *Entry) watchCells(ctx context.Context) error {
+	listCtx, cancel := context.WithTimeout(ctx, storeDeadline)
+	items, revision, err := e.cfg.Store.List(listCtx, cellPrefix)
+	cancel()
+	if err != nil {
+		return err
+	}
+	for {
+		e.takeCells(items)
+		change, err := e.cfg.Store.Watch(ctx, cellPrefix, revision, watchWait)
+		if err != nil {
+			return err
+		}
+		items, revision = change.Items, change.Revision
+	}
+}
+
+func (e *Entry) takeCells(items []ccstore.Item) {
+	for _, item := range items {
+		if item.Revision == 0 {
+			continue // A record that is gone tells nothing of its members.
+		}
+		var record ccwire.CellRecord
+		if err := json.Unmarshal(item.Value, &record); err != nil {
+			e.log.Error(err, "Cell record can't be read.", "key", item.Key)
+			continue
+		}
+		e.do(func(now time.Time) { e.takeCell(now, &record) })
+	}
+}
+
+func (e *Entry) takeCell(now time.Time, record *ccwire.CellRecord) {
+	e.cfg.Ring.Record(now, ccevent.Event{Kind: ccevent.KindRoster, Index: ccevent.NoIndex, Peer: record.Lead.ID, Count: len(record.Members)})
+	members := make(map[ccnode.ID]ccnode.Ref, len(record.Members))
+	for i := range record.Members {
+		members[record.Members[i].Node.ID] = record.Members[i].Node
+		e.connect(&record.Members[i])
+	}
+	for _, departure := range record.Departed {
+		if _, back := members[departure.Node.ID]; !back {
+			e.disconnect(departure.Node.ID)
+		}
+		e.dispatcher.AgentGone(now, departure.Node)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/io/ccentry/http.go
@@ -0,0 +1,150 @@
+package ccentry
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"camphorcroft/core/ccjob"
+	"camphorcroft/core/ccsettings"
+)
+
+const (
+	// maxBodyBytes bounds a submission's body.
+	maxBodyBytes      = 32 << 20
+	readHeaderTimeout = 5 * time.Second
+	readTimeout       = 30 * time.Second
+	idleTimeout       = 2 * time.Minute
+	defaultDeadline   = ccsettings.Duration(10 * time.Second)
+)
+
+func (e *Entry) newHTTPServer() *http.Server {
+	gin.SetMode(gin.ReleaseMode)
+	router := gin.New()
+	router.Use(gin.Recovery())
+	router.POST("/v1/services/:service/jobs", e.postJob)
+	router.GET("/v1/jobs/:job", e.getJob)
+	router.DELETE("/v1/jobs/:job", e.deleteJob)
+	router.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
+	router.GET("/readyz", e.getReady)
+	router.GET("/debug/vars", e.getVars)
+	router.GET("/events", e.getEvents)
+	router.NoRoute(func(c *gin.Context) {
+		respond(c, ccjob.Refuse("", ccjob.KindNotFound, "no such path"))
+	})
+	return &http.Server{
+		Handler:           router,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+}
+
+func (e *Entry) postJob(c *gin.Context) {
+	spec, refusal := readSpec(c)
+	if refusal != nil {
+		respond(c, *refusal)
+		return
+	}
+	outcome := make(chan ccjob.Outcome, 1)
+	e.do(func(now time.Time) { e.submit(now, spec, outcome) })
+	select {
+	case o := <-outcome:
+		respond(c, o)
+	case <-c.Request.Context().Done():
+		// The client has gone; the job goes on, and may be submitted again.
+	case <-e.stopped:
+		respond(c, ccjob.Fail(spec.ID, ccjob.KindUnavailable, false, "this entry has stopped"))
+	}
+}
+
+// readSpec reads the body of a submission. It returns a refusal when it can't.
+func readSpec(c *gin.Context) (*ccjob.Spec, *ccjob.Outcome) {
+	var body struct {
+		JobID      string               `json:"jobID"`
+		Team       string               `json:"team"`
+		Deadline   *ccsettings.Duration `json:"deadline"`
+		Idempotent bool                 `json:"idempotent"`
+		Tasks      []struct {
+			Payload string `json:"payload"`
+		} `json:"tasks"`
+	}
+	decoder := json.NewDecoder(http.MaxBytesReader(c.Writer, c.Request.Body, maxBodyBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&body); err != nil {
+		refusal := refuseBody(err)
+		return nil, &refusal
+	}
+	id, err := ccjob.ParseID(body.JobID)
+	if err != nil {
+		refusal := ccjob.Refuse("", ccjob.KindInvalid, err.Error())
+		return nil, &refusal
+	}
+	deadline := defaultDeadline
+	if body.Deadline != nil {
+		deadline = *body.Deadline
+	}
+	spec := &ccjob.Spec{
+		ID: id, Service: c.Param("service"), Team: body.Team, Deadline: deadline.Std(), Idempotent: body.Idempotent,
+		Payloads: make([]string, len(body.Tasks)),
+	}
+	for i := range body.Tasks {
+		spec.Payloads[i] = body.Tasks[i].Payload
+	}
+	return spec, nil
+}
+
+func refuseBody(err error) ccjob.Outcome {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return ccjob.Refuse("", ccjob.KindTooLarge, "the body is larger than "+strconv.Itoa(maxBodyBytes)+" bytes")
+	}
+	return ccjob.Refuse("", ccjob.KindInvalid, "the body is not a job: "+err.Error())
+}
+
+// respond writes an outcome in the one shape that all answers have.
+func respond(c *gin.Context, outcome ccjob.Outcome) {
+	status := statusOf(&outcome)
+	if status == http.StatusOK {
+		c.JSON(status, struct {
+			JobID   ccjob.ID       `json:"jobID"`
+			State   ccjob.State    `json:"state"`
+			Answers []ccjob.Answer `json:"answers"`
+		}{outcome.JobID, outcome.State, outcome.Answers})
+		return
+	}
+	if outcome.RetryAfter > 0 {
+		c.Header("Retry-After", strconv.Itoa(int(outcome.RetryAfter.Seconds())))
+	}
+	c.JSON(status, struct {
+		JobID  ccjob.ID    `json:"jobID"`
+		State  ccjob.State `json:"state"`
+		NotRun bool        `json:"notRun"`
+		Kind   ccjob.Kind  `json:"kind"`
+		Reason string      `json:"reason"`
+	}{outcome.JobID, outcome.State, outcome.NotRun, outcome.Kind, outcome.Reason})
+}
+
+func (e *Entry) getReady(c *gin.Context) {
+	ready := false
+	e.ask(func(time.Time) { ready = e.ready() })
+	if !ready {
+		c.String(http.StatusServiceUnavailable, "not ready\n")
+		return
+	}
+	c.String(http.StatusOK, "ready\n")
+}
+
+// getEvents returns the events of this process after a number.
+func (e *Entry) getEvents(c *gin.Context) {
+	after, err := strconv.ParseUint(c.DefaultQuery("after", "0"), 10, 64)
+	if err != nil {
+		respond(c, ccjob.Refuse("", ccjob.KindInvalid, "after is not a number"))
+		return
+	}
+	c.JSON(http.StatusOK, e.cfg.Ring.After(after))
+}
