--- /dev/null
+++ b/core/ccdispatch/figures.go
@@ -0,0 +1,71 @@
+package ccdispatch
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// ServiceFigures is what operators see of one service at an entry.
+type ServiceFigures struct {
+	Name           string  `json:"name"`
+	Waiting        int     `json:"waitingTasks"`
+	Teams          int     `json:"teams"`
+	TasksPerSecond float64 `json:"tasksPerSecond"`
+	RetryBudget    float64 `json:"retryBudget"`
+}
+
+// AgentFigures is what operators see of one agent at an entry.
+type AgentFigures struct {
+	Node         string        `json:"node"`
+	Service      string        `json:"service"`
+	Domain       string        `json:"domain"`
+	Up           bool          `json:"up"`
+	Leaving      bool          `json:"leaving"`
+	Ejected      bool          `json:"ejected"`
+	Silent       bool          `json:"silent"`
+	Version      uint64        `json:"version"`
+	Slots        int           `json:"slots"`
+	Free         int           `json:"free"`
+	Out          int           `json:"out"`
+	TypicalRun   time.Duration `json:"typicalRunNanoseconds"`
+	SpeedSamples int           `json:"speedSamples"`
+}
+
+// Services lists the services.
+func (d *Dispatcher) Services() []ServiceFigures {
+	figures := make([]ServiceFigures, 0, len(d.services))
+	for _, name := range slices.Sorted(maps.Keys(d.services)) {
+		s := d.services[name]
+		figures = append(figures, ServiceFigures{
+			Name: name, Waiting: s.queue.Len(), Teams: len(s.teamTasks),
+			TasksPerSecond: s.rate.perSecond, RetryBudget: s.budget,
+		})
+	}
+	return figures
+}
+
+// Agents lists the agents.
+func (d *Dispatcher) Agents(now time.Time) []AgentFigures {
+	figures := make([]AgentFigures, 0, len(d.ordered))
+	for _, a := range d.ordered {
+		figures = append(figures, AgentFigures{
+			Node: string(a.ref.ID), Service: a.service, Domain: a.domain,
+			Up: a.up, Leaving: a.leaving, Ejected: a.health.Ejected(now), Silent: a.silent(now),
+			Version: a.version, Slots: a.slots, Free: a.free, Out: len(a.out),
+			TypicalRun: a.speed.Typical(), SpeedSamples: a.speed.Samples(),
+		})
+	}
+	return figures
+}
+
+// Usable returns how many agents are connected and not leaving.
+func (d *Dispatcher) Usable() int {
+	usable := 0
+	for _, a := range d.ordered {
+		if a.up && !a.leaving {
+			usable++
+		}
+	}
+	return usable
+}
--- a/io/ccentry/control.go
+++ b/io/ccentry/control.go
@@ -56,9 +56,8 @@
 	}
 }
 
-// ask runs a command and waits until it has run. It returns false when the entry
-// has ended.
-func (e *Entry) ask(run command) bool {
+// ask runs a command and waits until it has run, or until the entry has ended.
+func (e *Entry) ask(run command) {
 	done := make(chan struct{})
 	e.do(func(now time.Time) {
 		run(now)
@@ -66,9 +65,7 @@
 	})
 	select {
 	case <-done:
-		return true
 	case <-e.stopped:
-		return false
 	}
 }
 
--- a/io/ccentry/entry.go
+++ b/io/ccentry/entry.go
@@ -6,7 +6,7 @@
 //
 // # Usage
 //
-//	entry := ccentry.New(ccentry.Config{Node: "entry-1", Domain: "north", Listen: listen, HTTP: http, Store: store, Log: log, Ring: ring})
+//	entry := ccentry.New(ccentry.Config{Node: self, Domain: "north", Listen: listen, HTTP: http, Store: store, Log: log, Ring: ring})
 //	err := entry.Start(ctx)
 //	defer entry.Stop(ctx)
 package ccentry
@@ -26,6 +26,7 @@
 	"camphorcroft/core/ccevent"
 	"camphorcroft/core/ccjob"
 	"camphorcroft/core/ccnode"
+	"camphorcroft/io/ccmetric"
 	"camphorcroft/io/ccrpc"
 	"camphorcroft/io/ccstore"
 )
@@ -46,14 +47,18 @@
 
 // Config says who an entry is and what it works with.
 type Config struct {
-	Node   ccnode.ID
+	Node   ccnode.Ref // Names this life. A zero incarnation is drawn by New.
 	Domain string
 	Listen netip.AddrPort // For other entries. Port 0 takes any.
 	HTTP   netip.AddrPort // For clients. Port 0 takes any.
 	Store  ccstore.Store
-	Log    logr.Logger
-	Ring   *ccevent.Ring
-	Seed   uint64
+	// Settings follows the operators' settings.
+	Settings SettingsSource
+	// SetLogLevel is told the level that the settings name. Nil ignores it.
+	SetLogLevel func(level string)
+	Log         logr.Logger
+	Ring        *ccevent.Ring
+	Seed        uint64
 }
 
 // Entry is a running entry.
@@ -68,14 +73,17 @@
 	listener   net.Listener
 	httpSocket net.Listener
 	httpServer *http.Server
+	metrics    *ccmetric.Set
 
 	// The control goroutine alone touches what follows.
-	dispatcher *ccdispatch.Dispatcher
-	answers    *ccanswer.Cache
-	pending    map[ccjob.ID]*pendingJob
-	links      map[ccnode.ID]*link
-	claims     claimer
-	draining   bool
+	dispatcher   *ccdispatch.Dispatcher
+	answers      *ccanswer.Cache
+	pending      map[ccjob.ID]*pendingJob
+	links        map[ccnode.ID]*link
+	claims       claimer
+	draining     bool
+	version      uint64 // Of the settings in force.
+	versionSince time.Time
 }
 
 // command is work for the control goroutine.
@@ -83,7 +91,10 @@
 
 // New returns an entry that has not started.
 func New(cfg Config) *Entry {
-	self := ccnode.Ref{ID: cfg.Node, Incarnation: ccnode.NewIncarnation(time.Now())}
+	if cfg.Node.Incarnation == 0 {
+		cfg.Node.Incarnation = ccnode.NewIncarnation(time.Now())
+	}
+	self := cfg.Node
 	if cfg.Ring == nil {
 		cfg.Ring = ccevent.NewRing(ccevent.RingConfig{Node: self})
 	}
@@ -101,6 +112,7 @@
 	})
 	e.answers = ccanswer.NewCache(ccanswer.CacheConfig{Retention: defaultRetention, MaxBytes: answerBytes})
 	e.claims = &localClaims{}
+	e.metrics = e.newMetrics()
 	return e
 }
 
--- a/io/ccentry/follow.go
+++ b/io/ccentry/follow.go
@@ -22,14 +22,14 @@
 // followCells keeps a link to each agent that the cells' records name.
 func (e *Entry) followCells(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := e.watchCells(ctx); err != nil && ctx.Err() == nil {
-			e.log.V(1).Info("Cells can't be read.", "error", err.Error())
-			sleep(ctx, storeRetry/2+time.Duration(rand.Int64N(int64(storeRetry))))
-		}
+		err := e.watchCells(ctx)
+		e.log.V(1).Info("Cells can't be read.", "error", err.Error())
+		sleep(ctx, storeRetry/2+time.Duration(rand.Int64N(int64(storeRetry))))
 	}
 }
 
-// watchCells lists all records and then follows changes until a call fails.
+// watchCells lists all records and then follows changes until a call fails. It
+// always returns an error.
 func (e *Entry) watchCells(ctx context.Context) error {
 	listCtx, cancel := context.WithTimeout(ctx, storeDeadline)
 	items, revision, err := e.cfg.Store.List(listCtx, cellPrefix)
--- /dev/null
+++ b/io/ccentry/vars.go
@@ -0,0 +1,51 @@
+package ccentry
+
+import (
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"camphorcroft/core/ccdispatch"
+	"camphorcroft/io/ccmetric"
+)
+
+// varsState is what the control goroutine tells of itself.
+type varsState struct {
+	Version           uint64                      `json:"version"`
+	VersionAgeSeconds float64                     `json:"versionAgeSeconds"`
+	Draining          bool                        `json:"draining"`
+	Pending           int                         `json:"pendingJobs"`
+	Answers           int                         `json:"keptAnswers"`
+	AnswerBytes       int                         `json:"keptAnswerBytes"`
+	Dispatch          ccdispatch.Counts           `json:"dispatch"`
+	Services          []ccdispatch.ServiceFigures `json:"services"`
+	Agents            []ccdispatch.AgentFigures   `json:"agents"`
+}
+
+func (e *Entry) newMetrics() *ccmetric.Set {
+	set := ccmetric.NewSet(string(e.self.ID))
+	set.Func("entry", func() any {
+		var state varsState
+		e.ask(func(now time.Time) { state = e.varsState(now) })
+		return state
+	})
+	return set
+}
+
+func (e *Entry) varsState(now time.Time) varsState {
+	return varsState{
+		Version:           e.version,
+		VersionAgeSeconds: now.Sub(e.versionSince).Seconds(),
+		Draining:          e.draining,
+		Pending:           len(e.pending),
+		Answers:           e.answers.Len(),
+		AnswerBytes:       e.answers.Bytes(),
+		Dispatch:          e.dispatcher.Counts(),
+		Services:          e.dispatcher.Services(),
+		Agents:            e.dispatcher.Agents(now),
+	}
+}
+
+func (e *Entry) getVars(c *gin.Context) {
+	e.metrics.ServeHTTP(c.Writer, c.Request)
+}
