--- /dev/null
+++ b/io/ccagent/stats.go
@@ -0,0 +1,34 @@
+package ccagent
+
+import (
+	"expvar"
+
+	"camphorcroft/core/ccnode"
+	"camphorcroft/io/ccmetric"
+)
+
+// stats counts what an agent does.
+type stats struct {
+	set                           *ccmetric.Set
+	dispatches, ignored           *expvar.Int
+	started, reports, offers      *expvar.Int
+	revokes, recovers, pauses     *expvar.Int
+	running, marks, resultBytes   *expvar.Int
+	version, storeCalls           *expvar.Int
+	controlBytesIn, controlBytesO *expvar.Int
+	bounced, finished             *expvar.Map
+}
+
+func newStats(node ccnode.ID) *stats {
+	set := ccmetric.NewSet(string(node))
+	return &stats{
+		set:        set,
+		dispatches: set.Int("dispatches"), ignored: set.Int("dispatchesIgnored"),
+		started: set.Int("tasksStarted"), reports: set.Int("reports"), offers: set.Int("offers"),
+		revokes: set.Int("revokes"), recovers: set.Int("recovers"), pauses: set.Int("pauses"),
+		running: set.Int("tasksRunning"), marks: set.Int("marks"), resultBytes: set.Int("resultBytes"),
+		version: set.Int("settingsVersion"), storeCalls: set.Int("storeCalls"),
+		controlBytesIn: set.Int("controlBytesIn"), controlBytesO: set.Int("controlBytesOut"),
+		bounced: set.Map("tasksBounced"), finished: set.Map("tasksFinished"),
+	}
+}
