--- /dev/null
+++ b/io/ccentry/bench_test.go
@@ -0,0 +1,117 @@
+package ccentry_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"camphorcroft/core/ccnode"
+	"camphorcroft/io/ccentry"
+)
+
+// jobBody returns a submission of n tasks.
+func jobBody(id string, n int) []byte {
+	type taskBody struct {
+		Payload string `json:"payload"`
+	}
+	tasks := make([]taskBody, n)
+	for i := range tasks {
+		tasks[i].Payload = "payload of task " + strconv.Itoa(i)
+	}
+	data, _ := json.Marshal(map[string]any{"jobID": id, "team": "t", "deadline": "10s", "tasks": tasks})
+	return data
+}
+
+func post(client *http.Client, entry *ccentry.Entry, body []byte) (int, []byte, error) {
+	response, err := client.Post("http://"+entry.HTTPAddr().String()+"/v1/services/s/jobs", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return response.StatusCode, data, err
+}
+
+func awaitReady(tb testing.TB, client *http.Client, entry *ccentry.Entry) {
+	for range 1000 {
+		response, err := client.Get("http://" + entry.HTTPAddr().String() + "/readyz")
+		if err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	tb.Fatal("entry is not ready")
+}
+
+func elevenAgents() []ccnode.ID {
+	var names []ccnode.ID
+	for i := range 11 {
+		names = append(names, ccnode.ID(fmt.Sprintf("agent-%02d", i)))
+	}
+	return names
+}
+
+func cpuTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkStartsPerCore counts task starts per second of processor time, with
+// jobs of 100 tasks from 16 clients. The time of the clients and of the agents,
+// which answer at once, is counted in, so the entry's own figure is higher.
+func BenchmarkStartsPerCore(b *testing.B) {
+	entry := startEntry(b, cellStore{record: startInstantAgents(b, elevenAgents(), 64)})
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
+	awaitReady(b, client, entry)
+	const tasks, clients = 100, 16
+	cpu, number := cpuTime(), 0
+	for b.Loop() {
+		var group sync.WaitGroup
+		for range clients {
+			number++
+			body := jobBody(fmt.Sprint("job-", number), tasks)
+			group.Go(func() {
+				if status, answer, err := post(client, entry, body); err != nil || status != http.StatusOK {
+					b.Errorf("status %d, error %v: %s", status, err, answer)
+				}
+			})
+		}
+		group.Wait()
+	}
+	b.ReportMetric(float64(number*tasks)/(cpuTime()-cpu).Seconds(), "starts/cpu-s")
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkAddedLatency measures a job of one task whose target takes no time,
+// one at a time: all of it is added by the entry, the agent's connection and
+// the client's.
+func BenchmarkAddedLatency(b *testing.B) {
+	entry := startEntry(b, cellStore{record: startInstantAgents(b, elevenAgents(), 8)})
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
+	awaitReady(b, client, entry)
+	var times []time.Duration
+	for b.Loop() {
+		body := jobBody(fmt.Sprint("job-", len(times)), 1)
+		start := time.Now()
+		if status, answer, err := post(client, entry, body); err != nil || status != http.StatusOK {
+			b.Fatalf("status %d, error %v: %s", status, err, answer)
+		}
+		times = append(times, time.Since(start))
+	}
+	slices.Sort(times)
+	b.ReportMetric(float64(times[len(times)/2].Microseconds()), "p50-us")
+	b.ReportMetric(float64(times[len(times)*99/100].Microseconds()), "p99-us")
+	b.ReportMetric(0, "ns/op")
+}
