Collect events over HTTP from many processes

Time lines need the events of all processes, but each served its whole ring with a handler of its own. One handler now streams a ring in small chunks, so that writers never wait for a copy of all of it, leaves out other jobs when asked, and says in headers whose ring it is. Members of cells now carry their HTTP address, and agents name the incarnation in the causes they record.

--- a/core/ccevent/lane.go
+++ b/core/ccevent/lane.go
@@ -16,6 +16,10 @@
 	offset time.Duration
 	next   int       // The first event that is not placed yet.
 	last   time.Time // When the newest placed event was.
+	// part is set when gaps in the numbers tell nothing, and dropped says what is
+	// missing.
+	part    bool
+	dropped uint64
 }
 
 // cutLanes sorts the events into lanes, ordered by node and incarnation. Of each
@@ -51,15 +55,33 @@
 	return sort.Search(len(l.events), func(i int) bool { return l.events[i].Seq > seq })
 }
 
-// missingBefore returns how many events are missing right before the i-th.
+// setPart notes that the lane's events are a part of those that there were.
+func (l *lane) setPart(parts []Part) {
+	for _, part := range parts {
+		if part.Node == l.node {
+			l.part, l.dropped = true, part.Dropped
+		}
+	}
+}
+
+// missingBefore returns how many events were dropped right before the i-th.
 func (l *lane) missingBefore(i int) uint64 {
-	if i == 0 {
+	switch {
+	case i == 0 && l.part:
+		return l.dropped
+	case i == 0:
 		return l.events[0].Seq - 1
+	case l.part:
+		return 0
+	default:
+		return l.events[i].Seq - l.events[i-1].Seq - 1
 	}
-	return l.events[i].Seq - l.events[i-1].Seq - 1
 }
 
-// missing returns how many events are missing in all.
+// missing returns how many events were dropped in all.
 func (l *lane) missing() uint64 {
+	if l.part {
+		return l.dropped
+	}
 	return l.events[len(l.events)-1].Seq - uint64(len(l.events))
 }
--- a/core/ccevent/merge.go
+++ b/core/ccevent/merge.go
@@ -4,17 +4,29 @@
 	"cmp"
 	"container/heap"
 	"time"
+
+	"camphorcroft/core/ccnode"
 )
 
 // MaxMerged is the greatest number of events in one time line. Above it the
 // oldest of each process are left out and counted as dropped.
 const MaxMerged = 1 << 20
 
+// Part says that some of a process's events were left out on purpose, so that
+// gaps in their numbers tell nothing, and how many it has dropped.
+type Part struct {
+	Node    ccnode.Ref
+	Dropped uint64
+}
+
 // Merge puts the events of many processes into one time line. The same event
 // may be given more than once. The result depends on the set of events alone,
 // not on their order. The work grows as n log n with the number of events.
-func Merge(events []Event) Timeline {
+func Merge(events []Event, parts ...Part) Timeline {
 	lanes := cutLanes(events, MaxMerged)
+	for _, l := range lanes {
+		l.setPart(parts)
+	}
 	causes := newCauses(lanes)
 	setOffsets(lanes, causes)
 	m := &merger{lanes: lanes, causes: causes, waiting: make([][]int, len(lanes))}
--- a/core/ccevent/ring.go
+++ b/core/ccevent/ring.go
@@ -7,6 +7,9 @@
 	"camphorcroft/core/ccnode"
 )
 
+// readChunk is how many events are copied while writers wait.
+const readChunk = 512
+
 // RingConfig says whose events a ring holds, and how many.
 type RingConfig struct {
 	Node ccnode.Ref
@@ -59,15 +62,45 @@
 	return r.seq
 }
 
+// Node returns whose events these are.
+func (r *Ring) Node() ccnode.Ref { return r.node }
+
+// Oldest returns the number of the oldest event that is kept, or zero if none is.
+func (r *Ring) Oldest() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.events) == 0 {
+		return 0
+	}
+	return r.seq - uint64(len(r.events)) + 1
+}
+
 // After returns the kept events with greater numbers, oldest first.
 func (r *Ring) After(seq uint64) []Event {
+	var events []Event
+	for {
+		chunk := r.Next(seq, readChunk)
+		if len(chunk) == 0 {
+			return events
+		}
+		events = append(events, chunk...)
+		seq = chunk[len(chunk)-1].Seq
+	}
+}
+
+// Next returns at most limit of the kept events with greater numbers, oldest
+// first. A small limit keeps writers from waiting.
+func (r *Ring) Next(seq uint64, limit int) []Event {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	kept := uint64(len(r.events))
 	first := max(seq, r.seq-kept) + 1
-	var events []Event
-	for n := first; n <= r.seq; n++ {
-		events = append(events, r.events[(n-1)%kept])
+	if seq >= r.seq {
+		return nil
+	}
+	events := make([]Event, 0, min(r.seq-first+1, uint64(limit)))
+	for n := first; n <= r.seq && len(events) < limit; n++ {
+		events = append(events, r.events[(n-1)%uint64(cap(r.events))])
 	}
 	return events
 }
--- a/core/ccwire/cell.go
+++ b/core/ccwire/cell.go
@@ -18,6 +18,7 @@
 type Member struct {
 	Node    ccnode.Ref     `json:"node"`
 	Addr    netip.AddrPort `json:"addr"`
+	HTTP    netip.AddrPort `json:"http,omitzero"` // Health, metrics and events.
 	Domain  string         `json:"domain"`
 	Rack    string         `json:"rack,omitempty"`
 	Service string         `json:"service"`
--- a/io/ccagent/agent.go
+++ b/io/ccagent/agent.go
@@ -157,8 +157,8 @@
 // member describes this agent to the fleet.
 func (a *Agent) member(leaving bool) ccwire.Member {
 	return ccwire.Member{
-		Node: a.cfg.Node, Addr: a.Addr(), Domain: a.cfg.Domain, Rack: a.cfg.Rack, Service: a.cfg.Service,
-		Slots: a.cfg.Slots, Leaving: leaving, Since: a.since.UnixMilli(),
+		Node: a.cfg.Node, Addr: a.Addr(), HTTP: a.webAddr, Domain: a.cfg.Domain, Rack: a.cfg.Rack,
+		Service: a.cfg.Service, Slots: a.cfg.Slots, Leaving: leaving, Since: a.since.UnixMilli(),
 	}
 }
 
--- a/io/ccagent/control.go
+++ b/io/ccagent/control.go
@@ -93,7 +93,7 @@
 		a.stats.ignored.Add(1)
 		return
 	}
-	cause := ccevent.Cause{Node: l.entry.ID, Seq: msg.Cause}
+	cause := ccevent.Cause{Node: l.entry.ID, Incarnation: l.entry.Incarnation, Seq: msg.Cause}
 	for _, bounce := range result.Bounced {
 		a.stats.bounced.Add(string(bounce.Code), 1)
 		a.ring.Record(now, ccevent.Event{
--- a/io/ccagent/handler.go
+++ b/io/ccagent/handler.go
@@ -90,7 +90,7 @@
 	for _, part := range reply.Jobs {
 		a.ring.Record(now, ccevent.Event{
 			Kind: ccevent.KindRevoked, Job: part.ID, Index: ccevent.NoIndex, Count: len(part.Tasks), Claim: part.Claim,
-			Domain: a.cfg.Domain, Peer: l.entry.ID, Cause: ccevent.Cause{Node: l.entry.ID, Seq: msg.Cause},
+			Domain: a.cfg.Domain, Peer: l.entry.ID, Cause: ccevent.Cause{Node: l.entry.ID, Incarnation: l.entry.Incarnation, Seq: msg.Cause},
 		})
 	}
 	reply.Cause = a.ring.Newest()
@@ -106,7 +106,7 @@
 	for _, part := range msg.Jobs {
 		a.ring.Record(now, ccevent.Event{
 			Kind: ccevent.KindFenced, Job: part.ID, Index: ccevent.NoIndex, Claim: part.Claim,
-			Domain: a.cfg.Domain, Peer: l.entry.ID, Cause: ccevent.Cause{Node: l.entry.ID, Seq: msg.Cause},
+			Domain: a.cfg.Domain, Peer: l.entry.ID, Cause: ccevent.Cause{Node: l.entry.ID, Incarnation: l.entry.Incarnation, Seq: msg.Cause},
 		})
 	}
 	reply.Cause = a.ring.Newest()
--- a/io/ccagent/web.go
+++ b/io/ccagent/web.go
@@ -4,9 +4,10 @@
 	"context"
 	"net"
 	"net/http"
-	"strconv"
 	"time"
 
+	ioevent "camphorcroft/io/ccevent"
+
 	"github.com/gin-gonic/gin"
 	"github.com/juju/errors"
 )
@@ -25,7 +26,7 @@
 	router.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
 	router.GET("/readyz", a.getReady)
 	router.GET("/debug/vars", gin.WrapH(a.stats.set))
-	router.GET("/events", a.getEvents)
+	router.GET("/events", gin.WrapH(ioevent.NewHandler(a.ring)))
 	a.web = &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
 	a.webAddr = addrOf(socket.Addr())
 	a.goRun(func() { _ = a.web.Serve(socket) })
@@ -46,13 +47,3 @@
 	}
 	c.String(http.StatusServiceUnavailable, "not ready\n")
 }
-
-// getEvents writes the events after the number in the query.
-func (a *Agent) getEvents(c *gin.Context) {
-	after, err := strconv.ParseUint(c.DefaultQuery("after", "0"), 10, 64)
-	if err != nil {
-		c.String(http.StatusBadRequest, "after is a number\n")
-		return
-	}
-	c.JSON(http.StatusOK, a.ring.After(after))
-}
