--- a/core/ccclaim/authority.go
+++ b/core/ccclaim/authority.go
@@ -14,7 +14,7 @@
 // # Usage
 //
 //	authority := ccclaim.NewAuthority(ccclaim.Config{...})
-//	for _, request := range authority.RosterChanged(now, roster) {
+//	for _, request := range authority.RosterChanged(now, roster, requester.Held()) {
 //		// Send request.Message to request.To; hand the reply to GatherAnswered.
 //	}
 //	reply := authority.Claim(now, message, leaseValidUntil)
@@ -80,8 +80,9 @@
 }
 
 // RosterChanged takes a newer roster and returns the messages by which the entry
-// learns of the slots that it gains. An older roster changes nothing.
-func (a *Authority) RosterChanged(now time.Time, roster *ccroster.Roster) []GatherRequest {
+// learns of the slots that it gains. Driven are the claims that the entry itself
+// has taken up. An older roster changes nothing.
+func (a *Authority) RosterChanged(now time.Time, roster *ccroster.Roster, driven []ccwire.GatherClaim) []GatherRequest {
 	if roster.Epoch <= a.roster.Epoch {
 		return nil
 	}
@@ -90,6 +91,14 @@
 	for i := range a.slots {
 		a.turnOver(now, i, followed)
 	}
+	for _, claim := range driven {
+		if s := &a.slots[ccroster.SlotOf(claim.JobID)]; s.owned && !s.ready {
+			a.merge(claim)
+		}
+	}
+	for i := range a.slots {
+		a.settle(now, &a.slots[i])
+	}
 	a.askNext = now.Add(gatherRetry)
 	return a.requests()
 }
@@ -113,13 +122,13 @@
 		return
 	}
 	s.notBefore = now.Add(a.cfg.GrantLife)
+	s.promise = max(s.promise, a.roster.Epoch) // What was told to others holds here too.
 	s.waiting = map[ccnode.Ref]struct{}{}
 	for _, member := range a.roster.Entries {
 		if member.Ref != a.cfg.Self {
 			s.waiting[member.Ref] = struct{}{}
 		}
 	}
-	a.settle(now, s)
 }
 
 // Tick forgets what is past retention, ends waits, and returns gather messages
@@ -151,10 +160,23 @@
 	if !known && a.cfg.Guards.Vouching {
 		s.horizon = max(s.horizon, now.Add(2*a.cfg.ClockMargin).UnixMilli())
 		s.complete = false
+		a.doubt(s)
 	}
 	s.ready, s.epoch, s.waiting = true, a.roster.Epoch, nil
 }
 
+// doubt takes into account that the lost authority may have granted each known
+// job once more. Raised numbers no longer match what drivers say of their claims,
+// so that a claim which was given back leads to a recovery and not to a grant.
+func (a *Authority) doubt(s *slot) {
+	for _, known := range s.claims {
+		known.claim = max(known.claim, a.roster.Epoch<<epochShift)
+		if known.released {
+			known.released, known.driver = false, ccnode.Ref{}
+		}
+	}
+}
+
 // requests lists the gather messages that have no answer yet.
 func (a *Authority) requests() []GatherRequest {
 	missing := map[ccnode.Ref][]int{}
--- a/core/ccclaim/authority_test.go
+++ b/core/ccclaim/authority_test.go
@@ -71,10 +71,10 @@
 	t.Helper()
 	roster := ccroster.Genesis(entry("a"))
 	a, b := newAuthority("a", 100), newAuthority("b", 100)
-	a.RosterChanged(start, roster)
+	a.RosterChanged(start, roster, nil)
 	roster = roster.With(entry("b"))
-	a.RosterChanged(start, roster)
-	gather(start, b, b.RosterChanged(start, roster), a)
+	a.RosterChanged(start, roster, nil)
+	gather(start, b, b.RosterChanged(start, roster, nil), a)
 	if a.Ready()+b.Ready() != ccroster.Slots {
 		t.Fatalf("ready in %d and %d slots", a.Ready(), b.Ready())
 	}
@@ -162,8 +162,8 @@
 		untimed := jobWithoutTime(roster, "a")
 		assertVerdict(t, a, start, claimOf(a, "b", known), ccwire.ClaimGranted)
 		roster = roster.WithLeaving(ref("a"))
-		a.RosterChanged(start, roster)
-		requests := b.RosterChanged(start, roster)
+		a.RosterChanged(start, roster, nil)
+		requests := b.RosterChanged(start, roster, nil)
 		assertVerdict(t, b, start, claimOf(b, "b", known), ccwire.ClaimNotReady)
 		assertHandedOver(t, a, b, false)
 		gather(start, b, requests, a)
@@ -177,7 +177,7 @@
 		untimed, old := jobWithoutTime(roster, "a"), jobOf(roster, "a", start.Add(-retention))
 		assertVerdict(t, a, start, claimOf(a, "a", job), ccwire.ClaimGranted)
 		roster = roster.Without(ref("a"))
-		b.RosterChanged(start, roster)
+		b.RosterChanged(start, roster, nil)
 		assertVerdict(t, b, start, claimOf(b, "b", job), ccwire.ClaimNotReady)
 		taken := start.Add(ccclaim.DefaultGrantLife)
 		b.Tick(taken)
@@ -191,21 +191,52 @@
 		roster := ccroster.Genesis(entry("a")).With(entry("b")).With(entry("c"))
 		job := jobOf(roster.Without(ref("a")), "b", start)
 		b, c := newAuthority("b", 100), newAuthority("c", 100)
-		b.RosterChanged(start, roster)
-		c.RosterChanged(start, roster)
+		b.RosterChanged(start, roster, nil)
+		c.RosterChanged(start, roster, nil)
 		roster = roster.Without(ref("a"))
-		c.RosterChanged(start, roster)
+		c.RosterChanged(start, roster, nil)
 		driven := ccwire.GatherClaim{JobID: job, Digest: 1, Claim: 7, Driver: ref("c"), Granted: start.UnixMilli()}
-		gather(start, b, b.RosterChanged(start, roster), c, driven)
+		gather(start, b, b.RosterChanged(start, roster, nil), c, driven)
 		later := start.Add(time.Second)
 		b.Tick(later)
 		assertVerdict(t, b, later, claimOf(b, "b", job), ccwire.ClaimAttach)
 	})
+	t.Run("a claim given back before a loss is recovered", func(t *testing.T) {
+		roster, a, b := pair(t)
+		job := jobOf(roster, "a", start)
+		first := assertVerdict(t, a, start, claimOf(a, "b", job), ccwire.ClaimGranted)
+		roster = roster.With(entry("c")).Without(ref("a"))
+		c := newAuthority("c", 100)
+		authority, other := b, c
+		if owner, _ := roster.Authority(ccroster.SlotOf(job)); owner.Ref == ref("c") {
+			authority, other = c, b
+		}
+		released := ccwire.GatherClaim{JobID: job, Digest: 1, Claim: first.Claim, Driver: ref("b"), Granted: start.UnixMilli(), Released: true}
+		other.RosterChanged(start, roster, nil)
+		gather(start, authority, authority.RosterChanged(start, roster, nil), other, released)
+		later := start.Add(time.Second)
+		authority.Tick(later)
+		message := claimOf(authority, "b", job)
+		message.Released = first.Claim
+		assertVerdict(t, authority, later, message, ccwire.ClaimRecover)
+	})
+	t.Run("an authority knows what it drives itself", func(t *testing.T) {
+		roster, _, b := pair(t)
+		job := jobOf(roster, "a", start)
+		driven := ccwire.GatherClaim{JobID: job, Digest: 1, Claim: 7, Driver: ref("b"), Granted: start.UnixMilli()}
+		roster = roster.Without(ref("a")).With(entry("c"))
+		b.RosterChanged(start, roster.Without(ref("c")), []ccwire.GatherClaim{driven})
+		later := start.Add(time.Second)
+		b.Tick(later)
+		other := claimOf(b, "b", job)
+		other.Digest++
+		assertVerdict(t, b, later, other, ccwire.ClaimConflict)
+	})
 	t.Run("a driver that is lost leaves its claims to be recovered", func(t *testing.T) {
 		roster, a, _ := pair(t)
 		job := jobOf(roster, "a", start)
 		first := assertVerdict(t, a, start, claimOf(a, "b", job), ccwire.ClaimGranted)
-		a.RosterChanged(start, roster.Without(ref("b")))
+		a.RosterChanged(start, roster.Without(ref("b")), nil)
 		second := assertVerdict(t, a, start, claimOf(a, "a", job), ccwire.ClaimRecover)
 		if second.Claim <= first.Claim || second.Since > start.UnixMilli() {
 			t.Errorf("recover %+v after %+v", second, first)
@@ -214,7 +245,7 @@
 	t.Run("an entry that missed an epoch asks again", func(t *testing.T) {
 		roster, a, b := pair(t)
 		roster = roster.Renewed().Renewed()
-		requests := a.RosterChanged(start, roster)
+		requests := a.RosterChanged(start, roster, nil)
 		assertVerdict(t, a, start, claimOf(a, "a", jobOf(roster, "a", start)), ccwire.ClaimNotReady)
 		gather(start, a, requests, b)
 		assertVerdict(t, a, start, claimOf(a, "a", jobOf(roster, "a", start)), ccwire.ClaimGranted)
@@ -249,7 +280,7 @@
 func TestBound(t *testing.T) {
 	alone := func(maxClaims int) *ccclaim.Authority {
 		a := newAuthority("a", maxClaims)
-		a.RosterChanged(start, ccroster.Genesis(entry("a")))
+		a.RosterChanged(start, ccroster.Genesis(entry("a")), nil)
 		return a
 	}
 	t.Run("a full table refuses while its oldest claim may be worked on", func(t *testing.T) {
--- a/core/ccclaim/config.go
+++ b/core/ccclaim/config.go
@@ -37,9 +37,10 @@
 	Vouching bool
 	// Leases grants only inside the authority's lease.
 	Leases bool
-	// GrantLife refuses grants that come too late.
+	// GrantLife takes up no grant that comes too late, be it by its age or since
+	// the slot was handed on.
 	GrantLife bool
-	// Promises keeps to what a gather was told.
+	// Promises grants nothing in a slot that was handed on.
 	Promises bool
 }
 
--- a/core/ccclaim/grant.go
+++ b/core/ccclaim/grant.go
@@ -36,12 +36,9 @@
 
 // mayGrant returns ClaimGranted, or why nothing is granted now.
 func (a *Authority) mayGrant(now time.Time, message ccwire.Claim, s *slot, leaseValidUntil time.Time) ccwire.ClaimVerdict {
-	jobTime, timed := message.JobID.Time()
 	switch {
 	case message.Epoch != a.roster.Epoch || !s.owned || !a.roster.Has(message.Driver):
 		return ccwire.ClaimWrongEpoch
-	case timed && jobTime.After(now.Add(a.cfg.ClockMargin)):
-		return ccwire.ClaimInvalid
 	case !s.ready:
 		return ccwire.ClaimNotReady
 	case a.cfg.Guards.Promises && s.promise > a.roster.Epoch:
@@ -91,7 +88,7 @@
 func (a *Authority) claimUnknown(now time.Time, message ccwire.Claim, s *slot, reply ccwire.ClaimReply) ccwire.ClaimReply {
 	fresh := newRecord(now, message)
 	reply.Verdict = a.vouch(now, s, fresh)
-	if reply.Verdict == ccwire.ClaimUnprovable {
+	if reply.Verdict == ccwire.ClaimUnprovable || reply.Verdict == ccwire.ClaimInvalid {
 		return reply
 	}
 	if !a.makeRoom(now) {
@@ -114,10 +111,15 @@
 
 // vouch says whether a job that is not in the table is new.
 func (a *Authority) vouch(now time.Time, s *slot, fresh *record) ccwire.ClaimVerdict {
+	isNew := fresh.timed && fresh.key > s.horizon || s.complete
 	switch {
 	case !a.cfg.Guards.Vouching:
 		return ccwire.ClaimGranted
-	case fresh.timed && fresh.key > s.horizon, s.complete:
+	case isNew && fresh.timed && fresh.key > now.Add(a.cfg.ClockMargin).UnixMilli():
+		// A job that may have run before is not refused for its time, since that
+		// would say that it didn't: the clock of an earlier authority may be ahead.
+		return ccwire.ClaimInvalid
+	case isNew:
 		return ccwire.ClaimGranted
 	case fresh.timed && fresh.key >= a.agentsForgot(now):
 		return ccwire.ClaimRecover
@@ -160,11 +162,10 @@
 // Usable reports whether this entry may take up a grant that it receives now.
 // The claim was sent at sent, on this entry's clock.
 func (a *Authority) Usable(now, sent time.Time, id ccjob.ID, reply ccwire.ClaimReply) bool {
-	if a.cfg.Guards.GrantLife && now.Sub(sent) >= a.cfg.GrantLife {
-		return false
+	if !a.cfg.Guards.GrantLife {
+		return true
 	}
-	promise := a.slots[ccroster.SlotOf(id)].promise
-	return !a.cfg.Guards.Promises || reply.Epoch >= promise
+	return now.Sub(sent) < a.cfg.GrantLife && reply.Epoch >= a.slots[ccroster.SlotOf(id)].promise
 }
 
 // Member reports whether the roster in use has this life of an entry.
--- a/core/ccclaim/requester.go
+++ b/core/ccclaim/requester.go
@@ -1,6 +1,8 @@
 package ccclaim
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"camphorcroft/core/ccjob"
@@ -30,8 +32,10 @@
 	Retention time.Duration
 	// ValidUntil returns until when the entry may grant and drive.
 	ValidUntil func() time.Time
-	// Lives lists the lives of agents, and whether the list is whole.
-	Lives func() ([]Life, bool)
+	// Lives lists the lives of agents. It is false while the list has not been
+	// read from the store after the given time: an agent that is missing from an
+	// older list may have started tasks for the job's lost driver.
+	Lives func(since time.Time) ([]Life, bool)
 }
 
 // Requester gets the right to drive jobs for one entry, or their outcomes from
@@ -101,8 +105,8 @@
 			delete(r.held, oldest.id)
 		}
 	}
-	for _, s := range r.seeks {
-		r.tickSeek(now, s)
+	for _, id := range slices.Sorted(maps.Keys(r.seeks)) {
+		r.tickSeek(now, r.seeks[id])
 	}
 }
 
--- a/core/ccclaim/seek.go
+++ b/core/ccclaim/seek.go
@@ -1,6 +1,8 @@
 package ccclaim
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"camphorcroft/core/ccjob"
@@ -19,7 +21,8 @@
 	next     time.Time // When to send it again.
 	released uint64    // What the last driver said of its claim.
 	disowned uint64
-	attached uint64 // The claim of the driver that is awaited.
+	attached uint64    // The claim of the driver that is awaited.
+	orphaned time.Time // When the job was first known to have no driver.
 	recovery *Recovery
 	claimed  uint64 // The claim under which the recovery runs.
 }
@@ -48,7 +51,12 @@
 // ClaimAnswered takes an authority's reply.
 func (r *Requester) ClaimAnswered(now time.Time, token Token, reply ccwire.ClaimReply) {
 	s, ok := r.seeks[token.JobID]
-	if !ok || s.token != token || !r.usable(now, s, reply) {
+	if !ok || s.token != token {
+		r.giveBack(token.JobID, reply)
+		return
+	}
+	if !r.usable(now, s, reply) {
+		s.next = now.Add(claimRetry)
 		r.giveBack(token.JobID, reply)
 		return
 	}
@@ -63,10 +71,12 @@
 		r.finish(s, ccjob.Fail(s.id, ccjob.KindConflict, false, "the jobID is known with other content"))
 	case ccwire.ClaimUnprovable:
 		r.finish(s, ccjob.Fail(s.id, ccjob.KindUnprovable, false, "nobody can tell whether the job ran before"))
+	// Neither of the next two holds a claim, so another submission of the job may
+	// have been granted since the authority answered.
 	case ccwire.ClaimInvalid:
-		r.finish(s, ccjob.Refuse(s.id, ccjob.KindInvalid, "the jobID carries a time that lies ahead"))
+		r.finish(s, ccjob.Fail(s.id, ccjob.KindInvalid, false, "the jobID carries a time that lies ahead"))
 	case ccwire.ClaimFull:
-		r.finish(s, ccjob.Refuse(s.id, ccjob.KindOverload, "the table of claims is full"))
+		r.finish(s, ccjob.Fail(s.id, ccjob.KindOverload, false, "the table of claims is full"))
 	default:
 		s.next = now.Add(claimRetry)
 	}
@@ -89,9 +99,6 @@
 	if reply.Verdict == ccwire.ClaimGranted && (!ok || held.claim != reply.Claim) {
 		r.release(id, reply.Claim)
 	}
-	if s, seeking := r.seeks[id]; seeking && s.recovery == nil && s.attached == 0 {
-		s.next = s.sent.Add(claimRetry)
-	}
 }
 
 // ClaimFailed notes that a request had no reply.
@@ -148,8 +155,12 @@
 
 // recover asks all agents what they know of the job.
 func (r *Requester) recover(now time.Time, s *seek, reply ccwire.ClaimReply) {
-	lives, whole := r.cfg.Lives()
-	if !whole {
+	if s.orphaned.IsZero() {
+		s.orphaned = now
+	}
+	lives, fresh := r.cfg.Lives(s.orphaned)
+	if !fresh {
+		// The authority tells this entry to recover again when it claims again.
 		s.next = now.Add(claimRetry)
 		return
 	}
@@ -182,8 +193,8 @@
 
 // AgentGone notes that a life of an agent has ended.
 func (r *Requester) AgentGone(now time.Time, ref ccnode.Ref) {
-	for _, s := range r.seeks {
-		if s.recovery != nil {
+	for _, id := range slices.Sorted(maps.Keys(r.seeks)) {
+		if s := r.seeks[id]; s.recovery != nil {
 			s.recovery.Unheard(ref)
 			r.endRecovery(now, s)
 		}
@@ -196,7 +207,7 @@
 	if !s.recovery.Done() {
 		return
 	}
-	lives, _ := r.cfg.Lives()
+	lives, _ := r.cfg.Lives(s.orphaned)
 	if s.recovery.Extend(lives) {
 		r.askAgents(now, s)
 		return
--- /dev/null
+++ b/core/ccoutage/membership.go
@@ -0,0 +1,172 @@
+package ccoutage
+
+import (
+	"math"
+	"time"
+
+	"camphorcroft/core/ccnode"
+	"camphorcroft/core/ccroster"
+)
+
+// View is what one look at the store showed. The roster must be read before the
+// keys under the entries' leases are.
+type View struct {
+	Roster *ccroster.Roster // Nil when there is none.
+	// Holds is whether this entry's key is there under its own lease.
+	Holds bool
+	// LeaseUntil is until when that lease holds, counted from when its renewal
+	// was sent.
+	LeaseUntil time.Time
+	// Live names the lives whose keys are there.
+	Live map[ccnode.ID]ccnode.Ref
+}
+
+// Decision is what to do after a look at the store.
+type Decision struct {
+	// Ended is set when this life is no longer a member and must stop for good.
+	Ended bool
+	// MakeKey asks for a lease and a key under it.
+	MakeKey bool
+	// Ask sends a pulse to all members, with the lives to remove.
+	Ask      bool
+	Removing []ccnode.Ref
+	// Swap is the roster to swap in, unless it is nil. Look again afterwards.
+	Swap *ccroster.Roster
+}
+
+// notWritten is a lapsed epoch under which no roster can be written.
+const notWritten = math.MaxUint64
+
+// Membership joins an entry to the roster, keeps it there, and removes others.
+// It is not safe for use by several goroutines.
+type Membership struct {
+	rule    *Rule
+	self    ccroster.Member
+	joined  bool
+	leaving bool
+	handed  bool
+	// lapsed is not zero after a lease was lost. The next one counts under a later
+	// epoch that this entry wrote.
+	lapsed  uint64
+	removal *Removal
+}
+
+// NewMembership returns the membership of an entry that is no member yet.
+func NewMembership(rule *Rule, self ccroster.Member) *Membership {
+	return &Membership{rule: rule, self: self}
+}
+
+// Leave makes the entry leave: it gives its slots up, and goes once HandedOver
+// was called.
+func (m *Membership) Leave() { m.leaving = true }
+
+// HandedOver notes that all successors know what this entry granted.
+func (m *Membership) HandedOver() { m.handed = true }
+
+// Removal returns the removal that is under way, or nil. Replies to pulses go to
+// its Denied.
+func (m *Membership) Removal() *Removal { return m.removal }
+
+// Looked takes a look at the store and decides what to do next. The rule must
+// have been given the view's roster.
+func (m *Membership) Looked(now time.Time, view View) Decision {
+	if view.Roster == nil {
+		return m.found(view)
+	}
+	member, is := view.Roster.Find(m.self.Ref)
+	switch {
+	case !is && m.joined:
+		return Decision{Ended: true}
+	case !is:
+		return m.join(view)
+	case !view.Holds || m.lapsed != 0 && !m.renewed(view.Roster):
+		m.joined = true
+		return m.comeBack(view)
+	}
+	m.joined, m.lapsed = true, 0
+	m.rule.LeaseRenewed(view.LeaseUntil)
+	decision := m.judge(now, view)
+	if decision.Swap == nil && m.leaving {
+		decision.Swap = m.leave(view.Roster, member)
+	}
+	return m.settled(decision)
+}
+
+// found makes the first roster of a fleet.
+func (m *Membership) found(view View) Decision {
+	if !view.Holds {
+		return Decision{MakeKey: true}
+	}
+	return Decision{Swap: ccroster.Genesis(m.self).WrittenBy(m.self.Ref)}
+}
+
+func (m *Membership) join(view View) Decision {
+	switch {
+	case m.leaving:
+		return Decision{Ended: true}
+	case !view.Holds:
+		return Decision{MakeKey: true}
+	}
+	return m.settled(Decision{Ask: true, Swap: view.Roster.With(m.self)})
+}
+
+// renewed reports whether this entry wrote a roster since it made its new lease.
+func (m *Membership) renewed(roster *ccroster.Roster) bool {
+	return roster.By == m.self.Ref && roster.Epoch > m.lapsed
+}
+
+// comeBack makes a new lease, and then a roster that whoever was about to remove
+// this entry has not read.
+func (m *Membership) comeBack(view View) Decision {
+	m.rule.LeaseLost()
+	if !view.Holds {
+		m.lapsed = notWritten
+		return Decision{MakeKey: true}
+	}
+	m.lapsed = view.Roster.Epoch
+	return m.settled(Decision{Ask: true, Swap: view.Roster.Renewed()})
+}
+
+// judge begins or goes on to remove a member whose key is gone.
+func (m *Membership) judge(now time.Time, view View) Decision {
+	for _, member := range view.Roster.Entries {
+		if member.Ref == m.self.Ref || view.Live[member.Ref.ID] == member.Ref {
+			continue
+		}
+		if m.removal == nil || m.removal.target != member.Ref || m.removal.epoch != view.Roster.Epoch {
+			m.removal = NewRemoval(m.rule, member.Ref)
+		}
+		decision := Decision{Ask: true, Removing: []ccnode.Ref{member.Ref}}
+		if m.removal.May(now) {
+			decision.Swap = view.Roster.Without(member.Ref)
+		}
+		return decision
+	}
+	m.removal = nil
+	return Decision{}
+}
+
+func (m *Membership) leave(roster *ccroster.Roster, member ccroster.Member) *ccroster.Roster {
+	switch {
+	case !member.Leaving:
+		return roster.WithLeaving(m.self.Ref)
+	case m.handed:
+		return roster.WithoutLeft(m.self.Ref)
+	default:
+		return nil
+	}
+}
+
+// settled withholds a swap until a majority uses the roster in use, and asks
+// which one they use.
+func (m *Membership) settled(decision Decision) Decision {
+	if decision.Swap == nil {
+		return decision
+	}
+	if !m.rule.Settled() {
+		decision.Swap, decision.Ask = nil, true
+		return decision
+	}
+	decision.Swap = decision.Swap.WrittenBy(m.self.Ref)
+	return decision
+}
--- a/core/ccoutage/rule.go
+++ b/core/ccoutage/rule.go
@@ -69,6 +69,7 @@
 	}
 	forgetStrangers(r.applied, roster)
 	forgetStrangers(r.dead, roster)
+	r.Heard(r.cfg.Self, roster.Epoch)
 }
 
 func forgetStrangers[V any](table map[ccnode.Ref]V, roster *ccroster.Roster) {
@@ -106,7 +107,7 @@
 	count := 0
 	for _, member := range r.roster.Entries {
 		_, dead := r.dead[member.Ref]
-		if dead || member.Ref == r.cfg.Self || r.applied[member.Ref] >= r.roster.Epoch {
+		if dead || r.applied[member.Ref] >= r.roster.Epoch {
 			count++
 		}
 	}
--- a/core/ccroster/roster.go
+++ b/core/ccroster/roster.go
@@ -38,6 +38,9 @@
 	// its claims. Knowledge of a slot that is older than Lost may lack claims.
 	Lost    uint64   `json:"lost,omitempty"`
 	Entries []Member `json:"entries"`
+	// By is the entry that wrote this epoch. A writer whose answer was lost reads
+	// from it whether the write took effect.
+	By ccnode.Ref `json:"by"`
 
 	table *table
 }
@@ -96,6 +99,12 @@
 	return next(r, slices.Clone(r.Entries), false)
 }
 
+// WrittenBy marks a roster that is about to be swapped in.
+func (r *Roster) WrittenBy(ref ccnode.Ref) *Roster {
+	r.By = ref
+	return r
+}
+
 // Find returns the member that is this life of an entry.
 func (r *Roster) Find(ref ccnode.Ref) (Member, bool) {
 	for _, entry := range r.Entries {
