--- a/io/cccli/root.go
+++ b/io/cccli/root.go
@@ -50,8 +50,10 @@
 }
 
 // commands lists every command, in the order of the help text.
-func commands(_ Streams) []*ff.Command {
-	return []*ff.Command{}
+func commands(streams Streams) []*ff.Command {
+	return []*ff.Command{
+		standinCommand(streams),
+	}
 }
 
 func exitCode(root *ff.Command, err error, streams Streams) int {
