--- a/io/ccentry/entry.go
+++ b/io/ccentry/entry.go
@@ -59,6 +59,9 @@
 	Log         logr.Logger
 	Ring        *ccevent.Ring
 	Seed        uint64
+	// UnreadyGrace is how long a planned stop still takes jobs after it has turned
+	// unready, so that the balancer sends clients elsewhere first.
+	UnreadyGrace time.Duration
 }
 
 // Entry is a running entry.
@@ -81,7 +84,8 @@
 	pending      map[ccjob.ID]*pendingJob
 	links        map[ccnode.ID]*link
 	claims       claimer
-	draining     bool
+	unready      bool   // A planned stop has begun.
+	draining     bool   // No new jobs are taken.
 	version      uint64 // Of the settings in force.
 	versionSince time.Time
 }
@@ -163,12 +167,15 @@
 	return addr
 }
 
-// Stop is the planned stop: the entry turns unready, refuses new jobs, answers
-// those in flight, and leaves. It waits until ctx ends or 30 s at the longest.
+// Stop is the planned stop: the entry turns unready, gives the balancer time to
+// notice, refuses new jobs, answers those in flight, and leaves. It waits until
+// ctx ends or 30 s at the longest.
 func (e *Entry) Stop(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, drainBound)
 	defer cancel()
 	e.log.Info("Entry is draining.")
+	e.do(func(time.Time) { e.unready = true })
+	sleep(ctx, e.cfg.UnreadyGrace)
 	e.do(func(now time.Time) {
 		e.draining = true
 		e.cfg.Ring.Record(now, ccevent.Event{Kind: ccevent.KindDraining, Index: ccevent.NoIndex})
--- a/io/ccentry/settings.go
+++ b/io/ccentry/settings.go
@@ -39,5 +39,5 @@
 
 // ready reports whether the balancer may send clients here.
 func (e *Entry) ready() bool {
-	return !e.draining && e.version > 0 && e.dispatcher.Usable() > 0
+	return !e.unready && e.version > 0 && e.dispatcher.Usable() > 0
 }
