Record why jobs are refused and fail, with exact causes

An entry recorded refusals by quota alone and without their reason, and a cause named a node but not its life. Explain no longer counts a task as run whose start was taken back by the agent.

--- a/core/ccdispatch/admit.go
+++ b/core/ccdispatch/admit.go
@@ -18,7 +18,7 @@
 // Admit checks a job against the settings, the guards and its team's quota
 // before it is claimed, so that a refusal costs no message. It returns true, or
 // the refusal.
-func (d *Dispatcher) Admit(now time.Time, spec *ccjob.Spec) (ccjob.Outcome, bool) {
+func (d *Dispatcher) Admit(spec *ccjob.Spec) (ccjob.Outcome, bool) {
 	guards, ok := d.settings.Services[spec.Service]
 	if !ok {
 		return ccjob.Refuse(spec.ID, ccjob.KindUnknownService, fmt.Sprintf("no service is named %q", spec.Service)), false
@@ -33,7 +33,6 @@
 	}
 	refusal := ccjob.Refuse(spec.ID, kind, reason)
 	refusal.RetryAfter = retryAfter
-	d.record(now, ccevent.Event{Kind: ccevent.KindRefused, Job: spec.ID, Index: ccevent.NoIndex, Team: spec.Team, Text: string(kind)})
 	return refusal, false
 }
 
--- a/core/ccdispatch/dispatcher.go
+++ b/core/ccdispatch/dispatcher.go
@@ -18,7 +18,7 @@
 //	d := ccdispatch.New(ccdispatch.Config{Entry: self, Seed: seed, Record: ring.Record})
 //	d.SetSettings(now, effective)
 //	d.AgentUp(now, session, helloReply)
-//	if refusal, ok := d.Admit(now, &spec); !ok {
+//	if refusal, ok := d.Admit(&spec); !ok {
 //		return refusal
 //	}
 //	d.Submit(now, ccdispatch.Submission{Spec: spec, Claim: claim})
--- a/core/ccdispatch/dispatcher_test.go
+++ b/core/ccdispatch/dispatcher_test.go
@@ -66,7 +66,7 @@
 
 func (b *bench) submitTeam(id ccjob.ID, team string, tasks int) {
 	spec := ccjob.Spec{ID: id, Service: "s", Team: team, Deadline: 10 * time.Second, Payloads: make([]string, tasks)}
-	if refusal, ok := b.d.Admit(b.now, &spec); !ok {
+	if refusal, ok := b.d.Admit(&spec); !ok {
 		b.t.Fatalf("job %s was refused: %s %s", id, refusal.Kind, refusal.Reason)
 	}
 	b.d.Submit(b.now, ccdispatch.Submission{Spec: spec, Claim: 1, Arrived: b.now})
@@ -357,7 +357,7 @@
 	b := newBench(t, func(e *ccsettings.Effective) { e.Teams["t"] = ccsettings.Team{Share: 1, MaxTasks: 5} })
 	b.submit("j", 4)
 	spec := ccjob.Spec{ID: "k", Service: "s", Team: "t", Deadline: time.Second, Payloads: make([]string, 2)}
-	refusal, ok := b.d.Admit(b.now, &spec)
+	refusal, ok := b.d.Admit(&spec)
 	if ok || refusal.Kind != ccjob.KindQuota || !refusal.NotRun {
 		t.Fatalf("got %+v, want a quota refusal that is not run", refusal)
 	}
--- a/core/ccdispatch/report.go
+++ b/core/ccdispatch/report.go
@@ -89,7 +89,7 @@
 	j.sent--
 	event := ccevent.Event{
 		Job: j.spec.ID, Index: r.Index, Claim: j.claim, Team: j.spec.Team, Peer: a.ref.ID, Domain: a.domain,
-		Cause: ccevent.Cause{Node: a.ref.ID, Seq: from.cause}, Text: string(r.Code),
+		Cause: ccevent.Cause{Node: a.ref.ID, Incarnation: a.ref.Incarnation, Seq: from.cause}, Text: string(r.Code),
 	}
 	if !r.Code.Started() {
 		event.Kind = ccevent.KindReturned
--- a/core/ccevent/explain_end.go
+++ b/core/ccevent/explain_end.go
@@ -41,7 +41,7 @@
 	case KindLeaseLost:
 		return fmt.Sprintf("%s lost its lease", node)
 	case KindVersion:
-		return fmt.Sprintf("a settings version came into force at %s%s", node, reason(step))
+		return fmt.Sprintf("settings version %d came into force at %s", step.Count, node)
 	default:
 		return ""
 	}
--- a/core/ccevent/filter.go
+++ b/core/ccevent/filter.go
@@ -17,7 +17,7 @@
 	// Task keeps the events of one task, and those of no single task.
 	Task   *int
 	Node   ccnode.ID // The process itself, or the peer that it names.
-	Domain string
+	Domain string    // Of the process, or of the peer that the event is about.
 	Team   string
 	Kinds  []Kind
 	Since  time.Time
@@ -28,10 +28,14 @@
 // stay, since they tell what is missing.
 func (f Filter) Apply(timeline Timeline) Timeline {
 	around := f.surroundings(timeline)
+	domains := make(map[ccnode.Ref]string, len(timeline.Lanes))
+	for i := range timeline.Lanes {
+		domains[timeline.Lanes[i].Node] = timeline.Lanes[i].Domain
+	}
 	kept := Timeline{Lanes: timeline.Lanes, Broken: timeline.Broken}
 	for i := range timeline.Steps {
 		step := &timeline.Steps[i]
-		if f.keepsJob(step, around) && f.keepsRest(step) {
+		if f.keepsJob(step, around) && f.keepsDomain(step, domains) && f.keepsRest(step) {
 			kept.Steps = append(kept.Steps, *step)
 		}
 	}
@@ -45,14 +49,16 @@
 	return f.Around && step.Job == "" && around.holds(step) && isSurrounding(step.Kind)
 }
 
+func (f Filter) keepsDomain(step *Step, domains map[ccnode.Ref]string) bool {
+	return f.Domain == "" || step.Domain == f.Domain || domains[step.Node] == f.Domain
+}
+
 func (f Filter) keepsRest(step *Step) bool {
 	switch {
 	case f.Task != nil && step.Index != NoIndex && step.Index != *f.Task:
 		return false
 	case f.Node != "" && step.Node.ID != f.Node && step.Peer != f.Node:
 		return false
-	case f.Domain != "" && step.Domain != f.Domain:
-		return false
 	case f.Team != "" && step.Team != f.Team:
 		return false
 	case len(f.Kinds) > 0 && !slices.Contains(f.Kinds, step.Kind):
--- a/core/ccevent/lane.go
+++ b/core/ccevent/lane.go
@@ -85,3 +85,14 @@
 	}
 	return l.events[len(l.events)-1].Seq - uint64(len(l.events))
 }
+
+// domain returns the failure domain of the process. Events that name a peer may
+// carry the peer's domain.
+func (l *lane) domain() string {
+	for i := len(l.events) - 1; i >= 0; i-- {
+		if l.events[i].Peer == "" && l.events[i].Domain != "" {
+			return l.events[i].Domain
+		}
+	}
+	return ""
+}
--- a/core/ccevent/place.go
+++ b/core/ccevent/place.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"camphorcroft/core/ccnode"
+	"camphorcroft/core/ccwire"
 )
 
 // maxRanges bounds the ranges of task numbers that one sentence lists.
@@ -17,10 +18,11 @@
 	node     ccnode.ID
 	domain   string
 	started  map[int]time.Time
-	tasks    []int // Started here, by the agent's own events.
+	tasks    []int // Started here, by the agent's own events, in their order.
 	shortest time.Duration
 	longest  time.Duration
 	ended    int
+	failed   int
 	// Sent, answered and returned count the entries' events about this agent.
 	sent, answered, returned int
 	reasons                  map[string]int // Why tasks came back, with their number.
@@ -58,11 +60,22 @@
 	return p
 }
 
+// finish notes the end of a task. One that turned out not to have started, since
+// its time was over or its target took no connection, is taken back.
 func (p *place) finish(step *Step) {
 	began, known := p.started[step.Index]
 	if !known {
 		return
 	}
+	code := ccwire.TaskCode(step.Text)
+	if !code.Started() {
+		delete(p.started, step.Index)
+		p.tasks = slices.DeleteFunc(p.tasks, func(index int) bool { return index == step.Index })
+		return
+	}
+	if code == ccwire.CodeFailed || code == ccwire.CodeLost {
+		p.failed++
+	}
 	took := step.When.Sub(began)
 	if p.ended == 0 || took < p.shortest {
 		p.shortest = took
@@ -102,6 +115,9 @@
 	if p.shortest != p.longest {
 		text += " to " + shortDuration(p.longest)
 	}
+	if p.failed > 0 {
+		text += fmt.Sprintf("; %d failed", p.failed)
+	}
 	if open := len(p.tasks) - p.ended; open > 0 {
 		text += fmt.Sprintf("; %d did not end", open)
 	}
--- a/core/ccevent/silent.go
+++ b/core/ccevent/silent.go
@@ -14,7 +14,7 @@
 	for _, l := range lanes {
 		described = append(described, Lane{
 			Node:    l.node,
-			Domain:  l.events[len(l.events)-1].Domain,
+			Domain:  l.domain(),
 			Offset:  l.offset,
 			Events:  len(l.events),
 			Dropped: l.missing(),
--- a/core/ccevent/text.go
+++ b/core/ccevent/text.go
@@ -88,7 +88,7 @@
 	}
 	add(step.Job != "" && step.Job != t.Job, "job=%s", step.Job)
 	add(step.Job != "" && step.Index != NoIndex && step.Count <= 1, "task=%d", step.Index)
-	add(step.Count > 1 || step.Count == 1 && step.Index == NoIndex, "tasks=%d", step.Count)
+	add(step.Count > 1 || step.Count == 1 && step.Index == NoIndex, countName(step)+"=%d", step.Count)
 	add(step.Claim != 0, "claim=%d", step.Claim)
 	add(step.Peer != "", "peer=%s", step.Peer)
 	add(step.Team != "", "team=%s", step.Team)
@@ -97,6 +97,18 @@
 	return parts
 }
 
+// countName says what an event counts.
+func countName(step *Step) string {
+	switch step.Kind {
+	case KindVersion:
+		return "version"
+	case KindRoster:
+		return "members"
+	default:
+		return "tasks"
+	}
+}
+
 // laneText describes a process in a few words.
 func laneText(l *Lane) string {
 	if l.Silent {
--- a/core/ccroster/roster.go
+++ b/core/ccroster/roster.go
@@ -24,6 +24,7 @@
 type Member struct {
 	Ref    ccnode.Ref     `json:"ref"`
 	Addr   netip.AddrPort `json:"addr"`
+	HTTP   netip.AddrPort `json:"http,omitzero"` // Clients, health, metrics and events.
 	Domain string         `json:"domain"`
 	// Leaving is an entry that is authority of nothing any more and still
 	// answers for what it granted.
--- a/io/ccentry/http.go
+++ b/io/ccentry/http.go
@@ -11,6 +11,7 @@
 
 	"camphorcroft/core/ccjob"
 	"camphorcroft/core/ccsettings"
+	ioevent "camphorcroft/io/ccevent"
 )
 
 const (
@@ -32,7 +33,7 @@
 	router.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
 	router.GET("/readyz", e.getReady)
 	router.GET("/debug/vars", e.getVars)
-	router.GET("/events", e.getEvents)
+	router.GET("/events", gin.WrapH(ioevent.NewHandler(e.cfg.Ring)))
 	router.NoRoute(func(c *gin.Context) {
 		respond(c, ccjob.Refuse("", ccjob.KindNotFound, "no such path"))
 	})
@@ -138,13 +139,3 @@
 	}
 	c.String(http.StatusOK, "ready\n")
 }
-
-// getEvents returns the events of this process after a number.
-func (e *Entry) getEvents(c *gin.Context) {
-	after, err := strconv.ParseUint(c.DefaultQuery("after", "0"), 10, 64)
-	if err != nil {
-		respond(c, ccjob.Refuse("", ccjob.KindInvalid, "after is not a number"))
-		return
-	}
-	c.JSON(http.StatusOK, e.cfg.Ring.After(after))
-}
--- a/io/ccentry/pending.go
+++ b/io/ccentry/pending.go
@@ -44,7 +44,8 @@
 		p.waiters = append(p.waiters, waiter)
 		return
 	}
-	if refusal, ok := e.admit(now, spec); !ok {
+	if refusal, ok := e.admit(spec); !ok {
+		e.record(now, ccevent.KindRefused, spec, string(refusal.Kind)+": "+refusal.Reason)
 		waiter <- refusal
 		return
 	}
@@ -54,14 +55,14 @@
 	e.claims.claim(e, now, p)
 }
 
-func (e *Entry) admit(now time.Time, spec *ccjob.Spec) (ccjob.Outcome, bool) {
+func (e *Entry) admit(spec *ccjob.Spec) (ccjob.Outcome, bool) {
 	switch {
 	case e.draining:
 		return ccjob.Refuse(spec.ID, ccjob.KindDraining, "this entry is stopping"), false
 	case len(e.pending) >= maxPending:
 		return ccjob.Refuse(spec.ID, ccjob.KindOverload, "too many jobs are in flight"), false
 	}
-	return e.dispatcher.Admit(now, spec)
+	return e.dispatcher.Admit(spec)
 }
 
 func matching(outcome *ccjob.Outcome, same bool) ccjob.Outcome {
@@ -112,7 +113,9 @@
 func (e *Entry) expirePending(now time.Time) {
 	for _, p := range e.pending {
 		if !p.driven && now.Sub(p.arrived) > p.spec.Deadline+claimSlack {
-			e.finish(p, ccjob.Fail(p.spec.ID, ccjob.KindDeadline, false, "the deadline passed before the job was claimed"))
+			outcome := ccjob.Fail(p.spec.ID, ccjob.KindDeadline, false, "the deadline passed before the job was claimed")
+			e.record(now, ccevent.KindFailed, &p.spec, string(outcome.Kind)+": "+outcome.Reason)
+			e.finish(p, outcome)
 		}
 	}
 }
