Show time lines, explanations and the fleet's status

Operators had no command to read what the processes record. timeline merges, filters, follows and draws events; explain job tells one job's story in sentences; status lists versions in force, slots and load, and names nodes that lag or don't answer. Agents record when settings come into force and for how long they have been.

--- a/core/ccevent/text.go
+++ b/core/ccevent/text.go
@@ -14,10 +14,7 @@
 // WriteText writes the time line for people: what is known of each process, then
 // one short line an event. A job that all events share is named once.
 func WriteText(w io.Writer, timeline Timeline) error {
-	text := TextWriter{Out: w, Job: onlyJob(timeline.Steps)}
-	for i := range timeline.Lanes {
-		text.Width = max(text.Width, len(timeline.Lanes[i].Node.ID))
-	}
+	text := TextWriter{Out: w, Job: onlyJob(timeline.Steps), Width: timeline.NodeWidth()}
 	for i := range timeline.Lanes {
 		if err := text.Lane(&timeline.Lanes[i]); err != nil {
 			return err
@@ -36,6 +33,15 @@
 	return nil
 }
 
+// NodeWidth returns the length of the longest node ID, in characters.
+func (t Timeline) NodeWidth() int {
+	width := 0
+	for i := range t.Lanes {
+		width = max(width, len(t.Lanes[i].Node.ID))
+	}
+	return width
+}
+
 // onlyJob returns the job of all steps that have one, or "" when they differ.
 func onlyJob(steps []Step) ccjob.ID {
 	var only ccjob.ID
--- a/io/ccagent/agent.go
+++ b/io/ccagent/agent.go
@@ -51,7 +51,7 @@
 		cfg.Node.Incarnation = ccnode.NewIncarnation(now)
 	}
 	if cfg.Ring == nil {
-		cfg.Ring = ccevent.NewRing(ccevent.RingConfig{Node: cfg.Node, Size: ringSize})
+		cfg.Ring = ccevent.NewRing(ccevent.RingConfig{Node: cfg.Node, Domain: cfg.Domain, Size: ringSize})
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &Agent{
--- a/io/ccagent/control.go
+++ b/io/ccagent/control.go
@@ -40,7 +40,8 @@
 	a.stats.running.Set(int64(a.table.Running()))
 	a.stats.marks.Set(int64(a.table.Marks()))
 	a.stats.resultBytes.Set(int64(a.table.ResultBytes()))
-	a.stats.version.Set(int64(a.table.Version()))
+	a.stats.slots.Set(int64(a.table.Slots()))
+	a.noteVersion(now)
 	if a.drained != nil && a.isDrained(now) {
 		close(a.drained)
 		a.drained = nil
--- a/io/ccagent/stats.go
+++ b/io/ccagent/stats.go
@@ -17,11 +17,13 @@
 	version, storeCalls           *expvar.Int
 	controlBytesIn, controlBytesO *expvar.Int
 	bounced, finished             *expvar.Map
+	slots                         *expvar.Int
+	since                         versionSince
 }
 
 func newStats(node ccnode.ID) *stats {
 	set := ccmetric.NewSet(string(node))
-	return &stats{
+	s := &stats{
 		set:        set,
 		dispatches: set.Int("dispatches"), ignored: set.Int("dispatchesIgnored"),
 		started: set.Int("tasksStarted"), reports: set.Int("reports"), offers: set.Int("offers"),
@@ -30,5 +32,8 @@
 		version: set.Int("settingsVersion"), storeCalls: set.Int("storeCalls"),
 		controlBytesIn: set.Int("controlBytesIn"), controlBytesO: set.Int("controlBytesOut"),
 		bounced: set.Map("tasksBounced"), finished: set.Map("tasksFinished"),
+		slots: set.Int("slots"),
 	}
+	set.Func("settingsAgeSeconds", func() any { return s.since.ageSeconds() })
+	return s
 }
--- a/io/cccli/root.go
+++ b/io/cccli/root.go
@@ -54,6 +54,9 @@
 	return []*ff.Command{
 		standinCommand(streams),
 		submitCommand(streams),
+		statusCommand(streams),
+		timelineCommand(streams),
+		explainCommand(streams),
 	}
 }
 
