--- /dev/null
+++ b/core/ccconfig/fuzz_test.go
@@ -0,0 +1,34 @@
+package ccconfig
+
+import (
+	"reflect"
+	"testing"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// FuzzParse reads arbitrary files. One that is accepted is written and read
+// again to the same values.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("node: entry-1\ndomain: north\nlisten: 127.0.0.1:7100\nhttp: 127.0.0.1:7101\nstore: 127.0.0.1:7000\n"))
+	f.Add([]byte("node: agent-1\ndomain: north\nlisten: '[::1]:7100'\nhttp: 127.0.0.1:7101\nstore: 127.0.0.1:7000\nagent: {service: s, target: 127.0.0.1:1, slots: 3}\n"))
+	f.Add([]byte("node: &a [*a]\n"))
+	f.Add([]byte("node: x\nnode: y\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		cfg, err := Parse("fuzz.yaml", data)
+		if err != nil {
+			return
+		}
+		written, err := yaml.Marshal(cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := Parse("again.yaml", written)
+		if err != nil {
+			t.Fatalf("%v\n%s", err, written)
+		}
+		if !reflect.DeepEqual(cfg, again) {
+			t.Errorf("got %+v, want %+v", again, cfg)
+		}
+	})
+}
--- /dev/null
+++ b/core/ccwire/fuzz_test.go
@@ -0,0 +1,80 @@
+package ccwire
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+
+	"camphorcroft/core/ccjob"
+	"camphorcroft/core/ccnode"
+)
+
+// bodies makes an empty body of each kind that a process reads from another.
+var bodies = []func() any{
+	func() any { return new(Hello) },
+	func() any { return new(HelloReply) },
+	func() any { return new(Dispatch) },
+	func() any { return new(Report) },
+	func() any { return new(Revoke) },
+	func() any { return new(RevokeReply) },
+	func() any { return new(Recover) },
+	func() any { return new(RecoverReply) },
+	func() any { return new(Probe) },
+	func() any { return new(Claim) },
+	func() any { return new(ClaimReply) },
+	func() any { return new(Release) },
+	func() any { return new(Await) },
+	func() any { return new(AwaitReply) },
+	func() any { return new(Gather) },
+	func() any { return new(GatherReply) },
+	func() any { return new(Pulse) },
+	func() any { return new(PulseReply) },
+	func() any { return new(Join) },
+	func() any { return new(Heartbeat) },
+	func() any { return new(HeartbeatReply) },
+	func() any { return new(Leave) },
+	func() any { return new(LeaveReply) },
+	func() any { return new(CellRecord) },
+}
+
+// FuzzBodies reads arbitrary bytes as each body. What can be read is written and
+// read again to the same bytes.
+func FuzzBodies(f *testing.F) {
+	ref := ccnode.Ref{ID: "agent-1", Incarnation: 7}
+	seeds := []any{
+		Dispatch{Agent: ref, Session: 1, Jobs: []DispatchJob{{ID: "j", Claim: 2, Tasks: []DispatchTask{{Index: 1, Attempt: 1, Payload: "p"}}}}},
+		Report{Agent: ref, Jobs: []ReportJob{{ID: "j", Tasks: []TaskReport{{Index: 1, Code: CodeDone, Payload: "a", RunMS: 1.5}}}}},
+		Claim{JobID: "j", Digest: 1 << 63, Driver: ref},
+		AwaitReply{Known: true, Outcome: ccjob.Complete("j", []ccjob.Answer{{Index: 0, Payload: "a"}})},
+		GatherReply{Entry: ref, Slots: []GatherSlot{{Slot: 255, Horizon: 1}}, Claims: []GatherClaim{{JobID: "j"}}},
+		CellRecord{Lead: ref, Members: []Member{{Node: ref}}},
+	}
+	for i, seed := range seeds {
+		data, err := json.Marshal(seed)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(uint8(i), data)
+	}
+	for i := range bodies {
+		f.Add(uint8(i), []byte(`{"agent":{"id":"a","incarnation":-1},"jobs":[null],"addr":"1.2.3.4:5"}`))
+	}
+	f.Fuzz(func(t *testing.T, kind uint8, data []byte) {
+		newBody := bodies[int(kind)%len(bodies)]
+		body := newBody()
+		if json.Unmarshal(data, body) != nil {
+			return
+		}
+		first, err := json.Marshal(body)
+		if err != nil {
+			t.Fatalf("%T was read and can't be written: %v", body, err)
+		}
+		again := newBody()
+		if err := json.Unmarshal(first, again); err != nil {
+			t.Fatalf("%T was written and can't be read: %v\n%s", body, err, first)
+		}
+		if second, _ := json.Marshal(again); !bytes.Equal(first, second) {
+			t.Fatalf("%T changed:\n%s\n%s", body, first, second)
+		}
+	})
+}
