Group agents into cells with an elected lead

Entries and the store must not pay for each agent, so agents share one record a cell. core/cccell decides elections, heartbeats and record writes as a state machine; io/cccell carries that out. A new agent asks any lead for the settings, which costs the store one call, and a new lead announces itself to the members, which saves them a read each.

--- a/core/ccagent/dispatch.go
+++ b/core/ccagent/dispatch.go
@@ -90,7 +90,8 @@
 
 func (t *Table) staleEcho(now time.Time, echo int64) bool {
 	at := time.Duration(echo) * time.Millisecond
-	return t.Clock(now)-at > echoLimit || at < t.fresh.Truncate(time.Millisecond)
+	clock := t.Clock(now)
+	return clock-at > echoLimit || at > clock || at < t.fresh.Truncate(time.Millisecond)
 }
 
 func (t *Table) fenced(part *ccwire.DispatchJob) bool {
--- /dev/null
+++ b/core/cccell/follower.go
@@ -0,0 +1,220 @@
+package cccell
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"camphorcroft/core/ccnode"
+	"camphorcroft/core/ccwire"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// follower is the state of a member that doesn't lead.
+type follower struct {
+	known    bool // A lead's address is known.
+	lead     LeadRecord
+	joined   bool
+	heard    time.Time // When the lead last answered, or was first found.
+	beatAt   time.Time
+	askedAt  time.Time
+	lookAt   time.Time // When to look at the store. Zero is not at all.
+	failures int       // Looks in a row that failed or found the silent lead again.
+	size     int       // Members of the cell, as far as known.
+	waited   bool      // The turn to stand has come; one more look decides.
+	standNow bool
+}
+
+// nextLink returns the next message to the lead.
+func (m *Machine) nextLink(now time.Time) (Action, bool) {
+	f := &m.follow
+	if !f.known {
+		return Action{}, false
+	}
+	if now.Sub(f.heard) > leadSilence && f.lookAt.IsZero() {
+		m.lookSoon(now, m.spread())
+	}
+	if m.leave.wanted && !m.leave.told && f.joined {
+		return Action{Op: OpLeave, Addr: f.lead.Addr, Leave: ccwire.Leave{Cell: m.cfg.Cell, Node: m.self.Node, Gone: m.leave.gone}}, true
+	}
+	if now.Before(f.beatAt) || m.leave.gone {
+		return Action{}, false
+	}
+	if !f.joined {
+		return Action{Op: OpJoin, Addr: f.lead.Addr, Join: ccwire.Join{Cell: m.cfg.Cell, Member: m.self}}, true
+	}
+	return Action{Op: OpBeat, Addr: f.lead.Addr, Beat: ccwire.Heartbeat{Cell: m.cfg.Cell, Node: m.self.Node, Version: m.Version()}}, true
+}
+
+// Answered takes the lead's answer to a join or a heartbeat, or its failure. The
+// view inside is for the caller to put into force.
+func (m *Machine) Answered(now time.Time, ok bool, reply ccwire.HeartbeatReply) {
+	m.linkBusy = false
+	f := &m.follow
+	if ok {
+		m.SetView(reply.View)
+	}
+	switch {
+	case !ok:
+		f.joined = false
+		f.beatAt = now.Add(jitter(m.cfg.Rand, linkRetry))
+	case !reply.Known:
+		f.joined = false
+		f.beatAt = now.Add(jitter(m.cfg.Rand, linkRetry))
+		m.lookSoon(now, linkRetry)
+	default:
+		f.joined, f.heard = true, now
+		f.beatAt = now.Add(jitter(m.cfg.Rand, beatInterval))
+		f.lookAt, f.failures, f.waited = time.Time{}, 0, false
+		f.size = max(f.size, reply.Members)
+		m.term = max(m.term, reply.Term)
+	}
+}
+
+// LinkDown tells that the connection to the lead has ended.
+func (m *Machine) LinkDown(now time.Time) {
+	m.follow.joined = false
+	if m.lead == nil {
+		m.lookSoon(now, m.spread())
+	}
+}
+
+// spread returns over how long the members of this cell spread their looks.
+func (m *Machine) spread() time.Duration {
+	return min(max(time.Duration(m.follow.size)*lookSpread, minLookSpread), maxLookSpread)
+}
+
+// Ask sends the next heartbeat early, since someone has named a newer settings
+// version than the one held.
+func (m *Machine) Ask(now time.Time) {
+	f := &m.follow
+	if !f.joined || now.Sub(f.askedAt) < askGap {
+		return
+	}
+	f.askedAt, f.beatAt = now, now
+}
+
+// lookSoon plans a look at the store at a random time within the delay, unless
+// one is planned before.
+func (m *Machine) lookSoon(now time.Time, within time.Duration) {
+	at := now.Add(time.Duration(m.cfg.Rand.Int64N(int64(within) + 1)))
+	if m.follow.lookAt.IsZero() || at.Before(m.follow.lookAt) {
+		m.follow.lookAt = at
+	}
+}
+
+// Looked takes what the store holds.
+func (m *Machine) Looked(now time.Time, look Look) {
+	m.storeBusy = false
+	f := &m.follow
+	f.lookAt = time.Time{}
+	if look.Fault != FaultNone {
+		m.lookLater(now)
+		return
+	}
+	m.look = look
+	m.term = max(m.term, look.Record.Term)
+	pending := m.pending
+	m.pending = Stand{}
+	switch {
+	case tookEffect(pending, look, m.self.Node):
+		m.becomeLead(now, pending)
+	case m.lead != nil:
+		m.lookedAsLead(now, look)
+	case look.Lead == nil, look.Lead.Node.ID == m.self.Node.ID:
+		m.consider(now)
+	default:
+		m.followLead(now, *look.Lead)
+	}
+}
+
+// tookEffect reports whether a swap of the lead's key that was not answered did
+// take effect.
+func tookEffect(pending Stand, look Look, self ccnode.Ref) bool {
+	return pending.Lease != 0 && look.Lead != nil && look.Lead.Node == self && look.LeadLease == pending.Lease
+}
+
+// followLead goes on with the lead that the store names.
+func (m *Machine) followLead(now time.Time, found LeadRecord) {
+	f := &m.follow
+	f.waited = false
+	if !f.known || f.lead != found {
+		f.known, f.lead, f.joined, f.failures = true, found, false, 0
+		f.heard, f.beatAt = now, now
+		return
+	}
+	// The store still names the lead that is silent. Its lease will tell.
+	if !f.joined {
+		m.lookLater(now)
+	}
+}
+
+// lookLater plans the look after one that was of no use, each time later.
+func (m *Machine) lookLater(now time.Time) {
+	f := &m.follow
+	f.failures++
+	delay := min(lookRetry<<min(f.failures-1, 8), maxLookRetry)
+	f.lookAt = now.Add(jitter(m.cfg.Rand, max(delay, m.spread())))
+}
+
+// Announced takes the news of a new lead from that lead. An agent that leads
+// itself trusts only the store.
+func (m *Machine) Announced(now time.Time, msg ccwire.Lead) {
+	if msg.Cell != m.cfg.Cell || msg.Term < m.term || msg.Term == m.term && m.follow.joined {
+		return
+	}
+	if m.lead != nil {
+		m.lookSoon(now, linkRetry)
+		return
+	}
+	m.term = msg.Term
+	m.follow.lookAt, m.follow.standNow = time.Time{}, false
+	m.followLead(now, LeadRecord{Node: msg.Node, Addr: msg.Addr})
+}
+
+// consider stands for election when this member's turn has come, and otherwise
+// waits for its turn and looks again.
+func (m *Machine) consider(now time.Time) {
+	f := &m.follow
+	f.known, f.joined = false, false
+	if m.leave.wanted {
+		f.lookAt = now.Add(jitter(m.cfg.Rand, lookRetry))
+		return
+	}
+	delay := m.electionDelay()
+	if f.waited || delay == 0 {
+		f.standNow = true
+		return
+	}
+	f.waited = true
+	f.lookAt = now.Add(delay)
+}
+
+// electionDelay returns how long this member lets others stand first.
+func (m *Machine) electionDelay() time.Duration {
+	rank := m.rank()
+	if rank < 0 {
+		return time.Duration(m.cfg.Rand.Int64N(int64(startSpread)))
+	}
+	return min(time.Duration(rank)*electionSlot, maxElectionDelay)
+}
+
+// rank returns this member's place in the order of the next election, or -1 when
+// the record doesn't list it. The order differs by term, and the silent lead
+// comes last.
+func (m *Machine) rank() int {
+	record := &m.look.Record
+	ids := make([]ccnode.ID, 0, len(record.Members))
+	for _, member := range record.Members {
+		if member.Node != record.Lead && !member.Leaving {
+			ids = append(ids, member.Node.ID)
+		}
+	}
+	place := func(id ccnode.ID) uint64 {
+		return xxhash.Sum64String(strconv.FormatUint(record.Term, 10) + "/" + string(id))
+	}
+	slices.SortFunc(ids, func(a, b ccnode.ID) int { return cmp.Compare(place(a), place(b)) })
+	return slices.Index(ids, m.self.Node.ID)
+}
--- /dev/null
+++ b/core/cccell/serve.go
@@ -0,0 +1,113 @@
+package cccell
+
+import (
+	"time"
+
+	"camphorcroft/core/ccwire"
+)
+
+// Join answers a member that announces itself. An agent that doesn't lead
+// answers that it doesn't know the member, who then looks at the store.
+func (m *Machine) Join(now time.Time, msg ccwire.Join) ccwire.JoinReply {
+	if !m.serves(msg.Cell) || !m.lead.put(now, msg.Member) {
+		return ccwire.JoinReply{Term: m.term}
+	}
+	return ccwire.JoinReply{Term: m.term, Known: true, Version: m.Version(), View: m.view, Members: len(m.lead.members)}
+}
+
+// Heartbeat answers a member's sign of life. The view goes along only when the
+// member's version is lower. An agent of another cell gets it too, and learns from it
+// how many cells there are.
+func (m *Machine) Heartbeat(now time.Time, msg ccwire.Heartbeat) ccwire.HeartbeatReply {
+	reply := ccwire.HeartbeatReply{Term: m.term}
+	if m.lead == nil {
+		return reply
+	}
+	reply.Version = m.Version()
+	if msg.Version < reply.Version {
+		reply.View = m.view
+	}
+	known, ok := m.lead.members[msg.Node.ID]
+	if m.serves(msg.Cell) && ok && known.Node == msg.Node {
+		known.heard = now
+		reply.Known = true
+	}
+	return reply
+}
+
+// MemberLeft takes a member's Leave.
+func (m *Machine) MemberLeft(now time.Time, msg ccwire.Leave) ccwire.LeaveReply {
+	reply := ccwire.LeaveReply{Term: m.term}
+	if !m.serves(msg.Cell) {
+		return reply
+	}
+	known, ok := m.lead.members[msg.Node.ID]
+	if !ok || known.Node != msg.Node {
+		return reply
+	}
+	known.heard = now
+	if msg.Gone {
+		if m.lead.depart(now, known.Node) {
+			delete(m.lead.members, msg.Node.ID)
+		}
+		return reply
+	}
+	if !known.Leaving {
+		known.Leaving = true
+		m.lead.change(now)
+	}
+	return reply
+}
+
+func (m *Machine) serves(cell int) bool {
+	return m.lead != nil && cell == m.cfg.Cell && !m.lead.resigned
+}
+
+// Leave makes this agent known as leaving, and with gone as departed. Call Told
+// to learn when that is done.
+func (m *Machine) Leave(now time.Time, gone bool) {
+	// Nobody can be told when no lead knows this agent. A later lead notices its
+	// silence.
+	m.leave = leaving{wanted: true, gone: gone, told: !m.Joined()}
+	m.self.Leaving = true
+	if m.lead != nil {
+		m.list(now)
+	}
+}
+
+// list enters this agent itself into the record, or takes it out once it is gone.
+func (m *Machine) list(now time.Time) {
+	if !m.leave.gone {
+		m.lead.put(now, m.self)
+		return
+	}
+	if m.lead.depart(now, m.self.Node) {
+		delete(m.lead.members, m.self.Node.ID)
+	}
+}
+
+// Disband gives the cell up, since the number of cells has changed: members that
+// still ask are told to look, and the record lists nobody. Departures stay in
+// the record. Told tells when that is done.
+func (m *Machine) Disband(now time.Time) {
+	m.leave = leaving{wanted: true, gone: true, told: m.lead == nil}
+	if m.lead != nil {
+		clear(m.lead.members)
+		m.lead.change(now)
+	}
+}
+
+// Told reports whether the newest call of Leave has reached the lead or, from a
+// lead, the store.
+func (m *Machine) Told() bool { return m.leave.told }
+
+// Left takes the lead's answer to OpLeave, or its failure.
+func (m *Machine) Left(now time.Time, ok bool) {
+	m.linkBusy = false
+	if ok {
+		m.leave.told, m.follow.heard = true, now
+		return
+	}
+	m.follow.joined = false
+	m.lookSoon(now, linkRetry)
+}
--- a/core/ccwire/cell.go
+++ b/core/ccwire/cell.go
@@ -12,6 +12,7 @@
 	MethodJoin      = "cell.join"      // Request: Join, JoinReply.
 	MethodHeartbeat = "cell.heartbeat" // Request: Heartbeat, HeartbeatReply.
 	MethodLeave     = "cell.leave"     // Request: Leave, LeaveReply.
+	MethodLead      = "cell.lead"      // Notification, lead to agent: Lead.
 )
 
 // Member is what the fleet knows of one agent.
@@ -66,6 +67,9 @@
 	Known   bool                  `json:"known"` // False asks the member to join again.
 	Version uint64                `json:"version"`
 	View    *ccsettings.AgentView `json:"view,omitempty"`
+	// Members is the size of the cell, by which members stagger what they do at
+	// once. Only the reply to Join has it.
+	Members int `json:"members,omitempty"`
 	// Cause is the sequence number of the sender's newest event, for the time line.
 	Cause uint64 `json:"cause,omitempty"`
 }
@@ -73,6 +77,15 @@
 // JoinReply answers a Join as a heartbeat.
 type JoinReply = HeartbeatReply
 
+// Lead announces a new lead to the members that the record lists, so that they
+// need not ask the store.
+type Lead struct {
+	Cell int            `json:"cell"`
+	Term uint64         `json:"term"`
+	Node ccnode.Ref     `json:"node"`
+	Addr netip.AddrPort `json:"addr"`
+}
+
 // Leave announces that an agent stops or has stopped taking work.
 type Leave struct {
 	Cell int        `json:"cell"`
--- a/io/ccagent/agent.go
+++ b/io/ccagent/agent.go
@@ -41,6 +41,7 @@
 	links        map[*ccrpc.Peer]*link
 	byEntry      map[ccnode.Ref]*link
 	lastDispatch time.Time
+	cells        cells
 	drained      chan struct{} // Closed once the agent that leaves has nothing left to do.
 }
 
@@ -81,7 +82,7 @@
 	}
 	a.goRun(a.control)
 	a.goRun(func() { ccrpc.Serve(a.listener, &handler{agent: a}) })
-	a.goRun(a.announce)
+	a.goRun(a.enroll)
 	a.ring.Record(time.Now(), ccevent.Event{Kind: ccevent.KindUp, Index: ccevent.NoIndex, Domain: a.cfg.Domain})
 	a.log.Info("Agent is up.", "listen", a.Addr(), "http", a.HTTPAddr(), "target", a.cfg.Target)
 	return nil
@@ -99,9 +100,9 @@
 		a.drained, a.lastDispatch = drained, now
 		a.table.Leave(now)
 	})
-	a.announceLeaving(ctx)
+	a.tellCell(ctx, false)
 	err := a.waitDrained(ctx, drained)
-	a.announceGone()
+	a.tellCell(ctx, true)
 	a.ring.Record(time.Now(), ccevent.Event{Kind: ccevent.KindDown, Index: ccevent.NoIndex, Domain: a.cfg.Domain})
 	a.close()
 	a.log.Info("Agent is down.")
@@ -158,7 +159,7 @@
 func (a *Agent) member(leaving bool) ccwire.Member {
 	return ccwire.Member{
 		Node: a.cfg.Node, Addr: a.Addr(), Domain: a.cfg.Domain, Rack: a.cfg.Rack, Service: a.cfg.Service,
-		Slots: a.cfg.Slots, Leaving: leaving, Since: a.since.UnixMilli(),
+		Slots: a.table.Slots(), Leaving: leaving, Since: a.since.UnixMilli(),
 	}
 }
 
--- a/io/ccagent/agent_test.go
+++ b/io/ccagent/agent_test.go
@@ -1,11 +1,9 @@
 package ccagent
 
 import (
-	"context"
 	"encoding/json"
 	"net/http"
 	"net/netip"
-	"sync"
 	"testing"
 	"time"
 
@@ -20,32 +18,6 @@
 
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
 
-// fakeStore is a store in memory.
-type fakeStore struct {
-	mu    sync.Mutex
-	items map[string]ccstore.Item
-	next  uint64
-}
-
-func newFakeStore() *fakeStore { return &fakeStore{items: make(map[string]ccstore.Item)} }
-
-func (s *fakeStore) Get(_ context.Context, key string) (ccstore.Item, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.items[key], nil
-}
-
-func (s *fakeStore) Swap(_ context.Context, key string, expected uint64, value []byte, lease ccstore.LeaseID) (uint64, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.items[key].Revision != expected {
-		return 0, &ccstore.Error{Op: "swap", Kind: ccstore.KindConflict}
-	}
-	s.next++
-	s.items[key] = ccstore.Item{Key: key, Value: value, Revision: s.next, Lease: lease}
-	return s.next, nil
-}
-
 // testEntry is the entry's end of a connection.
 type testEntry struct {
 	*testing.T
@@ -114,7 +86,7 @@
 	return ends
 }
 
-func startAgent(t *testing.T, store Store) (*Agent, *ccstandin.Target) {
+func startAgent(t *testing.T, store ccstore.Store) (*Agent, *ccstandin.Target) {
 	t.Helper()
 	target := ccstandin.NewTarget(ccstandin.TargetConfig{Listen: loopback})
 	if err := target.Start(t.Context()); err != nil {
@@ -133,7 +105,7 @@
 }
 
 // readRecord waits until the record meets the condition.
-func readRecord(t *testing.T, store Store, met func(ccwire.CellRecord) bool) {
+func readRecord(t *testing.T, store ccstore.Store, met func(ccwire.CellRecord) bool) {
 	t.Helper()
 	for {
 		item, _ := store.Get(t.Context(), "cells/0")
@@ -148,7 +120,7 @@
 
 func TestAgent(t *testing.T) {
 	t.Run("announces itself and leaves", func(t *testing.T) {
-		store := newFakeStore()
+		store := newFakeStore(t)
 		agent, _ := startAgent(t, store)
 		readRecord(t, store, func(r ccwire.CellRecord) bool {
 			return len(r.Members) == 1 && r.Members[0].Node == agent.Ref() && r.Members[0].Addr == agent.Addr()
@@ -159,7 +131,7 @@
 		readRecord(t, store, func(r ccwire.CellRecord) bool { return len(r.Members) == 0 })
 	})
 	t.Run("runs tasks and reports each once", func(t *testing.T) {
-		agent, target := startAgent(t, newFakeStore())
+		agent, target := startAgent(t, newFakeStore(t))
 		entry := dialAgent(t, agent)
 		entry.send(0, 1, 2, 3)
 		for index, end := range entry.collect(4) {
@@ -174,7 +146,7 @@
 		}
 	})
 	t.Run("a graceful stop finishes what runs and bounces what comes", func(t *testing.T) {
-		agent, target := startAgent(t, newFakeStore())
+		agent, target := startAgent(t, newFakeStore(t))
 		entry := dialAgent(t, agent)
 		target.SetFaults(ccstandin.TargetFaults{Pausing: true})
 		entry.send(0)
@@ -203,13 +175,13 @@
 		<-entry.closed
 	})
 	t.Run("a kill closes the sockets", func(t *testing.T) {
-		agent, _ := startAgent(t, newFakeStore())
+		agent, _ := startAgent(t, newFakeStore(t))
 		entry := dialAgent(t, agent)
 		agent.Kill()
 		<-entry.closed
 	})
 	t.Run("serves health and events", func(t *testing.T) {
-		agent, _ := startAgent(t, newFakeStore())
+		agent, _ := startAgent(t, newFakeStore(t))
 		for _, path := range []string{"/healthz", "/readyz", "/debug/vars", "/events?after=0"} {
 			resp, err := http.Get("http://" + agent.HTTPAddr().String() + path)
 			if err != nil {
--- a/io/ccagent/config.go
+++ b/io/ccagent/config.go
@@ -19,7 +19,6 @@
 package ccagent
 
 import (
-	"context"
 	"net/netip"
 	"time"
 
@@ -58,12 +57,6 @@
 	callTimeout = 2 * time.Second
 )
 
-// Store is the part of the store that an agent needs.
-type Store interface {
-	Get(ctx context.Context, key string) (ccstore.Item, error)
-	Swap(ctx context.Context, key string, expected uint64, value []byte, lease ccstore.LeaseID) (uint64, error)
-}
-
 // Config says who the agent is, where it listens and what it serves.
 type Config struct {
 	// Node names this life. A zero incarnation is drawn by New.
@@ -75,7 +68,7 @@
 	Listen  netip.AddrPort // For entries and members of the cell. Port 0 takes any.
 	HTTP    netip.AddrPort // For health, metrics and events. Port 0 takes any.
 	Target  netip.AddrPort
-	Store   Store
+	Store   ccstore.Store
 	Log     logr.Logger
 	Ring    *ccevent.Ring // Nil makes one.
 	// Guards switches off single checks, for tests alone.
--- a/io/ccagent/control.go
+++ b/io/ccagent/control.go
@@ -34,6 +34,7 @@
 		a.ring.Record(now, ccevent.Event{Kind: ccevent.KindPaused, Index: ccevent.NoIndex, Domain: a.cfg.Domain, Text: fmt.Sprintf("paused for %s", pause.Round(time.Millisecond))})
 		a.log.Info("Process was paused.", "pause", pause)
 	}
+	a.stepCells(now)
 	for _, entry := range a.table.Dirty() {
 		a.sendReport(now, entry)
 	}
--- a/io/ccagent/handler.go
+++ b/io/ccagent/handler.go
@@ -17,11 +17,17 @@
 	agent *Agent
 }
 
-// Notified takes a dispatch.
+// Notified takes a dispatch, or the news of a new lead.
 func (h *handler) Notified(peer *ccrpc.Peer, method string, params json.RawMessage) {
-	if method != ccwire.MethodDispatch {
-		return
+	switch method {
+	case ccwire.MethodDispatch:
+		h.dispatched(peer, params)
+	case ccwire.MethodLead:
+		h.agent.announced(params)
 	}
+}
+
+func (h *handler) dispatched(peer *ccrpc.Peer, params json.RawMessage) {
 	var msg ccwire.Dispatch
 	if err := json.Unmarshal(params, &msg); err != nil {
 		h.agent.log.Error(err, "Dispatch can't be read.", "peer", peer.RemoteAddr())
@@ -31,7 +37,7 @@
 	h.agent.post(func(now time.Time) { h.agent.dispatch(now, h.agent.link(peer), msg) })
 }
 
-// Called takes the requests of entries.
+// Called takes the requests of entries and of members of the cell.
 func (h *handler) Called(peer *ccrpc.Peer, method string, params json.RawMessage, reply func(any, error)) {
 	a := h.agent
 	switch method {
@@ -43,6 +49,8 @@
 		serve(a, peer, params, reply, a.recover)
 	case ccwire.MethodProbe:
 		serve(a, peer, params, reply, a.probe)
+	case ccwire.MethodJoin, ccwire.MethodHeartbeat, ccwire.MethodLeave:
+		a.serveCell(peer, method, params, reply)
 	default:
 		a.post(func(time.Time) { a.link(peer).reply(reply, nil, errors.NotSupportedf("method %s", method)) })
 	}
--- a/io/ccagent/stats.go
+++ b/io/ccagent/stats.go
@@ -9,14 +9,14 @@
 
 // stats counts what an agent does.
 type stats struct {
-	set                           *ccmetric.Set
-	dispatches, ignored           *expvar.Int
-	started, reports, offers      *expvar.Int
-	revokes, recovers, pauses     *expvar.Int
-	running, marks, resultBytes   *expvar.Int
-	version, storeCalls           *expvar.Int
-	controlBytesIn, controlBytesO *expvar.Int
-	bounced, finished             *expvar.Map
+	set                             *ccmetric.Set
+	dispatches, ignored             *expvar.Int
+	started, reports, offers        *expvar.Int
+	revokes, recovers, pauses       *expvar.Int
+	running, marks, resultBytes     *expvar.Int
+	version, storeCalls             *expvar.Int
+	controlBytesIn, controlBytesOut *expvar.Int
+	bounced, finished               *expvar.Map
 }
 
 func newStats(node ccnode.ID) *stats {
@@ -28,7 +28,7 @@
 		revokes: set.Int("revokes"), recovers: set.Int("recovers"), pauses: set.Int("pauses"),
 		running: set.Int("tasksRunning"), marks: set.Int("marks"), resultBytes: set.Int("resultBytes"),
 		version: set.Int("settingsVersion"), storeCalls: set.Int("storeCalls"),
-		controlBytesIn: set.Int("controlBytesIn"), controlBytesO: set.Int("controlBytesOut"),
+		controlBytesIn: set.Int("controlBytesIn"), controlBytesOut: set.Int("controlBytesOut"),
 		bounced: set.Map("tasksBounced"), finished: set.Map("tasksFinished"),
 	}
 }
