--- a/core/ccevent/filter.go
+++ b/core/ccevent/filter.go
@@ -17,7 +17,7 @@
 	// Task keeps the events of one task, and those of no single task.
 	Task   *int
 	Node   ccnode.ID // The process itself, or the peer that it names.
-	Domain string
+	Domain string    // Of the process, or of the peer that the event is about.
 	Team   string
 	Kinds  []Kind
 	Since  time.Time
@@ -28,10 +28,14 @@
 // stay, since they tell what is missing.
 func (f Filter) Apply(timeline Timeline) Timeline {
 	around := f.surroundings(timeline)
+	domains := make(map[ccnode.Ref]string, len(timeline.Lanes))
+	for i := range timeline.Lanes {
+		domains[timeline.Lanes[i].Node] = timeline.Lanes[i].Domain
+	}
 	kept := Timeline{Lanes: timeline.Lanes, Broken: timeline.Broken}
 	for i := range timeline.Steps {
 		step := &timeline.Steps[i]
-		if f.keepsJob(step, around) && f.keepsRest(step) {
+		if f.keepsJob(step, around) && f.keepsDomain(step, domains) && f.keepsRest(step) {
 			kept.Steps = append(kept.Steps, *step)
 		}
 	}
@@ -45,14 +49,16 @@
 	return f.Around && step.Job == "" && around.holds(step) && isSurrounding(step.Kind)
 }
 
+func (f Filter) keepsDomain(step *Step, domains map[ccnode.Ref]string) bool {
+	return f.Domain == "" || step.Domain == f.Domain || domains[step.Node] == f.Domain
+}
+
 func (f Filter) keepsRest(step *Step) bool {
 	switch {
 	case f.Task != nil && step.Index != NoIndex && step.Index != *f.Task:
 		return false
 	case f.Node != "" && step.Node.ID != f.Node && step.Peer != f.Node:
 		return false
-	case f.Domain != "" && step.Domain != f.Domain:
-		return false
 	case f.Team != "" && step.Team != f.Team:
 		return false
 	case len(f.Kinds) > 0 && !slices.Contains(f.Kinds, step.Kind):
@@ -79,12 +85,15 @@
 type span struct {
 	first, last time.Time
 	nodes       map[ccnode.ID]bool
+	// gaps is set when some of these processes are silent, so that more may have
+	// had a part than are known.
+	gaps bool
 }
 
 // holds reports whether the step lies in the span, at a process with a part in
-// the job, and names no process without one.
+// the job, and names no process that is known to have none.
 func (s span) holds(step *Step) bool {
-	if !s.nodes[step.Node.ID] || step.Peer != "" && !s.nodes[step.Peer] {
+	if !s.nodes[step.Node.ID] || step.Peer != "" && !s.nodes[step.Peer] && !s.gaps {
 		return false
 	}
 	return !step.When.Before(s.first) && !step.When.After(s.last)
@@ -109,5 +118,9 @@
 			s.nodes[step.Peer] = true
 		}
 	}
+	for i := range timeline.Lanes {
+		l := &timeline.Lanes[i]
+		s.gaps = s.gaps || l.Silent && s.nodes[l.Node.ID]
+	}
 	return s
 }
--- a/io/ccagent/agent.go
+++ b/io/ccagent/agent.go
@@ -52,7 +52,7 @@
 		cfg.Node.Incarnation = ccnode.NewIncarnation(now)
 	}
 	if cfg.Ring == nil {
-		cfg.Ring = ccevent.NewRing(ccevent.RingConfig{Node: cfg.Node, Size: ringSize})
+		cfg.Ring = ccevent.NewRing(ccevent.RingConfig{Node: cfg.Node, Domain: cfg.Domain, Size: ringSize})
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &Agent{
@@ -158,8 +158,8 @@
 // member describes this agent to the fleet.
 func (a *Agent) member(leaving bool) ccwire.Member {
 	return ccwire.Member{
-		Node: a.cfg.Node, Addr: a.Addr(), Domain: a.cfg.Domain, Rack: a.cfg.Rack, Service: a.cfg.Service,
-		Slots: a.table.Slots(), Leaving: leaving, Since: a.since.UnixMilli(),
+		Node: a.cfg.Node, Addr: a.Addr(), HTTP: a.webAddr, Domain: a.cfg.Domain, Rack: a.cfg.Rack,
+		Service: a.cfg.Service, Slots: a.table.Slots(), Leaving: leaving, Since: a.since.UnixMilli(),
 	}
 }
 
--- a/io/ccagent/control.go
+++ b/io/ccagent/control.go
@@ -41,7 +41,8 @@
 	a.stats.running.Set(int64(a.table.Running()))
 	a.stats.marks.Set(int64(a.table.Marks()))
 	a.stats.resultBytes.Set(int64(a.table.ResultBytes()))
-	a.stats.version.Set(int64(a.table.Version()))
+	a.stats.slots.Set(int64(a.table.Slots()))
+	a.noteVersion(now)
 	if a.drained != nil && a.isDrained(now) {
 		close(a.drained)
 		a.drained = nil
@@ -94,7 +95,7 @@
 		a.stats.ignored.Add(1)
 		return
 	}
-	cause := ccevent.Cause{Node: l.entry.ID, Seq: msg.Cause}
+	cause := ccevent.Cause{Node: l.entry.ID, Incarnation: l.entry.Incarnation, Seq: msg.Cause}
 	for _, bounce := range result.Bounced {
 		a.stats.bounced.Add(string(bounce.Code), 1)
 		a.ring.Record(now, ccevent.Event{
