--- a/core/cccell/lead.go
+++ b/core/cccell/lead.go
@@ -118,7 +118,7 @@
 }
 
 // Resigned takes the answer to OpResign.
-func (m *Machine) Resigned(now time.Time) {
+func (m *Machine) Resigned() {
 	m.storeBusy = false
 	m.leave.told = true
 	if m.lead != nil {
--- a/io/ccagent/cell.go
+++ b/io/ccagent/cell.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"camphorcroft/core/cccell"
-	"camphorcroft/core/ccevent"
 	"camphorcroft/core/ccsettings"
 	"camphorcroft/core/ccwire"
 	cellio "camphorcroft/io/cccell"
@@ -63,7 +62,6 @@
 	if !a.table.SetView(now, view) {
 		return
 	}
-	a.ring.Record(now, ccevent.Event{Kind: ccevent.KindVersion, Index: ccevent.NoIndex, Domain: a.cfg.Domain, Count: int(view.Version)})
 	a.log.Info("Settings are in force.", "version", view.Version)
 	cell := cccell.Of(a.cfg.Node.ID, view.Fleet.Cells)
 	if a.cells.own == nil || a.cells.own.Machine().Cell() != cell {
--- a/io/cccell/store.go
+++ b/io/cccell/store.go
@@ -32,7 +32,7 @@
 	default:
 		r.cfg.StoreCalls.Add(1)
 		_ = r.cfg.Store.Revoke(ctx, ccstore.LeaseID(action.Lease))
-		r.cfg.Post(m.Resigned)
+		r.cfg.Post(func(time.Time) { m.Resigned() })
 	}
 }
 
