Record readmitted targets and stopped entries

Ejections had no end in the time line, and an entry's planned stop none either. Tests now hold which events a job, an ejection and a missed deadline leave, with their causes.

--- a/core/ccdispatch/agent.go
+++ b/core/ccdispatch/agent.go
@@ -48,6 +48,7 @@
 	out      map[outKey]struct{}
 	speed    cctarget.Speed
 	health   *cctarget.Health
+	ejected  bool // As the events tell it.
 	lastSeen time.Time
 	probed   time.Time
 	heldTill time.Time
@@ -214,3 +215,13 @@
 		d.act(&SendProbe{Agent: a.ref.ID, Message: ccwire.Probe{Agent: a.ref, Session: a.session}})
 	}
 }
+
+// noteReadmitted records targets that get work again after an ejection.
+func (d *Dispatcher) noteReadmitted(now time.Time) {
+	for _, a := range d.ordered {
+		if a.ejected && !a.health.Ejected(now) {
+			a.ejected = false
+			d.record(now, ccevent.Event{Kind: ccevent.KindReadmit, Index: ccevent.NoIndex, Peer: a.ref.ID, Domain: a.domain})
+		}
+	}
+}
--- a/core/ccdispatch/dispatcher.go
+++ b/core/ccdispatch/dispatcher.go
@@ -144,6 +144,7 @@
 func (d *Dispatcher) Tick(now time.Time) {
 	d.expire(now)
 	d.probeSilent(now)
+	d.noteReadmitted(now)
 	for _, s := range d.services {
 		s.rate.tick(now)
 	}
--- /dev/null
+++ b/core/ccdispatch/events_test.go
@@ -0,0 +1,82 @@
+package ccdispatch_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"camphorcroft/core/ccdispatch"
+	"camphorcroft/core/ccevent"
+	"camphorcroft/core/ccjob"
+	"camphorcroft/core/ccnode"
+	"camphorcroft/core/ccwire"
+)
+
+// recordingBench is a bench whose dispatcher records its events.
+func recordingBench(t *testing.T) (*bench, *ccevent.Ring) {
+	t.Helper()
+	b := newBench(t, nil)
+	self := ccnode.Ref{ID: "e", Incarnation: 1}
+	ring := ccevent.NewRing(ccevent.RingConfig{Node: self, Domain: "north", Size: 1000})
+	b.d = ccdispatch.New(ccdispatch.Config{Entry: self, Seed: 1, Record: ring.Record})
+	b.d.SetSettings(b.now, settings(1, nil))
+	return b, ring
+}
+
+// assertStory checks the kinds of all events, with the number of tasks where
+// one event covers several.
+func assertStory(t *testing.T, ring *ccevent.Ring, want string) {
+	t.Helper()
+	var story []string
+	for _, event := range ring.After(0) {
+		text := string(event.Kind)
+		if event.Count > 1 {
+			text += fmt.Sprintf("*%d", event.Count)
+		}
+		story = append(story, text)
+	}
+	if got := strings.Join(story, " "); got != want {
+		t.Errorf("got  %s\nwant %s", got, want)
+	}
+}
+
+func TestEventsOfAJob(t *testing.T) {
+	b, ring := recordingBench(t)
+	b.up("a", 1, "south", 2)
+	b.submit("j", 2)
+	b.report("a", ccwire.CodeStale, 2)
+	b.report("a", ccwire.CodeDone, 2)
+	assertStory(t, ring, "agentUp sent*2 returned returned sent*2 answered answered completed*2")
+	for _, event := range ring.After(0) {
+		cause := ccevent.Cause{}
+		if event.Kind == ccevent.KindReturned || event.Kind == ccevent.KindAnswered {
+			cause = ccevent.Cause{Node: "a", Incarnation: 1}
+		}
+		if event.Cause != cause {
+			t.Errorf("%s names the cause %+v, want %+v", event.Kind, event.Cause, cause)
+		}
+	}
+}
+
+func TestEventsOfAnEjection(t *testing.T) {
+	b, ring := recordingBench(t)
+	b.up("a", 1, "south", 1)
+	for i := range 3 {
+		b.submit(ccjob.ID(fmt.Sprint("j", i)), 1)
+		b.report("a", ccwire.CodeFailed, 1)
+	}
+	b.advance(5 * time.Second)
+	b.advance(5 * time.Second)
+	assertStory(t, ring, "agentUp sent answered failed sent answered failed sent answered ejected failed readmitted")
+}
+
+func TestEventsTellWhyAJobFailed(t *testing.T) {
+	b, ring := recordingBench(t)
+	b.submit("j", 1)
+	b.advance(time.Minute)
+	events := ring.After(0)
+	if last := events[len(events)-1]; last.Kind != ccevent.KindFailed || last.Text != "deadline: the deadline passed (not run)" {
+		t.Errorf("got %+v", last)
+	}
+}
--- a/core/ccdispatch/report.go
+++ b/core/ccdispatch/report.go
@@ -158,6 +158,7 @@
 	j.failedAt = []ccnode.ID{a.ref.ID}
 	if a.health.Failed(now, j.spec.ID) {
 		d.counts.TargetEjected++
+		a.ejected = true
 		d.record(now, ccevent.Event{Kind: ccevent.KindEjected, Index: ccevent.NoIndex, Peer: a.ref.ID, Domain: a.domain, Text: "too many tasks fail there"})
 	}
 }
--- a/io/ccentry/entry.go
+++ b/io/ccentry/entry.go
@@ -184,6 +184,7 @@
 	if shutdownErr := e.httpServer.Shutdown(ctx); err == nil && shutdownErr != nil {
 		err = &Error{Op: "stop", Kind: KindUnfinished, Err: shutdownErr}
 	}
+	e.cfg.Ring.Record(time.Now(), ccevent.Event{Kind: ccevent.KindDown, Index: ccevent.NoIndex})
 	e.close()
 	e.log.Info("Entry has stopped.")
 	return err
--- /dev/null
+++ b/io/ccentry/events_bench_test.go
@@ -0,0 +1,55 @@
+package ccentry_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+
+	"camphorcroft/core/ccevent"
+	"camphorcroft/core/ccnode"
+	"camphorcroft/io/ccentry"
+
+	"github.com/go-logr/logr"
+)
+
+// BenchmarkEvents counts task starts per second of processor time with the ring
+// of events off and on, in jobs of 100 tasks.
+func BenchmarkEvents(b *testing.B) {
+	for name, size := range map[string]int{"off": 0, "on": 65_536} {
+		b.Run(name, func(b *testing.B) {
+			self := ccnode.Ref{ID: "entry-1", Incarnation: 1}
+			entry := ccentry.New(ccentry.Config{
+				Node: self, Domain: "north", Listen: anyPort, HTTP: anyPort,
+				Store: cellStore{record: startInstantAgents(b, elevenAgents(), 64)}, Settings: fixedSettings{oneService()},
+				Log: logr.Discard(), Seed: 1, Ring: ccevent.NewRing(ccevent.RingConfig{Node: self, Domain: "north", Size: size}),
+			})
+			if err := entry.Start(context.Background()); err != nil {
+				b.Fatal(err)
+			}
+			b.Cleanup(entry.Kill)
+			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
+			awaitReady(b, client, entry)
+			const tasks, clients = 100, 16
+			cpu, number := cpuTime(), 0
+			for b.Loop() {
+				var group sync.WaitGroup
+				for range clients {
+					number++
+					body := jobBody(fmt.Sprint("job-", number), tasks)
+					group.Go(func() {
+						if status, answer, err := post(client, entry, body); err != nil || status != http.StatusOK {
+							b.Errorf("status %d, error %v: %s", status, err, answer)
+						}
+					})
+				}
+				group.Wait()
+			}
+			spent := cpuTime() - cpu
+			b.ReportMetric(float64(number*tasks)/spent.Seconds(), "starts/cpu-s")
+			b.ReportMetric(float64(spent.Nanoseconds())/float64(number*tasks), "cpu-ns/task")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
