Count refusals and outcomes by kind, and record resubmissions

An entry's metrics did not tell refusals apart, and a resubmission to the entry that knows the job left no trace in the time line. Both maps are in the set from the start, so that a reader finds them at zero, and explain tells of jobs that came again.

--- a/core/ccevent/explain.go
+++ b/core/ccevent/explain.go
@@ -86,6 +86,9 @@
 		}
 		return fmt.Sprintf("%s let %s drive it.", node, step.Peer)
 	case KindAttached:
+		if step.Peer == node {
+			return fmt.Sprintf("%s got it again at %s.", node, at)
+		}
 		return fmt.Sprintf("%s got it too at %s and waited for %s.", node, at, orSomeone(step.Peer))
 	case KindRecovered:
 		return fmt.Sprintf("%s took it over from %s at %s%s.", node, orSomeone(step.Peer), at, reason(step))
--- a/io/ccentry/pending.go
+++ b/io/ccentry/pending.go
@@ -33,10 +33,12 @@
 func (e *Entry) submit(now time.Time, spec *ccjob.Spec, waiter chan<- ccjob.Outcome) {
 	digest := spec.Digest()
 	if kept, ok := e.answers.Get(now, spec.ID); ok {
+		e.recordAgain(now, spec)
 		waiter <- matching(&kept.Outcome, kept.Digest == digest)
 		return
 	}
 	if p, ok := e.pending[spec.ID]; ok {
+		e.recordAgain(now, spec)
 		if p.digest != digest {
 			waiter <- conflict(spec.ID)
 			return
@@ -46,6 +48,7 @@
 	}
 	if refusal, ok := e.admit(spec); !ok {
 		e.record(now, ccevent.KindRefused, spec, string(refusal.Kind)+": "+refusal.Reason)
+		e.metrics.Map("refusals").Add(string(refusal.Kind), 1)
 		waiter <- refusal
 		return
 	}
@@ -103,6 +106,7 @@
 // finish answers all who wait.
 func (e *Entry) finish(p *pendingJob, outcome ccjob.Outcome) {
 	delete(e.pending, p.spec.ID)
+	e.countOutcome(&outcome)
 	for _, waiter := range p.waiters {
 		waiter <- outcome
 	}
--- a/io/ccentry/vars.go
+++ b/io/ccentry/vars.go
@@ -6,6 +6,7 @@
 	"github.com/gin-gonic/gin"
 
 	"camphorcroft/core/ccdispatch"
+	"camphorcroft/core/ccjob"
 	"camphorcroft/io/ccmetric"
 )
 
@@ -24,6 +25,8 @@
 
 func (e *Entry) newMetrics() *ccmetric.Set {
 	set := ccmetric.NewSet(string(e.self.ID))
+	set.Map("refusals")
+	set.Map("outcomes")
 	set.Func("entry", func() any {
 		var state varsState
 		e.ask(func(now time.Time) { state = e.varsState(now) })
@@ -32,6 +35,15 @@
 	return set
 }
 
+// countOutcome counts a job's end by its kind, or as complete.
+func (e *Entry) countOutcome(outcome *ccjob.Outcome) {
+	name := string(outcome.Kind)
+	if outcome.State == ccjob.StateComplete {
+		name = string(outcome.State)
+	}
+	e.metrics.Map("outcomes").Add(name, 1)
+}
+
 func (e *Entry) varsState(now time.Time) varsState {
 	return varsState{
 		Version:           e.version,
