Read the settings in force from the store

Cause: entries and agents had no way to learn what operators decided. Change: section files parsed strictly with file, line and key in each error, merged with the chair's section, votes and held values, checked against the limits; a reader that follows the head and loads only what changed.

--- /dev/null
+++ b/core/ccsettings/parse.go
@@ -0,0 +1,234 @@
+package ccsettings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+
+	"go.yaml.in/yaml/v3"
+)
+
+const (
+	keyVotes         = "votes"
+	reasonUnknownKey = "there is no such key"
+)
+
+// ParseSection reads a section's YAML. The file names the text in errors, which
+// list every fault with its line and key.
+func ParseSection(name, file string, text []byte) (*Section, error) {
+	if !isName(name) {
+		err := fmt.Errorf("a section's name has letters, digits, dash and underscore, up to %d, unlike %q", MaxNameBytes, name)
+		return nil, &Error{Op: "parse " + file, Kind: KindInvalid, Err: err}
+	}
+	if len(text) > MaxSectionBytes {
+		err := fmt.Errorf("%s has %d bytes, more than %d", file, len(text), MaxSectionBytes)
+		return nil, &Error{Op: "parse " + file, Kind: KindInvalid, Err: err}
+	}
+	root, err := readDocument(file, text)
+	if err != nil {
+		return nil, err
+	}
+	p := &parser{section: &Section{Name: name, File: file, Settings: map[Key]Setting{}, Votes: map[Key]Vote{}}}
+	if root != nil {
+		p.parseRoot(root)
+	}
+	if len(p.issues) > 0 {
+		p.issues.sort()
+		return nil, &Error{Op: "parse " + file, Kind: KindInvalid, Err: p.issues}
+	}
+	return p.section, nil
+}
+
+// readDocument returns the one document of the text, or nil when it is empty.
+func readDocument(file string, text []byte) (*yaml.Node, error) {
+	decoder := yaml.NewDecoder(bytes.NewReader(text))
+	var document yaml.Node
+	err := decoder.Decode(&document)
+	if errors.Is(err, io.EOF) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, &Error{Op: "parse " + file, Kind: KindSyntax, Err: err}
+	}
+	if err := decoder.Decode(&yaml.Node{}); !errors.Is(err, io.EOF) {
+		return nil, &Error{Op: "parse " + file, Kind: KindSyntax, Err: errors.New("there is more than one document")}
+	}
+	root := document.Content[0]
+	if root.Kind == yaml.ScalarNode && root.Tag == "!!null" {
+		return nil, nil
+	}
+	return root, nil
+}
+
+type parser struct {
+	section *Section
+	issues  IssueErrors
+}
+
+func (p *parser) fault(node *yaml.Node, key Key, format string, args ...any) {
+	p.issues = append(p.issues, Issue{
+		File: p.section.File, Line: node.Line, Key: key, Reason: fmt.Sprintf(format, args...),
+	})
+}
+
+// fields calls back with each key and value of a mapping. Anything but a mapping
+// with plain, distinct keys is a fault.
+func (p *parser) fields(node *yaml.Node, key Key, each func(name string, at, value *yaml.Node)) {
+	if node.Kind != yaml.MappingNode {
+		p.fault(node, key, "there must be keys below")
+		return
+	}
+	seen := map[string]bool{}
+	for i := 0; i+1 < len(node.Content); i += 2 {
+		at, value := node.Content[i], node.Content[i+1]
+		switch {
+		case at.Kind != yaml.ScalarNode:
+			p.fault(at, key, "a key must be plain text")
+		case seen[at.Value]:
+			p.fault(at, below(key, at.Value), "the key stands twice")
+		default:
+			seen[at.Value] = true
+			each(at.Value, at, value)
+		}
+	}
+}
+
+func below(key Key, name string) Key {
+	if key == "" {
+		return Key(name)
+	}
+	return key + "." + Key(name)
+}
+
+func (p *parser) parseRoot(root *yaml.Node) {
+	p.fields(root, "", func(name string, at, value *yaml.Node) {
+		switch name {
+		case groupServices, groupDomains, groupTeams:
+			p.fields(value, Key(name), func(one string, at, value *yaml.Node) {
+				p.parseNamed(joinKey(name, one), one, at, value)
+			})
+		case groupFleet:
+			p.parseGroup(groupFleet, value)
+		case keyVotes:
+			p.parseVotes(at, value)
+		default:
+			p.fault(at, Key(name), reasonUnknownKey)
+		}
+	})
+}
+
+func (p *parser) parseNamed(key Key, name string, at, value *yaml.Node) {
+	if !isName(name) {
+		p.fault(at, key, "a name has letters, digits, dash and underscore, up to %d", MaxNameBytes)
+		return
+	}
+	p.parseGroup(key, value)
+}
+
+func (p *parser) parseGroup(prefix Key, node *yaml.Node) {
+	p.fields(node, prefix, func(name string, at, value *yaml.Node) {
+		key := below(prefix, name)
+		if value.Kind == yaml.MappingNode {
+			p.fields(value, key, func(entry string, at, value *yaml.Node) {
+				p.parseSetting(below(key, entry), at, value)
+			})
+			return
+		}
+		p.parseSetting(key, at, value)
+	})
+}
+
+func (p *parser) parseSetting(key Key, at, node *yaml.Node) {
+	kind, ok := key.valueType()
+	if !ok {
+		p.fault(at, key, reasonUnknownKey)
+		return
+	}
+	value, err := readValue(kind, node)
+	if err != nil {
+		p.fault(node, key, "%v", err)
+		return
+	}
+	p.section.Settings[key] = Setting{Value: value, Line: at.Line}
+}
+
+func (p *parser) parseVotes(at, node *yaml.Node) {
+	if p.section.Name != Chair {
+		p.fault(at, keyVotes, "only the section %s has votes", Chair)
+		return
+	}
+	p.fields(node, keyVotes, func(name string, at, value *yaml.Node) {
+		key := Key(name)
+		kind, ok := key.valueType()
+		if !ok {
+			p.fault(at, below(keyVotes, name), reasonUnknownKey)
+			return
+		}
+		p.parseVote(key, kind, at, value)
+	})
+}
+
+func (p *parser) parseVote(key Key, kind reflect.Type, at, node *yaml.Node) {
+	vote := Vote{Line: at.Line}
+	path := below(keyVotes, string(key))
+	before := len(p.issues)
+	p.fields(node, path, func(name string, at, value *yaml.Node) {
+		switch name {
+		case "team":
+			vote.Team = value.Value
+			if !isName(vote.Team) || vote.Team == Chair {
+				p.fault(value, path, "team must name a team's section")
+			}
+		case "value":
+			read, err := readValue(kind, value)
+			if err != nil {
+				p.fault(value, path, "%v", err)
+			}
+			vote.Value = read
+		default:
+			p.fault(at, below(path, name), reasonUnknownKey)
+		}
+	})
+	if len(p.issues) > before {
+		return
+	}
+	if (vote.Team == "") == (vote.Value == "") {
+		p.fault(at, path, "a vote has either team or value")
+		return
+	}
+	p.section.Votes[key] = vote
+}
+
+// readValue reads a scalar as a type of the schema.
+func readValue(kind reflect.Type, node *yaml.Node) (Value, error) {
+	if node.Kind != yaml.ScalarNode || node.Tag == "!!null" {
+		return "", fmt.Errorf("there must be %s", nameOf(kind))
+	}
+	into := reflect.New(kind)
+	if err := node.Decode(into.Interface()); err != nil {
+		return "", fmt.Errorf("%q is not %s", node.Value, nameOf(kind))
+	}
+	data, err := json.Marshal(into.Interface())
+	if err != nil {
+		return "", fmt.Errorf("%q is not %s", node.Value, nameOf(kind))
+	}
+	return Value(data), nil
+}
+
+func nameOf(kind reflect.Type) string {
+	switch {
+	case kind == reflect.TypeFor[Duration]():
+		return "a duration with a unit, such as 250ms"
+	case kind.Kind() == reflect.Bool:
+		return "true or false"
+	case kind.Kind() == reflect.Int:
+		return "a whole number"
+	case kind.Kind() == reflect.Float64:
+		return "a number"
+	default:
+		return "text"
+	}
+}
--- /dev/null
+++ b/io/ccsettings/snapshot.go
@@ -0,0 +1,98 @@
+package ccsettings
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"camphorcroft/core/ccsettings"
+)
+
+// fetchers is how many sections are read at once.
+const fetchers = 8
+
+// snapshot is one version in full.
+type snapshot struct {
+	head     ccsettings.Head
+	sections map[string]*ccsettings.Section
+	texts    map[string]string
+	merged   *ccsettings.Merged
+}
+
+// emptySnapshot is what holds before the first change.
+func emptySnapshot() *snapshot {
+	return &snapshot{
+		sections: map[string]*ccsettings.Section{},
+		texts:    map[string]string{},
+		merged:   &ccsettings.Merged{Effective: ccsettings.Default(), Values: ccsettings.Values{}},
+	}
+}
+
+// next returns the snapshot that a head describes. Sections that stand in this
+// snapshot under the same revision are not read again.
+func (s *snapshot) next(ctx context.Context, store getter, head ccsettings.Head) (*snapshot, error) {
+	next := &snapshot{head: head, sections: map[string]*ccsettings.Section{}, texts: map[string]string{}}
+	var missing []string
+	for name, revision := range head.Sections {
+		if s.head.Sections[name] != revision {
+			missing = append(missing, name)
+			continue
+		}
+		next.sections[name], next.texts[name] = s.sections[name], s.texts[name]
+	}
+	if err := next.fetch(ctx, store, missing); err != nil {
+		return nil, err
+	}
+	merged, err := ccsettings.Merge(head, next.sections, nil)
+	if err != nil {
+		return nil, &Error{Op: "merge", Kind: KindRecord, Err: err}
+	}
+	next.merged = merged
+	return next, nil
+}
+
+// fetch reads sections from the store, a few at once.
+func (s *snapshot) fetch(ctx context.Context, store getter, names []string) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var mu sync.Mutex // Guards the snapshot's maps.
+	var wg sync.WaitGroup
+	room := make(chan struct{}, fetchers)
+	for _, name := range names {
+		wg.Go(func() {
+			room <- struct{}{}
+			defer func() { <-room }()
+			text, section, err := fetchSection(ctx, store, name, s.head.Sections[name])
+			if err != nil {
+				cancel(err)
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			s.sections[name], s.texts[name] = section, text
+		})
+	}
+	wg.Wait()
+	return context.Cause(ctx)
+}
+
+func fetchSection(ctx context.Context, store getter, name, revision string) (string, *ccsettings.Section, error) {
+	key := ccsettings.SectionKey(name, revision)
+	item, err := getRetry(ctx, store, key)
+	if err != nil {
+		return "", nil, err
+	}
+	if item.Revision == 0 {
+		err := fmt.Errorf("the head names %s, which isn't there", key)
+		return "", nil, &Error{Op: "read section", Kind: KindRecord, Err: err}
+	}
+	record, section, err := ccsettings.ParseSectionRecord(item.Value)
+	if err != nil {
+		return "", nil, &Error{Op: "read section", Kind: KindRecord, Err: err}
+	}
+	if record.Name != name {
+		err := fmt.Errorf("%s holds section %s", key, record.Name)
+		return "", nil, &Error{Op: "read section", Kind: KindRecord, Err: err}
+	}
+	return record.Text, section, nil
+}
