--- a/io/cccli/fleet_test.go
+++ b/io/cccli/fleet_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -15,6 +16,8 @@
 	"camphorcroft/core/ccevent"
 	"camphorcroft/core/ccnode"
 	ioevent "camphorcroft/io/ccevent"
+	"camphorcroft/io/ccstandin"
+	"camphorcroft/io/ccstore"
 )
 
 const testJob = "0190a5c5-0000-7000-8000-000000000001"
@@ -154,3 +157,33 @@
 		}
 	})
 }
+
+func TestNodesAreFoundThroughTheStore(t *testing.T) {
+	nodes := strings.Split(newFleet(t), ",")
+	store := ccstandin.NewStore(ccstandin.StoreConfig{Seed: 1})
+	if err := store.Start(netip.MustParseAddrPort("127.0.0.1:0")); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = store.Close() })
+	addr := store.Addr().String()
+	if code, _, errs := run(t, "status", "--store", addr); code != ExitFailed || !strings.Contains(errs, "the store knows no process") {
+		t.Errorf("empty store: got code %d and %s", code, errs)
+	}
+	for key, value := range map[string]string{
+		"settings/head":  `{"version":8}`,
+		"entries/roster": `{"epoch":1,"entries":[{"ref":{"id":"entry-1","incarnation":1},"http":"` + nodes[0] + `"}]}`,
+		"cells/0":        `{"members":[{"node":{"id":"agent-1","incarnation":2},"http":"` + nodes[1] + `","domain":"north","slots":8}]}`,
+	} {
+		if _, err := store.Swap(context.Background(), key, 0, []byte(value), ccstore.NoLease); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_, out, errs := run(t, "status", "--store", addr)
+	assertHas(t, out, "settings version 8", "domain north: 1 targets, 8 slots, 3 tasks running")
+	assertHas(t, errs, "2 nodes lag, 0 are silent")
+	_, out, _ = run(t, "explain", "job", "--store", addr, testJob)
+	assertHas(t, out, "agent-1 (north) ran 1 task: 0")
+	if code, _, _ := run(t, "timeline", "--store", "x"); code != ExitUsage {
+		t.Errorf("wrong address: got code %d", code)
+	}
+}
--- a/io/cccli/nodes.go
+++ b/io/cccli/nodes.go
@@ -4,26 +4,41 @@
 	"context"
 	"net/netip"
 	"strings"
+	"time"
 
 	"camphorcroft/io/ccinventory"
+	"camphorcroft/io/ccstore"
 
+	"github.com/juju/errors"
 	"github.com/peterbourgon/ff/v4"
 )
 
+// inventoryTimeout bounds the calls to the store that find the nodes.
+const inventoryTimeout = 5 * time.Second
+
 // nodeFlags say which processes a command asks.
 type nodeFlags struct {
 	nodes *string
+	store *string
 }
 
 func newNodeFlags(flags *ff.FlagSet) nodeFlags {
 	return nodeFlags{
-		nodes: flags.StringLong("nodes", "", "HTTP addresses of processes, as IP:PORT,IP:PORT"),
+		nodes: flags.StringLong("nodes", "", "HTTP addresses of processes, as IP:PORT,IP:PORT; or use --store"),
+		store: flags.StringLong("store", "", "IP:PORT of the store, to find all processes"),
 	}
 }
 
 // inventory lists the processes to ask.
-func (f nodeFlags) inventory(_ context.Context) (ccinventory.Inventory, error) {
+func (f nodeFlags) inventory(ctx context.Context) (ccinventory.Inventory, error) {
 	var inventory ccinventory.Inventory
+	if *f.store != "" {
+		found, err := readInventory(ctx, *f.store)
+		if err != nil {
+			return inventory, err
+		}
+		inventory = found
+	}
 	addrs, err := parseAddrs("nodes", splitList(*f.nodes))
 	if err != nil {
 		return inventory, err
@@ -32,7 +47,10 @@
 		inventory.Nodes = append(inventory.Nodes, ccinventory.Node{HTTP: addr})
 	}
 	if len(inventory.Nodes) == 0 {
-		return inventory, &usageError{text: "say which processes to ask: --nodes"}
+		if *f.store != "" {
+			return inventory, errors.New("the store knows no process")
+		}
+		return inventory, &usageError{text: "say which processes to ask: --nodes or --store"}
 	}
 	return inventory, nil
 }
@@ -45,6 +63,18 @@
 	return strings.Split(text, ",")
 }
 
+func readInventory(ctx context.Context, text string) (ccinventory.Inventory, error) {
+	addr, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return ccinventory.Inventory{}, &usageError{text: "--store takes IP:PORT, not " + text}
+	}
+	ctx, cancel := context.WithTimeout(ctx, inventoryTimeout)
+	defer cancel()
+	client := ccstore.NewClient(ccstore.ClientConfig{Addr: addr, Timeout: inventoryTimeout})
+	defer client.Close()
+	return ccinventory.Read(ctx, client)
+}
+
 // addrsOf returns the HTTP addresses that are known.
 func addrsOf(nodes []ccinventory.Node) []netip.AddrPort {
 	var addrs []netip.AddrPort
