Take a store's success without its result for a lost answer

Fuzzing the client showed that an answer of 200 with an empty object counted as a success with revision zero, or with lease zero, which ties a key to no lease, so that it would never vanish. Both now count as answers that can't be read, so the writer reads back.

--- a/io/ccstore/client.go
+++ b/io/ccstore/client.go
@@ -109,6 +109,9 @@
 		},
 		body: value, answer: &answer,
 	})
+	if err == nil && answer.Revision == 0 {
+		err = c.noAnswer(CallSwap, true, errors.New("the answer has no revision"))
+	}
 	return answer.Revision, err
 }
 
@@ -144,6 +147,10 @@
 		call: CallGrant, method: http.MethodPost, path: PathLease,
 		query: url.Values{ParamWait: {ttl.String()}}, answer: &answer,
 	})
+	if err == nil && answer.Lease == NoLease {
+		// Keys under it would never vanish.
+		err = c.noAnswer(CallGrant, true, errors.New("the answer has no lease"))
+	}
 	return answer.Lease, err
 }
 
