Look for a new lead when the old lease can have ended

Members looked again 1, 2 and 4 s after a lead fell silent, so a cell whose lease ended just after a look waited up to four seconds more. The second look now comes between 2.25 and 3.25 s. The agents' tests run several agents on the store's stand-in: outage, crash and graceful leave of the lead, change of the number of cells.

--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -69,6 +69,7 @@
 	linkRetry        = 300 * time.Millisecond
 	electionSlot     = 50 * time.Millisecond
 	maxElectionDelay = 2 * time.Second
+	patientLooks     = 3 // Looks that find the silent lead before they get rarer.
 	startSpread      = 500 * time.Millisecond
 	lookSpread       = 100 * time.Millisecond // Times the members: over how long they look when their lead falls silent.
 	minLookSpread    = 300 * time.Millisecond
--- a/core/cccell/follower.go
+++ b/core/cccell/follower.go
@@ -145,13 +145,19 @@
 		f.heard, f.beatAt = now, now
 		return
 	}
-	// The store still names the lead that is silent. Its lease will tell.
+	// The store still names the lead that is silent. If it is dead its lease ends
+	// within its time to live, so the next look comes about then.
 	if !f.joined {
-		m.lookLater(now)
+		f.failures++
+		delay := LeaseTTL*3/4 + time.Duration(m.cfg.Rand.Int64N(int64(LeaseTTL/3)))
+		if f.failures > patientLooks {
+			delay *= 2
+		}
+		f.lookAt = now.Add(delay)
 	}
 }
 
-// lookLater plans the look after one that was of no use, each time later.
+// lookLater plans the look after one that failed, each time later.
 func (m *Machine) lookLater(now time.Time) {
 	f := &m.follow
 	f.failures++
--- a/io/ccagent/config.go
+++ b/io/ccagent/config.go
@@ -43,7 +43,7 @@
 	// closes its connections.
 	quietTime = 300 * time.Millisecond
 	// ringSize is how many events are kept when no ring is given.
-	ringSize = 16_384
+	ringSize = 4096
 	// dialTimeout bounds a connection attempt to the target.
 	dialTimeout = 500 * time.Millisecond
 	// runGrace is how long after the job's deadline a target may still answer
--- a/io/ccrpc/peer.go
+++ b/io/ccrpc/peer.go
@@ -16,6 +16,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"log"
 	"net"
 	"net/netip"
 	"time"
@@ -71,7 +73,9 @@
 	stream := jsonrpc2.NewBufferedStream(socket, jsonrpc2.VarintObjectCodec{})
 	// The adapter may be called before conn is set below, so it waits for ready.
 	ready := make(chan struct{})
-	peer.conn = jsonrpc2.NewConn(context.Background(), stream, &adapter{peer: peer, handler: handler, ready: ready})
+	// Closed tells what the library would log.
+	quiet := jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
+	peer.conn = jsonrpc2.NewConn(context.Background(), stream, &adapter{peer: peer, handler: handler, ready: ready}, quiet)
 	close(ready)
 	go func() {
 		<-peer.conn.DisconnectNotify()
