--- a/io/cccli/standin.go
+++ b/io/cccli/standin.go
@@ -13,7 +13,7 @@
 		Usage:       "camphorcroft standin <KIND> [FLAGS]",
 		ShortHelp:   "stand in for a part of the platform",
 		Flags:       ff.NewFlagSet("standin"),
-		Subcommands: []*ff.Command{standinTargetCommand(streams)},
+		Subcommands: []*ff.Command{standinStoreCommand(streams), standinTargetCommand(streams)},
 		Exec: func(context.Context, []string) error {
 			return &usageError{text: "say which stand-in to run"}
 		},
