--- a/io/cccli/root.go
+++ b/io/cccli/root.go
@@ -52,6 +52,7 @@
 // commands lists every command, in the order of the help text.
 func commands(streams Streams) []*ff.Command {
 	return []*ff.Command{
+		agentCommand(streams),
 		standinCommand(streams),
 		submitCommand(streams),
 		statusCommand(streams),
