Account for goodput by task and show the floor of job-by-job ratios

Cause: goodput by whole jobs depends on where large jobs end, and no figure said how close to the ideal a single job can come at all. Change: goodput sums the work of useful starts inside the measured time, as the ideal replay does; a warm-up is left out; the ideal is also replayed with its arrivals moved by up to 1 ms; plans take a deadline.

--- a/core/ccload/ideal.go
+++ b/core/ccload/ideal.go
@@ -1,7 +1,10 @@
 package ccload
 
 import (
+	"cmp"
 	"container/heap"
+	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -15,10 +18,29 @@
 	OrderFair Order = "fair"
 )
 
+// Replay is the outcome of an ideal replay.
+type Replay struct {
+	// Responses has each arrival's response, without any round trip.
+	Responses []time.Duration
+	// Spans has each task's time at a target.
+	Spans []Span
+}
+
+// Span is the time that one task spends at a target.
+type Span struct {
+	From, To time.Duration
+	Speed    float64
+}
+
+// inside is the nominal work of the span between two times.
+func (s Span) inside(from, to time.Duration) time.Duration {
+	overlap := max(min(s.To, to)-max(s.From, from), 0)
+	return time.Duration(float64(overlap) * s.Speed)
+}
+
 // Ideal replays the arrivals on the targets with no latency and exact knowledge:
-// each task goes to the fastest free slot, or waits. It returns each arrival's
-// response, without any round trip.
-func Ideal(arrivals []Arrival, targets []Target, order Order) []time.Duration {
+// each task goes to the fastest free slot, or waits.
+func Ideal(arrivals []Arrival, targets []Target, order Order) *Replay {
 	r := newReplay(arrivals, targets, order)
 	for i := range arrivals {
 		r.runUntil(arrivals[i].At)
@@ -28,14 +50,30 @@
 	for r.busy.Len() > 0 {
 		r.runUntil(r.busy.slots[0].until)
 	}
-	return r.responses
+	return &r.done
 }
 
 // Alone returns what a job would take with the fleet to itself, without any
 // round trip.
 func Alone(arrival Arrival, targets []Target) time.Duration {
 	arrival.At = 0
-	return Ideal([]Arrival{arrival}, targets, OrderFirstCome)[0]
+	return Ideal([]Arrival{arrival}, targets, OrderFirstCome).Responses[0]
+}
+
+// Jittered replays the arrivals as Ideal does, each up to the given time later.
+// It shows how much the responses of single jobs differ between two ideal runs,
+// which no policy can come below.
+func Jittered(arrivals []Arrival, targets []Target, order Order, most time.Duration, random *rand.Rand) []time.Duration {
+	moved := slices.Clone(arrivals)
+	for i := range moved {
+		moved[i].At += time.Duration(random.Float64() * float64(most))
+	}
+	slices.SortStableFunc(moved, func(a, b Arrival) int { return cmp.Compare(a.At, b.At) })
+	responses := make([]time.Duration, len(arrivals))
+	for i, response := range Ideal(moved, targets, order).Responses {
+		responses[moved[i].Number] = response
+	}
+	return responses
 }
 
 // waitingJob is a job with tasks that are not handed out.
@@ -46,22 +84,22 @@
 
 // replay is the state of an ideal replay.
 type replay struct {
-	arrivals  []Arrival
-	order     Order
-	now       time.Duration
-	waiting   []waitingJob
-	free      slotHeap // Fastest first.
-	busy      slotHeap // First to end first.
-	responses []time.Duration
+	arrivals []Arrival
+	order    Order
+	now      time.Duration
+	waiting  []waitingJob
+	free     slotHeap // Fastest first.
+	busy     slotHeap // First to end first.
+	done     Replay
 }
 
 func newReplay(arrivals []Arrival, targets []Target, order Order) *replay {
 	r := &replay{
-		arrivals:  arrivals,
-		order:     order,
-		free:      slotHeap{less: func(a, b slot) bool { return a.speed > b.speed }},
-		busy:      slotHeap{less: func(a, b slot) bool { return a.until < b.until }},
-		responses: make([]time.Duration, len(arrivals)),
+		arrivals: arrivals,
+		order:    order,
+		free:     slotHeap{less: func(a, b slot) bool { return a.speed > b.speed }},
+		busy:     slotHeap{less: func(a, b slot) bool { return a.until < b.until }},
+		done:     Replay{Responses: make([]time.Duration, len(arrivals))},
 	}
 	for _, target := range targets {
 		for range target.Slots {
@@ -91,7 +129,8 @@
 		used := heap.Pop(&r.free).(slot)
 		used.until = r.now + time.Duration(float64(arrival.Tasks[job.next])/used.speed)
 		heap.Push(&r.busy, used)
-		r.responses[job.number] = max(r.responses[job.number], used.until-arrival.At)
+		r.done.Responses[job.number] = max(r.done.Responses[job.number], used.until-arrival.At)
+		r.done.Spans = append(r.done.Spans, Span{From: r.now, To: used.until, Speed: used.speed})
 		job.next++
 		r.requeue(job, job.next < len(arrival.Tasks))
 	}
--- a/core/ccload/ideal_test.go
+++ b/core/ccload/ideal_test.go
@@ -1,6 +1,7 @@
 package ccload
 
 import (
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -10,8 +11,9 @@
 
 var twoTargets = []Target{{Domain: "a", Speed: 2, Slots: 1}, {Domain: "b", Speed: 1, Slots: 1}}
 
-func assertResponses(t *testing.T, got []time.Duration, want ...time.Duration) {
+func assertResponses(t *testing.T, replay *Replay, want ...time.Duration) {
 	t.Helper()
+	got := replay.Responses
 	if !slices.Equal(got, want) {
 		t.Errorf("responses are %v, want %v", got, want)
 	}
@@ -43,6 +45,27 @@
 		assertResponses(t, Ideal(arrivals, single, OrderFirstCome), 1000*ms, 1010*ms)
 		assertResponses(t, Ideal(arrivals, single, OrderFair), 1020*ms, 210*ms)
 	})
+	t.Run("spansAreTheWork", func(t *testing.T) {
+		arrivals := []Arrival{{At: 0, Tasks: []time.Duration{100 * ms, 100 * ms}}}
+		work := time.Duration(0)
+		for _, span := range Ideal(arrivals, twoTargets, OrderFirstCome).Spans {
+			work += span.inside(25*ms, 75*ms)
+		}
+		// 25 ms at speed 2, and 50 ms at speed 1.
+		if work != 100*ms {
+			t.Errorf("the work inside is %s, want 100ms", work)
+		}
+	})
+	t.Run("jitterOfZeroChangesNothing", func(t *testing.T) {
+		profile, _ := ProfileByName("maregrafo")
+		plan, err := NewPlan(PlanConfig{Profile: profile, Load: 0.7, Duration: 10 * time.Second, Seed: 3})
+		if err != nil {
+			t.Fatal(err)
+		}
+		random := rand.New(rand.NewPCG(1, 1))
+		moved := Jittered(plan.Arrivals, profile.Targets, OrderFair, 0, random)
+		assertResponses(t, Ideal(plan.Arrivals, profile.Targets, OrderFair), moved...)
+	})
 	t.Run("aloneIsNeverLonger", func(t *testing.T) {
 		profile, _ := ProfileByName("maregrafo")
 		plan, err := NewPlan(PlanConfig{Profile: profile, Load: 0.9, Duration: 20 * time.Second, Seed: 3})
@@ -50,7 +73,7 @@
 			t.Fatal(err)
 		}
 		longer := 0
-		for number, response := range Ideal(plan.Arrivals, profile.Targets, OrderFirstCome) {
+		for number, response := range Ideal(plan.Arrivals, profile.Targets, OrderFirstCome).Responses {
 			if single := plan.Arrivals[number]; len(single.Tasks) == 1 && Alone(single, profile.Targets) > response {
 				longer++
 			}
--- a/core/ccload/plan.go
+++ b/core/ccload/plan.go
@@ -44,6 +44,9 @@
 	Duration time.Duration
 	Seed     uint64
 	Shape    Shape // Empty is ShapePoisson.
+	// Deadline is what a client asks for beyond a few times the declared run
+	// time. Zero is 10 s.
+	Deadline time.Duration
 	Bursts   []Burst
 	Flood    Flood
 	Waves    []Wave
@@ -58,7 +61,7 @@
 }
 
 const (
-	baseDeadline    = 10 * time.Second
+	defaultDeadline = 10 * time.Second
 	declaredSlack   = 4 // Deadlines allow for this much more than the declared run time.
 	wrongFactor     = 10.0
 	longestDeadline = 2 * time.Minute
@@ -79,6 +82,9 @@
 			return nil, newError("plan", KindConfig, fmt.Sprintf("a burst at %s lies outside the run", burst.At))
 		}
 	}
+	if cfg.Deadline == 0 {
+		cfg.Deadline = defaultDeadline
+	}
 	random := rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^0x9e3779b97f4a7c15))
 	power := Power(cfg.Profile.Targets)
 	clock := newWarp(cfg.Duration, cfg.Bursts)
@@ -150,7 +156,7 @@
 		job.Declared = scale(job.Declared, wrongFactor, random.IntN(2) == 0)
 	}
 	share := time.Duration(float64(job.Declared) / Power(profile.Targets) * declaredSlack)
-	job.Deadline = min(baseDeadline+share, longestDeadline).Truncate(time.Millisecond)
+	job.Deadline = min(cfg.Deadline+share, longestDeadline).Truncate(time.Millisecond)
 	if random.Float64() < profile.ResubmitShare {
 		job.ResubmitAfter = drawUpTo(random, longestResubmit)
 	}
--- a/core/ccload/report.go
+++ b/core/ccload/report.go
@@ -38,15 +38,17 @@
 	FalseNotRun int `json:"falseNotRun"` // Jobs with the promise that had started.
 	Unknown     int `json:"unknown"`     // Starts of jobs that nobody submitted.
 
-	Goodput      float64 `json:"goodput"`      // Work of jobs that completed in time.
-	IdealGoodput float64 `json:"idealGoodput"` // The same of the ideal replay.
-	StartedWork  float64 `json:"startedWork"`  // Work that targets started in time.
+	Goodput      float64 `json:"goodput"`      // Work done for jobs that completed.
+	IdealGoodput float64 `json:"idealGoodput"` // Work done in the ideal replay.
 
 	Response  Quantiles `json:"response"`
 	Ideal     Quantiles `json:"ideal"`     // Jobs in the order of their arrival.
 	OverIdeal Quantiles `json:"overIdeal"` // Response over Ideal, job by job.
 	Fair      Quantiles `json:"fair"`      // One task of each job in turn.
 	OverFair  Quantiles `json:"overFair"`
+	// Floor is the fair ideal replay with its arrivals moved by up to 1 ms, over
+	// the one without, job by job.
+	Floor     Quantiles `json:"floor"`
 	OverAlone Quantiles `json:"overAlone"` // Over the job with the fleet to itself.
 	Refusals  Quantiles `json:"refusals"`  // Time to a refusal.
 	Late      Quantiles `json:"late"`      // The generator behind its plan.
@@ -67,13 +69,18 @@
 	return float64(r.Messages.Sent-uint64(r.Starts)) / float64(r.Starts)
 }
 
-// MessagesPerTask is all messages between processes, a started task.
+// MessagesPerTask is all messages between processes, a task that was answered.
 func (r *Report) MessagesPerTask() float64 {
-	if r.Starts == 0 {
+	m := r.Messages
+	return r.perTask(m.Dispatch + m.Report + m.Claims + m.Control)
+}
+
+// perTask is a count a task that was answered.
+func (r *Report) perTask(count uint64) float64 {
+	if r.TasksAnswered == 0 {
 		return 0
 	}
-	m := r.Messages
-	return float64(m.Dispatch+m.Report+m.Claims+m.Control) / float64(r.Starts)
+	return float64(count) / float64(r.TasksAnswered)
 }
 
 // WriteTable writes the reports side by side, one column each.
@@ -104,7 +111,6 @@
 	{"offered load", func(r *Report) string { return share(r.Offered) }},
 	{"goodput", func(r *Report) string { return share(r.Goodput) }},
 	{"ideal goodput", func(r *Report) string { return share(r.IdealGoodput) }},
-	{"work started in time", func(r *Report) string { return share(r.StartedWork) }},
 	{"jobs complete", func(r *Report) string { return fmt.Sprint(r.Complete) }},
 	{"jobs refused", func(r *Report) string { return kinds(r.Refused) }},
 	{"jobs failed", func(r *Report) string { return kinds(r.Failed) }},
@@ -115,10 +121,17 @@
 	{"ideal p50 / p99, ms", func(r *Report) string { return pair(r.Ideal) }},
 	{"over ideal p50 / p99", func(r *Report) string { return pair(r.OverIdeal) }},
 	{"over fair ideal p50 / p99", func(r *Report) string { return pair(r.OverFair) }},
+	{"jittered over fair ideal p50 / p99", func(r *Report) string { return pair(r.Floor) }},
+	{"p50 / p99 over those of the ideal", func(r *Report) string { return quotient(r.Response, r.Ideal) }},
+	{"p50 / p99 over those of the fair ideal", func(r *Report) string { return quotient(r.Response, r.Fair) }},
 	{"over alone p50 / p99", func(r *Report) string { return pair(r.OverAlone) }},
 	{"refusal p50 / p99, ms", func(r *Report) string { return pair(r.Refusals) }},
 	{"generator late p50 / p99, ms", func(r *Report) string { return pair(r.Late) }},
 	{"messages a task", func(r *Report) string { return fmt.Sprintf("%.3f", r.MessagesPerTask()) }},
+	{"dispatches / reports / claims / control a task", func(r *Report) string {
+		m := r.Messages
+		return fmt.Sprintf("%.3f / %.3f / %.3f / %.3f", r.perTask(m.Dispatch), r.perTask(m.Report), r.perTask(m.Claims), r.perTask(m.Control))
+	}},
 	{"extra sends a task", func(r *Report) string { return fmt.Sprintf("%.3f", r.ExtraSends()) }},
 }
 
@@ -131,6 +144,14 @@
 	return fmt.Sprintf("%.2f / %.2f", q.P50, q.P99)
 }
 
+// quotient divides two distributions' quantiles.
+func quotient(a, b Quantiles) string {
+	if b.P50 == 0 || b.P99 == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.2f / %.2f", a.P50/b.P50, a.P99/b.P99)
+}
+
 // kinds lists counts by kind, in the order of the names.
 func kinds(counts map[ccjob.Kind]int) string {
 	if len(counts) == 0 {
--- a/core/ccload/result.go
+++ b/core/ccload/result.go
@@ -34,6 +34,7 @@
 	JobID  ccjob.ID
 	Index  int
 	At     time.Time
+	Target int // Position in the profile, from zero.
 	Domain string
 }
 
@@ -51,3 +52,25 @@
 	// tasks came back without a start.
 	Sent uint64 `json:"sent"`
 }
+
+// Minus returns the messages since an earlier count.
+func (m Messages) Minus(earlier Messages) Messages {
+	return Messages{
+		Dispatch: m.Dispatch - earlier.Dispatch,
+		Report:   m.Report - earlier.Report,
+		Claims:   m.Claims - earlier.Claims,
+		Control:  m.Control - earlier.Control,
+		Sent:     m.Sent - earlier.Sent,
+	}
+}
+
+// Plus returns the messages of two counts together.
+func (m Messages) Plus(other Messages) Messages {
+	return Messages{
+		Dispatch: m.Dispatch + other.Dispatch,
+		Report:   m.Report + other.Report,
+		Claims:   m.Claims + other.Claims,
+		Control:  m.Control + other.Control,
+		Sent:     m.Sent + other.Sent,
+	}
+}
--- a/core/ccload/summary.go
+++ b/core/ccload/summary.go
@@ -1,11 +1,15 @@
 package ccload
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"camphorcroft/core/ccjob"
 )
 
+// jitter is how much arrivals are moved to see how much two ideal runs differ.
+const jitter = time.Millisecond
+
 // SummaryConfig says what a run is compared with.
 type SummaryConfig struct {
 	Name    string // The policy or the run, for the report.
@@ -16,6 +20,9 @@
 	// Except is a team that is left out of the response times, such as one that
 	// floods the fleet.
 	Except string
+	// Warm is the time from the start in which the fleet learns. Its jobs are
+	// left out of the response times, and its work out of the goodput.
+	Warm time.Duration
 }
 
 // Summary takes the results of one run and sums them up. It is not safe for use
@@ -23,27 +30,27 @@
 type Summary struct {
 	cfg     SummaryConfig
 	results []Result
-	numbers map[ccjob.ID]int
 	answers map[ccjob.ID]Result
-	ideal   []time.Duration
-	fair    []time.Duration
+	ideal   *Replay
+	fair    *Replay
+	moved   []time.Duration // Of the fair replay, with jitter.
 }
 
 // NewSummary returns a summary with no results, and replays the plan's ideal.
 func NewSummary(cfg SummaryConfig) *Summary {
+	random := rand.New(rand.NewPCG(1, 1))
 	return &Summary{
 		cfg:     cfg,
-		numbers: make(map[ccjob.ID]int),
 		answers: make(map[ccjob.ID]Result),
 		ideal:   Ideal(cfg.Plan.Arrivals, cfg.Profile.Targets, OrderFirstCome),
 		fair:    Ideal(cfg.Plan.Arrivals, cfg.Profile.Targets, OrderFair),
+		moved:   Jittered(cfg.Plan.Arrivals, cfg.Profile.Targets, OrderFair, jitter, random),
 	}
 }
 
 // Add takes what a client saw.
 func (s *Summary) Add(result Result) {
 	s.results = append(s.results, result)
-	s.numbers[result.JobID] = result.Number
 	s.answers[result.JobID] = result
 }
 
@@ -72,8 +79,8 @@
 	report.Capacity = power / (plan.Work().Seconds() / float64(plan.Tasks()))
 	s.addOutcomes(&report)
 	s.addTimes(&report)
-	s.addGoodput(&report)
 	s.addStarts(&report, observed)
+	s.addGoodput(&report, observed)
 	report.Messages = observed.Messages
 	return report
 }
@@ -108,48 +115,63 @@
 	response, late := newDurations(), newDurations()
 	ideal, ratio := newDurations(), newRatios()
 	fair, fairRatio := newDurations(), newRatios()
-	alone := newRatios()
+	alone, floor := newRatios(), newRatios()
 	for _, result := range s.results {
 		late.add(result.Late)
 		arrival := s.cfg.Plan.Arrivals[result.Number]
-		if result.State != ccjob.StateComplete || arrival.Team == s.cfg.Except {
+		if result.State != ccjob.StateComplete || arrival.Team == s.cfg.Except || arrival.At < s.cfg.Warm {
 			continue
 		}
 		response.add(result.Response)
-		first := s.ideal[result.Number] + s.cfg.RoundTrip
+		first := s.ideal.Responses[result.Number] + s.cfg.RoundTrip
 		ideal.add(first)
 		ratio.add(result.Response.Seconds() / first.Seconds())
-		shared := s.fair[result.Number] + s.cfg.RoundTrip
+		shared := s.fair.Responses[result.Number] + s.cfg.RoundTrip
 		fair.add(shared)
 		fairRatio.add(result.Response.Seconds() / shared.Seconds())
+		floor.add((s.moved[result.Number] + s.cfg.RoundTrip).Seconds() / shared.Seconds())
 		bound := Alone(arrival, s.cfg.Profile.Targets) + s.cfg.RoundTrip
 		alone.add(result.Response.Seconds() / bound.Seconds())
 	}
 	report.Response, report.Late = response.quantiles(), late.quantiles()
 	report.Ideal, report.OverIdeal = ideal.quantiles(), ratio.quantiles()
 	report.Fair, report.OverFair = fair.quantiles(), fairRatio.quantiles()
-	report.OverAlone = alone.quantiles()
+	report.OverAlone, report.Floor = alone.quantiles(), floor.quantiles()
 }
 
-// addGoodput counts the work of complete jobs that ended inside the planned
-// time, and the same of the ideal replay.
-func (s *Summary) addGoodput(report *Report) {
-	duration := s.cfg.Plan.Duration
-	var done, possible time.Duration
-	for _, result := range s.results {
-		arrival := &s.cfg.Plan.Arrivals[result.Number]
-		if result.State == ccjob.StateComplete && arrival.At+result.Response <= duration {
-			done += arrival.Work()
-		}
+// addGoodput sums up the work that targets did for jobs that completed, and the
+// work of the ideal replay, from the end of the warm-up to the end of the plan.
+func (s *Summary) addGoodput(report *Report, observed Observed) {
+	from, to := s.cfg.Warm, s.cfg.Plan.Duration
+	possible := Power(s.cfg.Profile.Targets) * (to - from).Seconds()
+	var ideal, done time.Duration
+	for _, span := range s.ideal.Spans {
+		ideal += span.inside(from, to)
 	}
-	for number := range s.cfg.Plan.Arrivals {
-		arrival := &s.cfg.Plan.Arrivals[number]
-		if arrival.At+s.ideal[number] <= duration {
-			possible += arrival.Work()
+	for _, start := range observed.Starts {
+		if span, ok := s.useful(start, observed.From); ok {
+			done += span.inside(from, to)
 		}
 	}
-	report.Goodput = done.Seconds() / (Power(s.cfg.Profile.Targets) * duration.Seconds())
-	report.IdealGoodput = possible.Seconds() / (Power(s.cfg.Profile.Targets) * duration.Seconds())
+	report.IdealGoodput = ideal.Seconds() / possible
+	report.Goodput = done.Seconds() / possible
+}
+
+// useful returns the span of a start whose job completed.
+func (s *Summary) useful(start Start, from time.Time) (Span, bool) {
+	result, known := s.answers[start.JobID]
+	if !known || result.State != ccjob.StateComplete || start.Target >= len(s.cfg.Profile.Targets) {
+		return Span{}, false
+	}
+	begin, speed := start.At.Sub(from), s.cfg.Profile.Targets[start.Target].Speed
+	run := s.cfg.Plan.Arrivals[result.Number].Tasks[start.Index]
+	return Span{From: begin, To: begin + time.Duration(float64(run)/speed), Speed: speed}, true
+}
+
+// taskKey names a task.
+type taskKey struct {
+	job   ccjob.ID
+	index int
 }
 
 // addStarts judges the promises against what the targets saw.
@@ -157,26 +179,16 @@
 	if observed.Starts == nil {
 		return
 	}
-	type task struct {
-		job   ccjob.ID
-		index int
-	}
-	starts := make(map[task]int)
+	starts := make(map[taskKey]int)
 	jobs := make(map[ccjob.ID]bool)
-	until := observed.From.Add(s.cfg.Plan.Duration)
-	var busy time.Duration
 	for _, start := range observed.Starts {
-		number, known := s.numbers[start.JobID]
-		if !known {
+		if _, known := s.answers[start.JobID]; !known {
 			report.Unknown++
 			continue
 		}
-		starts[task{start.JobID, start.Index}]++
+		starts[taskKey{start.JobID, start.Index}]++
 		jobs[start.JobID] = true
 		report.Starts++
-		if start.At.Before(until) {
-			busy += s.cfg.Plan.Arrivals[number].Tasks[start.Index]
-		}
 	}
 	for _, count := range starts {
 		if count > 1 {
@@ -187,14 +199,19 @@
 		if result.NotRun && jobs[id] {
 			report.FalseNotRun++
 		}
-		if result.State != ccjob.StateComplete {
-			continue
+		if result.State == ccjob.StateComplete {
+			report.Lost += s.missing(result, starts)
 		}
-		for index := range s.cfg.Plan.Arrivals[result.Number].Tasks {
-			if starts[task{id, index}] == 0 {
-				report.Lost++
-			}
+	}
+}
+
+// missing counts the tasks of a complete job that no target started.
+func (s *Summary) missing(result Result, starts map[taskKey]int) int {
+	missing := 0
+	for index := range s.cfg.Plan.Arrivals[result.Number].Tasks {
+		if starts[taskKey{result.JobID, index}] == 0 {
+			missing++
 		}
 	}
-	report.StartedWork = busy.Seconds() / (Power(s.cfg.Profile.Targets) * s.cfg.Plan.Duration.Seconds())
+	return missing
 }
