Run a fleet in one process

Cause: the demo, the load tool and tests need entries, agents and targets that break and mend on demand, and a process may start no other. Change: io/ccfleet starts them on loopback, applies faults, and collects what targets started, what processes recorded and how many messages they sent.

--- /dev/null
+++ b/io/ccfleet/faults.go
@@ -0,0 +1,89 @@
+package ccfleet
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"camphorcroft/core/ccfault"
+	"camphorcroft/core/ccsettings"
+	"camphorcroft/io/ccstandin"
+)
+
+// Apply makes one fault happen.
+func (f *Fleet) Apply(ctx context.Context, fault ccfault.Fault) error {
+	switch fault.Kind {
+	case ccfault.KindKillEntry:
+		return f.KillEntry(ctx, fault.Number)
+	case ccfault.KindStopEntry:
+		return f.StopEntry(ctx, fault.Number)
+	case ccfault.KindStartEntry:
+		return f.StartEntry(ctx, fault.Number)
+	case ccfault.KindKillAgent:
+		return f.KillAgent(fault.Number)
+	case ccfault.KindStopAgent:
+		return f.StopAgent(ctx, fault.Number)
+	case ccfault.KindStartAgent:
+		return f.StartAgent(ctx, fault.Number)
+	case ccfault.KindDomainOut:
+		return f.SetDomain(ctx, fault.Domain, true)
+	case ccfault.KindDomainIn:
+		return f.SetDomain(ctx, fault.Domain, false)
+	case ccfault.KindStoreOutage:
+		return f.SetStoreOutage(!fault.Off)
+	default:
+		return f.applyToTarget(fault)
+	}
+}
+
+func (f *Fleet) applyToTarget(fault ccfault.Fault) error {
+	return f.changeTarget(fault.Number, func(slot *agentSlot, faults *ccstandin.TargetFaults) {
+		switch fault.Kind {
+		case ccfault.KindSlow:
+			faults.Speed = slot.speed / fault.Factor
+		case ccfault.KindBlackHole:
+			faults.Failing = !fault.Off
+		case ccfault.KindPause:
+			faults.Pausing = !fault.Off
+		default:
+		}
+	})
+}
+
+// Run applies the faults at their times, which count from the given one, and
+// tells each to report. It returns when all have happened or the context ends.
+func (f *Fleet) Run(ctx context.Context, from time.Time, faults []ccfault.Fault, report func(ccfault.Fault, error)) {
+	for _, fault := range faults {
+		timer := time.NewTimer(time.Until(from.Add(fault.At.Std())))
+		select {
+		case <-timer.C:
+			report(fault, f.Apply(ctx, fault))
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		}
+	}
+}
+
+// SetDomain takes a failure domain out, or brings it back.
+func (f *Fleet) SetDomain(_ context.Context, name string, out bool) error {
+	if _, known := f.settings.settings.Domains[name]; !known {
+		return newError("set domain", KindSettings, fmt.Errorf("there is no domain %q", name))
+	}
+	f.settings.change(func(settings *ccsettings.Effective) {
+		domain := settings.Domains[name]
+		domain.Out = out
+		settings.Domains[name] = domain
+	})
+	return nil
+}
+
+// SetStoreOutage makes the store refuse all calls, or ends that.
+func (f *Fleet) SetStoreOutage(out bool) error {
+	faults := f.store.Faults()
+	faults.Outage = out
+	if err := f.store.SetFaults(faults); err != nil {
+		return newError("store outage", KindProcess, err)
+	}
+	return nil
+}
