Add the demo and load commands

Cause: nothing showed the promises under failure, or compared policies. Change: demo runs the script of failures and counts each promise; load plans, submits, breaks and reports one run for each policy, with the same plan.

--- a/io/cccli/root.go
+++ b/io/cccli/root.go
@@ -52,8 +52,10 @@
 // commands lists every command, in the order of the help text.
 func commands(streams Streams) []*ff.Command {
 	return []*ff.Command{
+		demoCommand(streams),
 		standinCommand(streams),
 		submitCommand(streams),
+		loadCommand(streams),
 		statusCommand(streams),
 		timelineCommand(streams),
 		explainCommand(streams),
--- /dev/null
+++ b/io/ccexperiment/experiment_test.go
@@ -0,0 +1,52 @@
+package ccexperiment
+
+import (
+	"testing"
+	"time"
+
+	"camphorcroft/core/ccfault"
+	"camphorcroft/core/ccload"
+	"camphorcroft/io/ccgenerator"
+
+	"github.com/go-logr/logr"
+)
+
+func TestRun(t *testing.T) {
+	profile, err := ccload.ProfileByName("maregrafo")
+	if err != nil {
+		t.Fatal(err)
+	}
+	plan, err := ccload.NewPlan(ccload.PlanConfig{Profile: profile, Load: 0.3, Duration: time.Second, Seed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	happened := 0
+	reports, err := Run(t.Context(), Config{
+		Profile: profile, Plan: plan, Seed: 1, EntryCount: 1, Log: logr.Discard(),
+		Policies: []string{"lateBinding", "roundRobin"},
+		Faults:   []ccfault.Fault{{Kind: ccfault.KindSlow, Number: 1, Factor: 2}},
+		Progress: func(string, ccgenerator.Progress) {},
+		Happened: func(_ ccfault.Fault, err error) {
+			if err != nil {
+				t.Error(err)
+			}
+			happened++
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(reports) != 2 || happened != 2 {
+		t.Fatalf("there are %d reports and %d faults, want 2 and 2", len(reports), happened)
+	}
+	for _, report := range reports {
+		t.Run(report.Name, func(t *testing.T) {
+			if !report.Holds() {
+				t.Errorf("a promise was broken: %+v", report)
+			}
+			if report.Jobs != len(plan.Arrivals) || report.Complete == 0 || report.Starts < report.TasksAnswered {
+				t.Errorf("the report doesn't add up: %+v", report)
+			}
+		})
+	}
+}
