--- a/core/ccdispatch/dispatcher.go
+++ b/core/ccdispatch/dispatcher.go
@@ -18,7 +18,7 @@
 //	d := ccdispatch.New(ccdispatch.Config{Entry: self, Seed: seed, Record: ring.Record})
 //	d.SetSettings(now, effective)
 //	d.AgentUp(now, session, helloReply)
-//	if refusal, ok := d.Admit(now, &spec); !ok {
+//	if refusal, ok := d.Admit(&spec); !ok {
 //		return refusal
 //	}
 //	d.Submit(now, ccdispatch.Submission{Spec: spec, Claim: claim})
@@ -144,6 +144,7 @@
 func (d *Dispatcher) Tick(now time.Time) {
 	d.expire(now)
 	d.probeSilent(now)
+	d.noteReadmitted(now)
 	for _, s := range d.services {
 		s.rate.tick(now)
 	}
--- a/core/ccevent/text.go
+++ b/core/ccevent/text.go
@@ -14,10 +14,7 @@
 // WriteText writes the time line for people: what is known of each process, then
 // one short line an event. A job that all events share is named once.
 func WriteText(w io.Writer, timeline Timeline) error {
-	text := TextWriter{Out: w, Job: onlyJob(timeline.Steps)}
-	for i := range timeline.Lanes {
-		text.Width = max(text.Width, len(timeline.Lanes[i].Node.ID))
-	}
+	text := TextWriter{Out: w, Job: onlyJob(timeline.Steps), Width: timeline.NodeWidth()}
 	for i := range timeline.Lanes {
 		if err := text.Lane(&timeline.Lanes[i]); err != nil {
 			return err
@@ -36,6 +33,15 @@
 	return nil
 }
 
+// NodeWidth returns the length of the longest node ID, in characters.
+func (t Timeline) NodeWidth() int {
+	width := 0
+	for i := range t.Lanes {
+		width = max(width, len(t.Lanes[i].Node.ID))
+	}
+	return width
+}
+
 // onlyJob returns the job of all steps that have one, or "" when they differ.
 func onlyJob(steps []Step) ccjob.ID {
 	var only ccjob.ID
@@ -88,7 +94,7 @@
 	}
 	add(step.Job != "" && step.Job != t.Job, "job=%s", step.Job)
 	add(step.Job != "" && step.Index != NoIndex && step.Count <= 1, "task=%d", step.Index)
-	add(step.Count > 1 || step.Count == 1 && step.Index == NoIndex, "tasks=%d", step.Count)
+	add(step.Count > 1 || step.Count == 1 && step.Index == NoIndex, countName(step)+"=%d", step.Count)
 	add(step.Claim != 0, "claim=%d", step.Claim)
 	add(step.Peer != "", "peer=%s", step.Peer)
 	add(step.Team != "", "team=%s", step.Team)
@@ -97,6 +103,18 @@
 	return parts
 }
 
+// countName says what an event counts.
+func countName(step *Step) string {
+	switch step.Kind {
+	case KindVersion:
+		return "version"
+	case KindRoster:
+		return "members"
+	default:
+		return "tasks"
+	}
+}
+
 // laneText describes a process in a few words.
 func laneText(l *Lane) string {
 	if l.Silent {
--- a/io/ccentry/pending.go
+++ b/io/ccentry/pending.go
@@ -33,10 +33,12 @@
 func (e *Entry) submit(now time.Time, spec *ccjob.Spec, waiter chan<- ccjob.Outcome) {
 	digest := spec.Digest()
 	if kept, ok := e.answers.Get(now, spec.ID); ok {
+		e.recordAgain(now, spec)
 		waiter <- matching(&kept.Outcome, kept.Digest == digest)
 		return
 	}
 	if p, ok := e.pending[spec.ID]; ok {
+		e.recordAgain(now, spec)
 		if p.digest != digest {
 			waiter <- conflict(spec.ID)
 			return
@@ -44,7 +46,9 @@
 		p.waiters = append(p.waiters, waiter)
 		return
 	}
-	if refusal, ok := e.admit(now, spec); !ok {
+	if refusal, ok := e.admit(spec); !ok {
+		e.record(now, ccevent.KindRefused, spec, string(refusal.Kind)+": "+refusal.Reason)
+		e.metrics.Map("refusals").Add(string(refusal.Kind), 1)
 		waiter <- refusal
 		return
 	}
@@ -54,14 +58,14 @@
 	e.claims.claim(e, now, p)
 }
 
-func (e *Entry) admit(now time.Time, spec *ccjob.Spec) (ccjob.Outcome, bool) {
+func (e *Entry) admit(spec *ccjob.Spec) (ccjob.Outcome, bool) {
 	switch {
 	case e.draining:
 		return ccjob.Refuse(spec.ID, ccjob.KindDraining, "this entry is stopping"), false
 	case len(e.pending) >= maxPending:
 		return ccjob.Refuse(spec.ID, ccjob.KindOverload, "too many jobs are in flight"), false
 	}
-	return e.dispatcher.Admit(now, spec)
+	return e.dispatcher.Admit(spec)
 }
 
 func matching(outcome *ccjob.Outcome, same bool) ccjob.Outcome {
@@ -102,6 +106,7 @@
 // finish answers all who wait.
 func (e *Entry) finish(p *pendingJob, outcome ccjob.Outcome) {
 	delete(e.pending, p.spec.ID)
+	e.countOutcome(&outcome)
 	for _, waiter := range p.waiters {
 		waiter <- outcome
 	}
@@ -112,7 +117,9 @@
 func (e *Entry) expirePending(now time.Time) {
 	for _, p := range e.pending {
 		if !p.driven && now.Sub(p.arrived) > p.spec.Deadline+claimSlack {
-			e.finish(p, ccjob.Fail(p.spec.ID, ccjob.KindDeadline, false, "the deadline passed before the job was claimed"))
+			outcome := ccjob.Fail(p.spec.ID, ccjob.KindDeadline, false, "the deadline passed before the job was claimed")
+			e.record(now, ccevent.KindFailed, &p.spec, string(outcome.Kind)+": "+outcome.Reason)
+			e.finish(p, outcome)
 		}
 	}
 }
