Claim jobs among the entries of the fleet

Entries granted claims to themselves alone, so a job submitted to two of them ran twice. What it decides is in core; io/ccentry only carries it.

--- a/core/ccclaim/config.go
+++ b/core/ccclaim/config.go
@@ -6,6 +6,20 @@
 	"camphorcroft/core/ccnode"
 )
 
+// Limits are the settings of an Authority that operators may change.
+type Limits struct {
+	MaxClaims   int
+	ClockMargin time.Duration
+	DriveLife   time.Duration
+	Retention   time.Duration
+}
+
+// Configure puts changed limits in force.
+func (a *Authority) Configure(limits Limits) {
+	a.cfg.MaxClaims, a.cfg.ClockMargin = limits.MaxClaims, limits.ClockMargin
+	a.cfg.DriveLife, a.cfg.Retention = limits.DriveLife, limits.Retention
+}
+
 // DefaultGrantLife is how long after a claim was sent its grant may be taken up,
 // on the requester's clock.
 const DefaultGrantLife = 500 * time.Millisecond
--- a/core/ccoutage/membership.go
+++ b/core/ccoutage/membership.go
@@ -44,7 +44,7 @@
 	self    ccroster.Member
 	joined  bool
 	leaving bool
-	handed  bool
+	handed  uint64 // The epoch under which all successors knew this entry's claims.
 	// lapsed is not zero after a lease was lost. The next one counts under a later
 	// epoch that this entry wrote.
 	lapsed  uint64
@@ -60,8 +60,9 @@
 // was called.
 func (m *Membership) Leave() { m.leaving = true }
 
-// HandedOver notes that all successors know what this entry granted.
-func (m *Membership) HandedOver() { m.handed = true }
+// HandedOver notes that all successors under the roster in use know what this
+// entry granted.
+func (m *Membership) HandedOver() { m.handed = m.rule.roster.Epoch }
 
 // Removal returns the removal that is under way, or nil. Replies to pulses go to
 // its Denied.
@@ -127,10 +128,11 @@
 	return m.settled(Decision{Ask: true, Swap: view.Roster.Renewed()})
 }
 
-// judge begins or goes on to remove a member whose key is gone.
+// judge begins or goes on to remove a member that is dead or whose key is gone.
 func (m *Membership) judge(now time.Time, view View) Decision {
 	for _, member := range view.Roster.Entries {
-		if member.Ref == m.self.Ref || view.Live[member.Ref.ID] == member.Ref {
+		there := view.Live[member.Ref.ID] == member.Ref && !m.rule.isDead(member.Ref)
+		if member.Ref == m.self.Ref || there {
 			continue
 		}
 		if m.removal == nil || m.removal.target != member.Ref || m.removal.epoch != view.Roster.Epoch {
@@ -150,7 +152,7 @@
 	switch {
 	case !member.Leaving:
 		return roster.WithLeaving(m.self.Ref)
-	case m.handed:
+	case m.handed == roster.Epoch:
 		return roster.WithoutLeft(m.self.Ref)
 	default:
 		return nil
--- a/core/ccoutage/removal.go
+++ b/core/ccoutage/removal.go
@@ -9,7 +9,7 @@
 
 // Removal collects what an entry needs before it may take another out of the
 // roster in use. Start one only after the store has shown, under that roster,
-// that the other's lease has ended.
+// that the other's lease has ended, or when the other is dead.
 type Removal struct {
 	rule     *Rule
 	epoch    uint64
@@ -39,12 +39,15 @@
 }
 
 // May reports whether the target may be removed now. Once enough members refuse,
-// it waits until what they consented to before has ended. A removal that began
-// under another roster never may.
+// it waits until what they consented to before has ended; the dead need no
+// waiting for. A removal that began under another roster never may.
 func (r *Removal) May(now time.Time) bool {
 	if r.epoch != r.rule.roster.Epoch || !r.rule.Settled() || !r.proved() {
 		return false
 	}
+	if r.rule.isDead(r.target) {
+		return true
+	}
 	if r.provedAt.IsZero() {
 		r.provedAt = now
 	}
@@ -54,7 +57,7 @@
 // proved reports whether the target is dead, or so many members are dead or
 // refuse that the rest are no majority.
 func (r *Removal) proved() bool {
-	if _, dead := r.rule.dead[r.target]; dead {
+	if r.rule.isDead(r.target) {
 		return true
 	}
 	refusing := 0
--- a/core/ccoutage/rule.go
+++ b/core/ccoutage/rule.go
@@ -101,13 +101,20 @@
 	}
 }
 
+func (r *Rule) isDead(ref ccnode.Ref) bool {
+	_, dead := r.dead[ref]
+	return dead
+}
+
 // Settled reports whether a majority of the roster uses it, or will never use an
 // older one. The next roster must not be swapped in before that.
 func (r *Rule) Settled() bool {
+	if len(r.roster.Entries) == 0 {
+		return true
+	}
 	count := 0
 	for _, member := range r.roster.Entries {
-		_, dead := r.dead[member.Ref]
-		if dead || r.applied[member.Ref] >= r.roster.Epoch {
+		if r.isDead(member.Ref) || r.applied[member.Ref] >= r.roster.Epoch {
 			count++
 		}
 	}
--- a/core/ccoutage/rule_test.go
+++ b/core/ccoutage/rule_test.go
@@ -123,6 +123,12 @@
 		assertMay(t, removal, later, false)
 		assertMay(t, removal, after, false)
 	})
+	t.Run("a dead target needs no wait", func(t *testing.T) {
+		f := newFleet("a", "b", "c")
+		removal := f.removal(later)
+		f["b"].Dead(ref("a"))
+		assertMay(t, removal, later, true)
+	})
 	t.Run("the dead deny", func(t *testing.T) {
 		f := newFleet("a", "b", "c")
 		removal := f.removal(later)
--- a/core/ccproof/world_test.go
+++ b/core/ccproof/world_test.go
@@ -262,11 +262,13 @@
 	live   map[ccnode.ID]ccnode.Ref
 }
 
-// renew extends a lease, or makes one if it is asked to and the key is free.
+// renew extends a lease, or makes one if it is asked to and the key is free or an
+// earlier life's.
 func (s *store) renew(now time.Time, ref ccnode.Ref, makeKey bool) shown {
 	held, ok := s.leases[ref.ID]
 	alive := ok && now.Before(held.until)
-	holds := alive && held.holder == ref || makeKey && !alive
+	free := !alive || held.holder.Incarnation <= ref.Incarnation
+	holds := alive && held.holder == ref || makeKey && free
 	if holds {
 		s.leases[ref.ID] = lease{holder: ref, until: now.Add(leaseTime)}
 	}
--- a/io/ccentry/bench_test.go
+++ b/io/ccentry/bench_test.go
@@ -72,7 +72,7 @@
 // jobs of 100 tasks from 16 clients. The time of the clients and of the agents,
 // which answer at once, is counted in, so the entry's own figure is higher.
 func BenchmarkStartsPerCore(b *testing.B) {
-	entry := startEntry(b, cellStore{record: startInstantAgents(b, elevenAgents(), 64)})
+	entry := startEntry(b, cellStore(b, startInstantAgents(b, elevenAgents(), 64)))
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
 	awaitReady(b, client, entry)
 	const tasks, clients = 100, 16
@@ -98,7 +98,7 @@
 // one at a time: all of it is added by the entry, the agent's connection and
 // the client's.
 func BenchmarkAddedLatency(b *testing.B) {
-	entry := startEntry(b, cellStore{record: startInstantAgents(b, elevenAgents(), 8)})
+	entry := startEntry(b, cellStore(b, startInstantAgents(b, elevenAgents(), 8)))
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
 	awaitReady(b, client, entry)
 	var times []time.Duration
--- a/io/ccentry/claimer.go
+++ b/io/ccentry/claimer.go
@@ -1,6 +1,10 @@
 package ccentry
 
-import "time"
+import (
+	"time"
+
+	"camphorcroft/core/ccsettings"
+)
 
 // claimer gets the right to drive a job. Its methods are called on the control
 // goroutine and must not wait.
@@ -10,6 +14,17 @@
 	claim(e *Entry, now time.Time, p *pendingJob)
 	// release gives back the claim of a job that did not start.
 	release(e *Entry, p *pendingJob)
+	// ready reports whether jobs may be claimed now.
+	ready() bool
+	// check makes sure that the entry may go on; it is called before anything is
+	// decided and before anything is sent.
+	check(now time.Time)
+	// tick lets time pass.
+	tick(now time.Time)
+	// carryOut sends what was decided.
+	carryOut(now time.Time)
+	// configure takes newer settings.
+	configure(settings *ccsettings.Effective)
 }
 
 // localClaims asks nobody. It is right for a fleet with one entry that never
@@ -24,3 +39,13 @@
 }
 
 func (c *localClaims) release(*Entry, *pendingJob) {}
+
+func (c *localClaims) ready() bool { return true }
+
+func (c *localClaims) check(time.Time) {}
+
+func (c *localClaims) tick(time.Time) {}
+
+func (c *localClaims) carryOut(time.Time) {}
+
+func (c *localClaims) configure(*ccsettings.Effective) {}
--- a/io/ccentry/control.go
+++ b/io/ccentry/control.go
@@ -16,6 +16,7 @@
 		select {
 		case <-ctx.Done():
 			e.closeLinks()
+			e.presence.closePeers()
 			return
 		case <-ticker.C:
 			e.tick(time.Now())
@@ -30,6 +31,7 @@
 // share messages.
 func (e *Entry) batch(run command) {
 	now := time.Now()
+	e.claims.check(now)
 	run(now)
 	for range batchCommands {
 		select {
@@ -42,7 +44,9 @@
 }
 
 func (e *Entry) tick(now time.Time) {
+	e.claims.check(now)
 	e.dispatcher.Tick(now)
+	e.claims.tick(now)
 	e.expirePending(now)
 	e.answers.Expire(now)
 }
@@ -70,6 +74,8 @@
 }
 
 func (e *Entry) carryOut(now time.Time) {
+	e.claims.check(now)
+	e.claims.carryOut(now)
 	for _, action := range e.dispatcher.Actions(now) {
 		switch action := action.(type) {
 		case *ccdispatch.SendDispatch:
--- a/io/ccentry/entry.go
+++ b/io/ccentry/entry.go
@@ -26,6 +26,8 @@
 	"camphorcroft/core/ccevent"
 	"camphorcroft/core/ccjob"
 	"camphorcroft/core/ccnode"
+	"camphorcroft/core/ccoutage"
+	"camphorcroft/core/ccroster"
 	"camphorcroft/io/ccmetric"
 	"camphorcroft/io/ccrpc"
 	"camphorcroft/io/ccstore"
@@ -71,6 +73,7 @@
 	log        logr.Logger
 	commands   chan command
 	stopped    chan struct{} // Closed when the control goroutine has ended.
+	lost       chan struct{} // Closed when another took this life's place.
 	cancel     context.CancelFunc
 	background sync.WaitGroup
 	listener   net.Listener
@@ -84,6 +87,7 @@
 	pending      map[ccjob.ID]*pendingJob
 	links        map[ccnode.ID]*link
 	claims       claimer
+	presence     *presence
 	unready      bool   // A planned stop has begun.
 	draining     bool   // No new jobs are taken.
 	version      uint64 // Of the settings in force.
@@ -108,6 +112,7 @@
 		log:      cfg.Log.WithName("entry"),
 		commands: make(chan command, commandQueue),
 		stopped:  make(chan struct{}),
+		lost:     make(chan struct{}),
 		pending:  make(map[ccjob.ID]*pendingJob),
 		links:    make(map[ccnode.ID]*link),
 	}
@@ -115,8 +120,9 @@
 		Entry: self, Domain: cfg.Domain, Seed: cfg.Seed, Record: cfg.Ring.Record,
 	})
 	e.answers = ccanswer.NewCache(ccanswer.CacheConfig{Retention: defaultRetention, MaxBytes: answerBytes})
-	e.claims = &localClaims{}
 	e.metrics = e.newMetrics()
+	e.presence = newPresence(e)
+	e.claims = e.presence
 	return e
 }
 
@@ -135,11 +141,16 @@
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	e.cancel = cancel
 	e.httpServer = e.newHTTPServer()
+	e.presence.membership = ccoutage.NewMembership(e.presence.rule, ccroster.Member{
+		Ref: e.self, Addr: e.Addr(), HTTP: e.HTTPAddr(), Domain: e.cfg.Domain,
+	})
 	go e.control(running)
 	e.goBackground(func() { ccrpc.Serve(e.listener, &peerHandler{entry: e}) })
 	e.goBackground(func() { _ = e.httpServer.Serve(e.httpSocket) })
 	e.goBackground(func() { e.followSettings(running) })
 	e.goBackground(func() { e.followCells(running) })
+	e.goBackground(func() { e.presence.followRoster(running) })
+	e.goBackground(func() { e.presence.watchEntries(running) })
 	e.cfg.Ring.Record(time.Now(), ccevent.Event{Kind: ccevent.KindUp, Index: ccevent.NoIndex, Domain: e.cfg.Domain})
 	e.log.Info("Entry has started.", "node", e.self.String(), "http", e.HTTPAddr().String())
 	return nil
@@ -181,6 +192,7 @@
 		e.cfg.Ring.Record(now, ccevent.Event{Kind: ccevent.KindDraining, Index: ccevent.NoIndex})
 	})
 	err := e.waitQuiet(ctx)
+	e.presence.leave(ctx)
 	if shutdownErr := e.httpServer.Shutdown(ctx); err == nil && shutdownErr != nil {
 		err = &Error{Op: "stop", Kind: KindUnfinished, Err: shutdownErr}
 	}
--- a/io/ccentry/events_bench_test.go
+++ b/io/ccentry/events_bench_test.go
@@ -22,7 +22,7 @@
 			self := ccnode.Ref{ID: "entry-1", Incarnation: 1}
 			entry := ccentry.New(ccentry.Config{
 				Node: self, Domain: "north", Listen: anyPort, HTTP: anyPort,
-				Store: cellStore{record: startInstantAgents(b, elevenAgents(), 64)}, Settings: fixedSettings{oneService()},
+				Store: cellStore(b, startInstantAgents(b, elevenAgents(), 64)), Settings: fixedSettings{oneService()},
 				Log: logr.Discard(), Seed: 1, Ring: ccevent.NewRing(ccevent.RingConfig{Node: self, Domain: "north", Size: size}),
 			})
 			if err := entry.Start(context.Background()); err != nil {
--- a/io/ccentry/fakes_test.go
+++ b/io/ccentry/fakes_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/netip"
 	"testing"
-	"time"
 
 	"github.com/go-logr/logr"
 
@@ -15,6 +14,7 @@
 	"camphorcroft/core/ccwire"
 	"camphorcroft/io/ccentry"
 	"camphorcroft/io/ccrpc"
+	"camphorcroft/io/ccstandin"
 	"camphorcroft/io/ccstore"
 )
 
@@ -41,22 +41,13 @@
 	}
 }
 
-// cellStore holds one cell record and nothing else.
-type cellStore struct {
-	ccstore.Store
-	record []byte
-}
-
-func (s cellStore) List(_ context.Context, prefix string) ([]ccstore.Item, uint64, error) {
-	if prefix != "cells/" {
-		return nil, 1, nil
+// cellStore returns a store that holds one cell record.
+func cellStore(tb testing.TB, record []byte) *ccstandin.Store {
+	store := ccstandin.NewStore(ccstandin.StoreConfig{})
+	if _, err := store.Swap(context.Background(), "cells/0", 0, record, ccstore.NoLease); err != nil {
+		tb.Fatal(err)
 	}
-	return []ccstore.Item{{Key: "cells/0", Value: s.record, Revision: 1}}, 1, nil
-}
-
-func (s cellStore) Watch(ctx context.Context, _ string, revision uint64, _ time.Duration) (ccstore.Change, error) {
-	<-ctx.Done()
-	return ccstore.Change{Revision: revision}, ctx.Err()
+	return store
 }
 
 // instantAgent answers every task at once.
--- a/io/ccentry/http_test.go
+++ b/io/ccentry/http_test.go
@@ -50,7 +50,7 @@
 
 func readyEntry(t *testing.T) *ccentry.Entry {
 	t.Helper()
-	entry := startEntry(t, cellStore{record: startInstantAgents(t, []ccnode.ID{"a", "b"}, 8)})
+	entry := startEntry(t, cellStore(t, startInstantAgents(t, []ccnode.ID{"a", "b"}, 8)))
 	awaitReady(t, http.DefaultClient, entry)
 	return entry
 }
--- a/io/ccentry/peers.go
+++ b/io/ccentry/peers.go
@@ -15,10 +15,15 @@
 }
 
 // Notified takes notifications.
-func (h *peerHandler) Notified(*ccrpc.Peer, string, json.RawMessage) {}
+func (h *peerHandler) Notified(_ *ccrpc.Peer, method string, params json.RawMessage) {
+	h.entry.presence.notified(method, params)
+}
 
 // Called takes requests.
-func (h *peerHandler) Called(_ *ccrpc.Peer, method string, _ json.RawMessage, reply func(any, error)) {
+func (h *peerHandler) Called(_ *ccrpc.Peer, method string, params json.RawMessage, reply func(any, error)) {
+	if h.entry.presence.called(method, params, reply) {
+		return
+	}
 	reply(nil, &ccrpc.Error{Op: method, Kind: ccrpc.KindRefused, Err: errUnknownMethod})
 }
 
--- /dev/null
+++ b/io/ccentry/recover_lives.go
@@ -0,0 +1,70 @@
+package ccentry
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"camphorcroft/core/ccclaim"
+	"camphorcroft/core/ccwire"
+)
+
+// noteCell keeps a cell's record for recoveries.
+func (p *presence) noteCell(now time.Time, record *ccwire.CellRecord) {
+	p.cells[record.Cell] = record
+	for _, departure := range record.Departed {
+		p.requester.AgentGone(now, departure.Node)
+	}
+}
+
+// lives lists the lives of all agents. It is false while the newest list was
+// asked for before since; a newer one is then on its way.
+func (p *presence) lives(since time.Time) ([]ccclaim.Life, bool) {
+	if !p.cellsListed.After(since) {
+		p.listCells()
+		return nil, false
+	}
+	var lives []ccclaim.Life
+	for _, record := range p.cells {
+		for i := range record.Members {
+			member := &record.Members[i]
+			lives = append(lives, ccclaim.Life{Ref: member.Node, Start: time.UnixMilli(member.Since)})
+		}
+		for _, departure := range record.Departed {
+			lives = append(lives, ccclaim.Life{Ref: departure.Node, End: time.UnixMilli(departure.At)})
+		}
+	}
+	return lives, true
+}
+
+// listCells reads all cells' records, unless that is under way.
+func (p *presence) listCells() {
+	if p.listing {
+		return
+	}
+	p.listing = true
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), roundTimeout)
+		defer cancel()
+		sent := time.Now()
+		items, _, err := p.entry.cfg.Store.List(ctx, cellPrefix)
+		records := make([]*ccwire.CellRecord, 0, len(items))
+		for _, item := range items {
+			record := &ccwire.CellRecord{}
+			if err == nil {
+				err = json.Unmarshal(item.Value, record)
+			}
+			records = append(records, record)
+		}
+		p.entry.do(func(now time.Time) {
+			p.listing = false
+			if err != nil {
+				return
+			}
+			for _, record := range records {
+				p.entry.takeCell(now, record)
+			}
+			p.cellsListed = sent
+		})
+	}()
+}
--- a/io/ccentry/settings.go
+++ b/io/ccentry/settings.go
@@ -30,6 +30,7 @@
 	}
 	e.version, e.versionSince = settings.Version, now
 	e.dispatcher.SetSettings(now, settings)
+	e.claims.configure(settings)
 	e.cfg.Ring.Record(now, ccevent.Event{Kind: ccevent.KindVersion, Index: ccevent.NoIndex, Count: int(settings.Version)})
 	e.log.Info("Settings are in force.", "version", settings.Version)
 	if e.cfg.SetLogLevel != nil {
@@ -39,5 +40,5 @@
 
 // ready reports whether the balancer may send clients here.
 func (e *Entry) ready() bool {
-	return !e.unready && e.version > 0 && e.dispatcher.Usable() > 0
+	return !e.unready && e.claims.ready() && e.version > 0 && e.dispatcher.Usable() > 0
 }
--- a/io/ccentry/vars.go
+++ b/io/ccentry/vars.go
@@ -26,6 +26,7 @@
 func (e *Entry) newMetrics() *ccmetric.Set {
 	set := ccmetric.NewSet(string(e.self.ID))
 	set.Map("refusals")
+	set.Map("peerRequests")
 	set.Map("outcomes")
 	set.Func("entry", func() any {
 		var state varsState
