Join a lead that doesn't know the member before asking the store

A heartbeat answered with unknown made the member read the store, though the usual cause is a new lead that it only has to join. It now joins first. The service's connections bound the slots, since each running task takes one, and the metrics show cell, term and whether the agent leads.

--- a/core/ccagent/table.go
+++ b/core/ccagent/table.go
@@ -151,11 +151,16 @@
 // Leaving reports whether the agent is leaving.
 func (t *Table) Leaving() bool { return t.leaving }
 
-// Slots returns how many tasks may run at once.
+// Slots returns how many tasks may run at once. Each takes a connection to the
+// target, so the service's connections bound them too.
 func (t *Table) Slots() int {
 	slots := 0
 	if t.view != nil {
-		slots = t.view.Services[t.cfg.Service].Slots
+		service := t.view.Services[t.cfg.Service]
+		slots = service.Slots
+		if service.Connections > 0 {
+			slots = min(slots, service.Connections)
+		}
 	}
 	switch {
 	case slots == 0 && t.cfg.Slots == 0:
--- a/core/ccagent/table_test.go
+++ b/core/ccagent/table_test.go
@@ -397,3 +397,18 @@
 	}
 	b.assertStarts(b.table.Dispatch(b.now, entryA, b.dispatch("j", 0)), 0)
 }
+
+func TestSlots(t *testing.T) {
+	cases := []struct{ own, slots, connections, want int }{
+		{0, 8, 64, 8}, {4, 8, 64, 4}, {16, 8, 64, 8}, {0, 100, 64, 64}, {0, 0, 0, defaultSlots}, {3, 0, 0, 3},
+	}
+	for _, c := range cases {
+		table := NewTable(Config{Self: agentRef, Service: "proof", Slots: c.own, Since: epoch})
+		table.SetView(epoch, &ccsettings.AgentView{Version: 1, Services: map[string]ccsettings.Service{
+			"proof": {Slots: c.slots, Connections: c.connections},
+		}})
+		if got := table.Slots(); got != c.want {
+			t.Errorf("%+v gives %d slots", c, got)
+		}
+	}
+}
--- a/core/cccell/follower.go
+++ b/core/cccell/follower.go
@@ -60,10 +60,13 @@
 	case !ok:
 		f.joined = false
 		f.beatAt = now.Add(jitter(m.cfg.Rand, linkRetry))
-	case !reply.Known:
+	case !reply.Known && f.joined:
+		// A lead that doesn't know the member may be a new one: join it.
 		f.joined = false
+		f.beatAt = now.Add(time.Duration(m.cfg.Rand.Int64N(int64(linkRetry))))
+	case !reply.Known:
 		f.beatAt = now.Add(jitter(m.cfg.Rand, linkRetry))
-		m.lookSoon(now, linkRetry)
+		m.lookSoon(now, m.spread())
 	default:
 		f.joined, f.heard = true, now
 		f.beatAt = now.Add(jitter(m.cfg.Rand, beatInterval))
--- a/io/ccagent/cell.go
+++ b/io/ccagent/cell.go
@@ -101,6 +101,7 @@
 	}
 	a.cells.own.Step(now)
 	a.stepOldCell(now)
+	a.countCell()
 	a.watchWhileLeading()
 	if a.table.Behind() {
 		a.cells.own.Machine().Ask(now)
@@ -111,6 +112,18 @@
 	}
 }
 
+// countCell shows the cell in the metrics.
+func (a *Agent) countCell() {
+	machine := a.cells.own.Machine()
+	a.stats.cell.Set(int64(machine.Cell()))
+	a.stats.cellTerm.Set(int64(machine.Term()))
+	leads := int64(0)
+	if machine.Leading() {
+		leads = 1
+	}
+	a.stats.cellLeads.Set(leads)
+}
+
 func (a *Agent) stepOldCell(now time.Time) {
 	old := a.cells.old
 	if old == nil {
--- a/io/ccagent/config.go
+++ b/io/ccagent/config.go
@@ -51,8 +51,9 @@
 	runGrace = 5 * time.Second
 	// maxAnswerBytes bounds what is read of one answer.
 	maxAnswerBytes = 256 << 10
-	// targetConnections bounds the connections to the target.
-	targetConnections = 64
+	// idleConnections bounds the connections to the target that are kept while no
+	// task uses them. Those in use are bounded by the slots.
+	idleConnections = 64
 	// callTimeout bounds one call to the store.
 	callTimeout = 2 * time.Second
 )
--- a/io/ccagent/runner.go
+++ b/io/ccagent/runner.go
@@ -27,9 +27,8 @@
 	transport := &http.Transport{
 		Proxy:               nil,
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConns:        targetConnections,
-		MaxIdleConnsPerHost: targetConnections,
-		MaxConnsPerHost:     targetConnections,
+		MaxIdleConns:        idleConnections,
+		MaxIdleConnsPerHost: idleConnections,
 		DisableCompression:  true,
 	}
 	client := &http.Client{
--- a/io/ccagent/stats.go
+++ b/io/ccagent/stats.go
@@ -18,6 +18,7 @@
 	controlBytesIn, controlBytesOut *expvar.Int
 	bounced, finished               *expvar.Map
 	slots                           *expvar.Int
+	cell, cellTerm, cellLeads       *expvar.Int
 	since                           versionSince
 }
 
@@ -33,6 +34,7 @@
 		controlBytesIn: set.Int("controlBytesIn"), controlBytesOut: set.Int("controlBytesOut"),
 		bounced: set.Map("tasksBounced"), finished: set.Map("tasksFinished"),
 		slots: set.Int("slots"),
+		cell:  set.Int("cell"), cellTerm: set.Int("cellTerm"), cellLeads: set.Int("cellLeads"),
 	}
 	set.Func("settingsAgeSeconds", func() any { return s.since.ageSeconds() })
 	return s
