Follow the settings of the store as a lead

A lead had only the default settings. The fleet's log level takes effect unless the agent's file names one.

--- a/io/ccagent/agent.go
+++ b/io/ccagent/agent.go
@@ -13,6 +13,7 @@
 	"camphorcroft/core/ccnode"
 	"camphorcroft/core/ccwire"
 	"camphorcroft/io/ccrpc"
+	settingsio "camphorcroft/io/ccsettings"
 
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
@@ -35,6 +36,7 @@
 	web      *http.Server
 	webAddr  netip.AddrPort
 	runner   *runner
+	reader   *settingsio.Reader // Of the settings, for a lead.
 
 	// The control goroutine alone uses what follows.
 	table        *ccagent.Table
@@ -64,6 +66,7 @@
 		}),
 	}
 	a.runner = newRunner(cfg.Target)
+	a.reader = a.newReader()
 	return a
 }
 
--- a/io/ccagent/cell.go
+++ b/io/ccagent/cell.go
@@ -63,6 +63,9 @@
 		return
 	}
 	a.log.Info("Settings are in force.", "version", view.Version)
+	if a.cfg.OnSettings != nil {
+		a.cfg.OnSettings(view)
+	}
 	cell := cccell.Of(a.cfg.Node.ID, view.Fleet.Cells)
 	if a.cells.own == nil || a.cells.own.Machine().Cell() != cell {
 		a.openCell(now, cell, view)
--- a/io/ccagent/config.go
+++ b/io/ccagent/config.go
@@ -25,6 +25,7 @@
 	"camphorcroft/core/ccagent"
 	"camphorcroft/core/ccevent"
 	"camphorcroft/core/ccnode"
+	"camphorcroft/core/ccsettings"
 	"camphorcroft/io/ccstore"
 
 	"github.com/go-logr/logr"
@@ -72,6 +73,9 @@
 	Store   ccstore.Store
 	Log     logr.Logger
 	Ring    *ccevent.Ring // Nil makes one.
+	// OnSettings is told of each settings version that comes into force here. It
+	// must not wait. May be nil.
+	OnSettings func(view *ccsettings.AgentView)
 	// Guards switches off single checks, for tests alone.
 	Guards ccagent.Guards
 }
--- a/io/cccli/agent.go
+++ b/io/cccli/agent.go
@@ -9,11 +9,11 @@
 	"camphorcroft/core/ccconfig"
 	"camphorcroft/core/ccevent"
 	"camphorcroft/core/ccnode"
+	"camphorcroft/core/ccsettings"
 	"camphorcroft/io/ccagent"
 	"camphorcroft/io/cclog"
 	"camphorcroft/io/ccstore"
 
-	"github.com/go-logr/logr"
 	"github.com/peterbourgon/ff/v4"
 	"go.uber.org/fx"
 )
@@ -79,8 +79,8 @@
 	return ccconfig.Parse(file, data)
 }
 
-func newAgentLog(cfg *ccconfig.Config, out io.Writer) logr.Logger {
-	return cclog.New(cclog.Config{Out: out, Level: cfg.LogLevel}).Logger
+func newAgentLog(cfg *ccconfig.Config, out io.Writer) *cclog.Log {
+	return cclog.New(cclog.Config{Out: out, Level: cfg.LogLevel})
 }
 
 func newAgentRef(cfg *ccconfig.Config) ccnode.Ref {
@@ -95,10 +95,16 @@
 	return ccstore.NewClient(ccstore.ClientConfig{Addr: cfg.Store, Timeout: storeTimeout})
 }
 
-func newAgent(cfg *ccconfig.Config, self ccnode.Ref, ring *ccevent.Ring, store ccstore.Store, log logr.Logger) *ccagent.Agent {
+func newAgent(cfg *ccconfig.Config, self ccnode.Ref, ring *ccevent.Ring, store ccstore.Store, log *cclog.Log) *ccagent.Agent {
 	return ccagent.New(ccagent.Config{
 		Node: self, Domain: cfg.Domain, Rack: cfg.Rack, Service: cfg.Agent.Service, Slots: cfg.Agent.Slots,
-		Listen: cfg.Listen, HTTP: cfg.HTTP, Target: cfg.Agent.Target, Store: store, Log: log, Ring: ring,
+		Listen: cfg.Listen, HTTP: cfg.HTTP, Target: cfg.Agent.Target, Store: store, Log: log.Logger, Ring: ring,
+		OnSettings: func(view *ccsettings.AgentView) {
+			// The file's own level goes first.
+			if cfg.LogLevel == "" {
+				log.SetLevel(view.Fleet.LogLevel)
+			}
+		},
 	})
 }
 
