--- a/io/ccfleet/agents.go
+++ b/io/ccfleet/agents.go
@@ -58,7 +58,7 @@
 		Target:  slot.target.Addr(),
 		Store:   f.store,
 		Log:     f.cfg.Log,
-		Ring:    f.newRing(ccevent.RingConfig{Node: ref}),
+		Ring:    f.newRing(ccevent.RingConfig{Node: ref, Domain: slot.domain}),
 	})
 	if err := agent.Start(ctx); err != nil {
 		return newError("start agent", KindProcess, err)
--- a/io/ccfleet/entries.go
+++ b/io/ccfleet/entries.go
@@ -40,7 +40,7 @@
 		Store:    f.store,
 		Settings: f.settings,
 		Log:      f.cfg.Log,
-		Ring:     f.newRing(ccevent.RingConfig{Node: ref}),
+		Ring:     f.newRing(ccevent.RingConfig{Node: ref, Domain: domains[number%len(domains)]}),
 		Seed:     f.cfg.Seed + uint64(number),
 	})
 	if err := entry.Start(ctx); err != nil {
