Leave a straggler alone when a faster slot falls free sooner

Cause: late binding took the fastest free slot however slow it was, so the small queue of a moment sent single tasks to a target ten times slower. Change: a free slot is left when a task there takes more than twice as long as waiting for the faster targets with all that waits; Pick learns the queue's length.

--- a/core/ccdispatch/place.go
+++ b/core/ccdispatch/place.go
@@ -34,7 +34,7 @@
 	d.view(now, s)
 	s.policy.Rank(s.view)
 	for s.queue.Len() > 0 {
-		i := s.policy.Pick(s.view)
+		i := s.policy.Pick(s.view, s.queue.Len())
 		if i == ccplacement.None {
 			d.want(s)
 			return
--- a/core/ccplacement/policy.go
+++ b/core/ccplacement/policy.go
@@ -4,11 +4,12 @@
 //
 //	policy, err := ccplacement.New("lateBinding", seed)
 //	policy.Rank(candidates)
-//	index := policy.Pick(candidates)
+//	index := policy.Pick(candidates, waiting)
 package ccplacement
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -25,7 +26,7 @@
 	RoundRobin = "roundRobin"
 )
 
-// None is what Pick returns when no candidate has a free slot.
+// None is what Pick returns when the task should wait.
 const None = -1
 
 // Candidate is what a policy knows of one target.
@@ -42,8 +43,10 @@
 	// Rank prepares for a run of picks over the candidates. Only their Free and
 	// InFlight change until the next call.
 	Rank(candidates []Candidate)
-	// Pick returns the index of a candidate with a free slot, or None.
-	Pick(candidates []Candidate) int
+	// Pick returns the index of a candidate with a free slot, or None when there
+	// is none or none is worth taking. Waiting is how many tasks wait, with the
+	// one that is to be placed.
+	Pick(candidates []Candidate, waiting int) int
 }
 
 // New returns the policy of that name; an unknown name gives late binding. The
@@ -93,15 +96,44 @@
 	return s
 }
 
-func (p *lateBinding) Pick(candidates []Candidate) int {
+func (p *lateBinding) Pick(candidates []Candidate, waiting int) int {
 	for ; p.next < len(p.order); p.next++ {
-		if candidates[p.order[p.next]].Free > 0 {
-			return p.order[p.next]
+		i := p.order[p.next]
+		if candidates[i].Free == 0 {
+			continue
 		}
+		if candidates[i].Typical > muchSlower*p.elsewhere(candidates, waiting) {
+			return None
+		}
+		return i
 	}
 	return None
 }
 
+// muchSlower is how many times longer a task may take at a free slot than after
+// a wait for a faster one. A slot that is only somewhat slower is worth taking;
+// one of a straggler is not, unless many tasks wait.
+const muchSlower = 2
+
+// elsewhere is about how long the last of the waiting tasks would take, wait
+// included, if all were left to the faster targets, which have no free slot. It
+// is without bound when this entry has nothing in flight there and so can't
+// tell when one of their slots falls free.
+func (p *lateBinding) elsewhere(candidates []Candidate, waiting int) time.Duration {
+	inFlight, perSecond := 0, 0.0
+	for _, i := range p.order[:p.next] {
+		c := &candidates[i]
+		if c.Typical > 0 {
+			inFlight += c.InFlight
+			perSecond += float64(c.InFlight) / c.Typical.Seconds()
+		}
+	}
+	if perSecond == 0 {
+		return math.MaxInt64 / muchSlower
+	}
+	return time.Duration(float64(inFlight+waiting) / perSecond * float64(time.Second))
+}
+
 type twoChoices struct {
 	random *rand.Rand
 	free   []int
@@ -109,7 +141,7 @@
 
 func (p *twoChoices) Rank([]Candidate) {}
 
-func (p *twoChoices) Pick(candidates []Candidate) int {
+func (p *twoChoices) Pick(candidates []Candidate, _ int) int {
 	p.free = p.free[:0]
 	for i := range candidates {
 		if candidates[i].Free > 0 {
@@ -137,7 +169,7 @@
 
 func (p *roundRobin) Rank([]Candidate) {}
 
-func (p *roundRobin) Pick(candidates []Candidate) int {
+func (p *roundRobin) Pick(candidates []Candidate, _ int) int {
 	for range candidates {
 		i := p.next % len(candidates)
 		p.next++
