Measure the decisions at the subset of a large fleet

Cause: the first benchmark batched all reports and knew only 11 agents. Change: one report a task, and 11, 128 and 512 agents.

--- a/core/ccdispatch/dispatcher_test.go
+++ b/core/ccdispatch/dispatcher_test.go
@@ -117,6 +117,24 @@
 	b.run()
 }
 
+// reportOne ends the first task that the agent was sent, if it was sent any.
+func (b *bench) reportOne(id ccnode.ID) {
+	if len(b.sent[id]) == 0 {
+		return
+	}
+	part := &b.sent[id][0]
+	end := ccwire.ReportJob{ID: part.ID, Claim: part.Claim, Tasks: endTasks(part.Tasks[:1], ccwire.CodeDone)}
+	part.Tasks = part.Tasks[1:]
+	if len(part.Tasks) == 0 {
+		b.sent[id] = b.sent[id][1:]
+	}
+	free := 8 - b.count(id)
+	b.d.Report(b.now, ccwire.Report{
+		Agent: ccnode.Ref{ID: id, Incarnation: 1}, Session: 1, Seen: b.seen[id], Free: free, Version: 1, Jobs: []ccwire.ReportJob{end},
+	})
+	b.run()
+}
+
 func endTasks(tasks []ccwire.DispatchTask, code ccwire.TaskCode) []ccwire.TaskReport {
 	reports := make([]ccwire.TaskReport, 0, len(tasks))
 	for _, task := range tasks {
@@ -364,19 +382,27 @@
 }
 
 // BenchmarkStarts counts what the decisions alone cost an entry, with jobs of
-// 100 tasks and 11 agents of 8 slots.
+// 100 tasks: at today's 11 agents, and at the subset of a large fleet. Each
+// report brings the end of one task, which is the most decisions a task can cost.
 func BenchmarkStarts(b *testing.B) {
+	for _, agents := range []int{11, 128, 512} {
+		b.Run(fmt.Sprint(agents, " agents"), func(b *testing.B) { benchmarkStarts(b, agents) })
+	}
+}
+
+func benchmarkStarts(b *testing.B, agents int) {
 	bed := newBench(b, nil)
-	for i := range 11 {
-		bed.up(ccnode.ID(fmt.Sprint("a", i)), 1, "north", 8)
+	names := make([]ccnode.ID, agents)
+	for i := range names {
+		names[i] = ccnode.ID(fmt.Sprintf("a%03d", i))
+		bed.up(names[i], 1, "north", 8)
 	}
-	started := 0
+	started, next := 0, 0
 	for b.Loop() {
 		bed.submit(ccjob.ID(fmt.Sprint("j", started)), 100)
 		for len(bed.ends) == 0 {
-			for i := range 11 {
-				bed.report(ccnode.ID(fmt.Sprint("a", i)), ccwire.CodeDone, 8)
-			}
+			bed.reportOne(names[next%agents])
+			next++
 		}
 		bed.ends = nil
 		started += 100
