--- a/io/ccagent/control.go
+++ b/io/ccagent/control.go
@@ -34,13 +34,15 @@
 		a.ring.Record(now, ccevent.Event{Kind: ccevent.KindPaused, Index: ccevent.NoIndex, Domain: a.cfg.Domain, Text: fmt.Sprintf("paused for %s", pause.Round(time.Millisecond))})
 		a.log.Info("Process was paused.", "pause", pause)
 	}
+	a.stepCells(now)
 	for _, entry := range a.table.Dirty() {
 		a.sendReport(now, entry)
 	}
 	a.stats.running.Set(int64(a.table.Running()))
 	a.stats.marks.Set(int64(a.table.Marks()))
 	a.stats.resultBytes.Set(int64(a.table.ResultBytes()))
-	a.stats.version.Set(int64(a.table.Version()))
+	a.stats.slots.Set(int64(a.table.Slots()))
+	a.noteVersion(now)
 	if a.drained != nil && a.isDrained(now) {
 		close(a.drained)
 		a.drained = nil
