Run an entry as a process

Cause: there was no entry command, and each role would have built its own fx application. Change: one place puts configuration, log, store client and event ring together for both roles; the entry command follows the settings in the store. Conclusion: a role's own file says only what is its own.

--- /dev/null
+++ b/io/cccli/entry.go
@@ -0,0 +1,60 @@
+package cccli
+
+import (
+	"context"
+	"time"
+
+	"github.com/peterbourgon/ff/v4"
+	"go.uber.org/fx"
+
+	"camphorcroft/core/ccconfig"
+	"camphorcroft/core/ccevent"
+	"camphorcroft/core/ccnode"
+	"camphorcroft/io/ccentry"
+	"camphorcroft/io/cclog"
+	"camphorcroft/io/ccsettings"
+	"camphorcroft/io/ccstore"
+)
+
+// unreadyGrace is how long an entry that stops still takes jobs, so that the
+// balancer has seen that it is not ready.
+const unreadyGrace = time.Second
+
+// entryCommand runs an entry until it is interrupted, and then stops it
+// gracefully.
+func entryCommand(streams Streams) *ff.Command {
+	flags := ff.NewFlagSet("entry")
+	file := flags.StringLong("config", "", "the entry's YAML file")
+	return &ff.Command{
+		Name:      "entry",
+		Usage:     "camphorcroft entry --config FILE",
+		ShortHelp: "take jobs from clients and dispatch their tasks",
+		Flags:     flags,
+		Exec: func(ctx context.Context, args []string) error {
+			if *file == "" || len(args) > 0 {
+				return &usageError{text: "entry takes --config FILE and no arguments"}
+			}
+			return runEntry(ctx, streams, *file)
+		},
+	}
+}
+
+func runEntry(ctx context.Context, streams Streams, file string) error {
+	cfg, err := readConfig(file)
+	if err != nil {
+		return err
+	}
+	return runApp(ctx, streams, cfg, fx.Options(fx.Provide(newEntry), fx.Invoke(runEntryHooks)))
+}
+
+func newEntry(cfg *ccconfig.Config, self ccnode.Ref, ring *ccevent.Ring, store ccstore.Store, log *cclog.Log) *ccentry.Entry {
+	return ccentry.New(ccentry.Config{
+		Node: self, Domain: cfg.Domain, Listen: cfg.Listen, HTTP: cfg.HTTP, Store: store,
+		Settings:    ccsettings.NewReader(ccsettings.ReaderConfig{Store: store, Log: log.Logger.WithName("settings")}),
+		SetLogLevel: log.SetLevel, Log: log.Logger, Ring: ring, Seed: uint64(self.Incarnation), UnreadyGrace: unreadyGrace,
+	})
+}
+
+func runEntryHooks(lifecycle fx.Lifecycle, entry *ccentry.Entry) {
+	lifecycle.Append(fx.Hook{OnStart: entry.Start, OnStop: entry.Stop})
+}
--- /dev/null
+++ b/io/cccli/process.go
@@ -0,0 +1,70 @@
+package cccli
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"camphorcroft/core/ccconfig"
+	"camphorcroft/core/ccevent"
+	"camphorcroft/core/ccnode"
+	"camphorcroft/io/cclog"
+	"camphorcroft/io/ccstore"
+)
+
+const (
+	// ringEvents is how many events a server process keeps.
+	ringEvents = 65_536
+	// storeTimeout bounds one call to the store.
+	storeTimeout = time.Second
+	// startTimeout bounds how long a process takes to open its sockets.
+	startTimeout = 15 * time.Second
+	// stopTimeout bounds a graceful stop.
+	stopTimeout = 40 * time.Second
+)
+
+// readConfig reads the file that tells a server process who it is.
+func readConfig(file string) (*ccconfig.Config, error) {
+	data, err := os.ReadFile(file) //nolint:gosec // The operator names the file.
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	cfg, err := ccconfig.Parse(file, data)
+	return cfg, errors.Trace(err)
+}
+
+// runApp runs a server role until the context ends, which the signals that stop
+// a process bring about, and then stops it gracefully. The role's options get
+// the configuration, the log, the store and the event ring from here.
+func runApp(ctx context.Context, streams Streams, cfg *ccconfig.Config, role fx.Option) error {
+	app := fx.New(
+		fx.Supply(cfg),
+		fx.Provide(
+			func() ccnode.Ref { return ccnode.Ref{ID: cfg.Node, Incarnation: ccnode.NewIncarnation(time.Now())} },
+			func() *cclog.Log { return cclog.New(cclog.Config{Out: streams.Err, Level: cfg.LogLevel}) },
+			func() ccstore.Store {
+				return ccstore.NewClient(ccstore.ClientConfig{Addr: cfg.Store, Timeout: storeTimeout})
+			},
+			func(self ccnode.Ref) *ccevent.Ring {
+				return ccevent.NewRing(ccevent.RingConfig{Node: self, Size: ringEvents})
+			},
+		),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StartTimeout(startTimeout),
+		fx.StopTimeout(stopTimeout),
+		role,
+	)
+	startCtx, cancelStart := context.WithTimeout(context.WithoutCancel(ctx), startTimeout)
+	defer cancelStart()
+	if err := app.Start(startCtx); err != nil {
+		return errors.Annotate(err, "start")
+	}
+	<-ctx.Done()
+	stopCtx, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+	defer cancelStop()
+	return errors.Annotate(app.Stop(stopCtx), "stop")
+}
--- a/io/cccli/root.go
+++ b/io/cccli/root.go
@@ -53,6 +53,7 @@
 func commands(streams Streams) []*ff.Command {
 	return []*ff.Command{
 		demoCommand(streams),
+		entryCommand(streams),
 		agentCommand(streams),
 		standinCommand(streams),
 		submitCommand(streams),
