--- a/io/cccli/process.go
+++ b/io/cccli/process.go
@@ -29,7 +29,7 @@
 
 // readConfig reads the file that tells a server process who it is.
 func readConfig(file string) (*ccconfig.Config, error) {
-	data, err := os.ReadFile(file) //nolint:gosec // The operator names the file.
+	data, err := os.ReadFile(file)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
