--- a/io/ccagent/config.go
+++ b/io/ccagent/config.go
@@ -25,6 +25,7 @@
 	"camphorcroft/core/ccagent"
 	"camphorcroft/core/ccevent"
 	"camphorcroft/core/ccnode"
+	"camphorcroft/core/ccsettings"
 	"camphorcroft/io/ccstore"
 
 	"github.com/go-logr/logr"
@@ -51,8 +52,9 @@
 	runGrace = 5 * time.Second
 	// maxAnswerBytes bounds what is read of one answer.
 	maxAnswerBytes = 256 << 10
-	// targetConnections bounds the connections to the target.
-	targetConnections = 64
+	// idleConnections bounds the connections to the target that are kept while no
+	// task uses them. Those in use are bounded by the slots.
+	idleConnections = 64
 	// callTimeout bounds one call to the store.
 	callTimeout = 2 * time.Second
 )
@@ -71,6 +73,9 @@
 	Store   ccstore.Store
 	Log     logr.Logger
 	Ring    *ccevent.Ring // Nil makes one.
+	// OnSettings is told of each settings version that comes into force here. It
+	// must not wait. May be nil.
+	OnSettings func(view *ccsettings.AgentView)
 	// Guards switches off single checks, for tests alone.
 	Guards ccagent.Guards
 }
--- a/io/cccli/agent.go
+++ b/io/cccli/agent.go
@@ -6,6 +6,7 @@
 	"camphorcroft/core/ccconfig"
 	"camphorcroft/core/ccevent"
 	"camphorcroft/core/ccnode"
+	"camphorcroft/core/ccsettings"
 	"camphorcroft/io/ccagent"
 	"camphorcroft/io/cclog"
 	"camphorcroft/io/ccstore"
@@ -48,6 +49,12 @@
 	return ccagent.New(ccagent.Config{
 		Node: self, Domain: cfg.Domain, Rack: cfg.Rack, Service: cfg.Agent.Service, Slots: cfg.Agent.Slots,
 		Listen: cfg.Listen, HTTP: cfg.HTTP, Target: cfg.Agent.Target, Store: store, Log: log.Logger, Ring: ring,
+		OnSettings: func(view *ccsettings.AgentView) {
+			// The file's own level goes first.
+			if cfg.LogLevel == "" {
+				log.SetLevel(view.Fleet.LogLevel)
+			}
+		},
 	})
 }
 
