Fold events that differ in their task alone

The time line of a real job of 28 tasks had a line for each start and bounce of one dispatch. Text and pictures now fold such neighbors into one line with the tasks' numbers; JSON keeps each. Counts are named count, so that they are not taken for numbers of tasks, and processes serve their domain as a metric, which status shows when it was given addresses alone.

--- a/core/ccevent/explain.go
+++ b/core/ccevent/explain.go
@@ -114,7 +114,7 @@
 	var parts []string
 	from := accepted.When
 	until := func(step *Step, what string) {
-		if step != nil && !step.When.Before(from) {
+		if step != nil && step.When.After(from) {
 			parts = append(parts, shortDuration(step.When.Sub(from))+" "+what)
 			from = step.When
 		}
@@ -122,13 +122,21 @@
 	until(claimed, "for the claim")
 	until(sent, "in the queue")
 	until(started, "on the way to the agent")
-	sentences := []string{fmt.Sprintf("It waited %s before its first task was under way: %s.", shortDuration(from.Sub(accepted.When)), strings.Join(parts, ", "))}
+	sentences := []string{fmt.Sprintf("It waited %s before its first task was under way%s.", shortDuration(from.Sub(accepted.When)), list(": ", parts))}
 	if last := s.last(KindStarted); last != nil && last != started {
 		sentences = append(sentences, fmt.Sprintf("Its last task started %s after it was accepted.", shortDuration(last.When.Sub(accepted.When))))
 	}
 	return sentences
 }
 
+// list joins the parts behind a prefix. It is empty without parts.
+func list(prefix string, parts []string) string {
+	if len(parts) == 0 {
+		return ""
+	}
+	return prefix + strings.Join(parts, ", ")
+}
+
 // first returns the earlier of two steps, either of which may be nil.
 func first(a, b *Step) *Step {
 	if a == nil || b != nil && b.When.Before(a.When) {
--- a/core/ccevent/story_test.go
+++ b/core/ccevent/story_test.go
@@ -81,6 +81,8 @@
 	golden(t, "timeline.txt", func(w io.Writer) error { return WriteText(w, timeline) })
 	golden(t, "job.txt", func(w io.Writer) error { return WriteText(w, job) })
 	golden(t, "job.svg", func(w io.Writer) error { return WriteSVG(w, job) })
+	golden(t, "folded.txt", func(w io.Writer) error { return WriteText(w, timeline.Fold()) })
+	golden(t, "folded.svg", func(w io.Writer) error { return WriteSVG(w, job.Fold()) })
 	golden(t, "explain.txt", func(w io.Writer) error {
 		_, err := fmt.Fprintln(w, strings.Join(Explain(timeline, soldJob), "\n"))
 		return err
--- a/core/ccevent/svg.go
+++ b/core/ccevent/svg.go
@@ -90,6 +90,9 @@
 	for i := range d.steps {
 		step := &d.steps[i]
 		d.row[stepKey{step.Node, step.Seq}] = i
+		if step.LastSeq > 0 {
+			d.row[stepKey{step.Node, step.LastSeq}] = i
+		}
 		noteFirst(having, step.Node, i)
 		noteFirst(named, step.Peer, i)
 		noteFirst(named, step.Cause.Node, i)
--- a/core/ccevent/text.go
+++ b/core/ccevent/text.go
@@ -94,7 +94,8 @@
 	}
 	add(step.Job != "" && step.Job != t.Job, "job=%s", step.Job)
 	add(step.Job != "" && step.Index != NoIndex && step.Count <= 1, "task=%d", step.Index)
-	add(step.Count > 1 || step.Count == 1 && step.Index == NoIndex, countName(step)+"=%d", step.Count)
+	add(len(step.Tasks) > 0, "tasks=%s", strings.ReplaceAll(ranges(step.Tasks), " ", ""))
+	add(len(step.Tasks) == 0 && (step.Count > 1 || step.Count == 1 && step.Index == NoIndex), countName(step)+"=%d", step.Count)
 	add(step.Claim != 0, "claim=%d", step.Claim)
 	add(step.Peer != "", "peer=%s", step.Peer)
 	add(step.Team != "", "team=%s", step.Team)
@@ -111,7 +112,7 @@
 	case KindRoster:
 		return "members"
 	default:
-		return "tasks"
+		return "count"
 	}
 }
 
--- a/core/ccevent/timeline.go
+++ b/core/ccevent/timeline.go
@@ -23,6 +23,10 @@
 	When time.Time `json:"when"`
 	// Dropped is how many events of the same process are missing before this one.
 	Dropped uint64 `json:"dropped,omitempty"`
+	// Tasks and LastSeq are set in a step that Fold made of several: their tasks,
+	// and the number of the last event.
+	Tasks   []int  `json:"tasks,omitempty"`
+	LastSeq uint64 `json:"lastSeq,omitempty"`
 }
 
 // Lane is one life of one process.
--- a/io/ccagent/agent.go
+++ b/io/ccagent/agent.go
@@ -57,7 +57,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &Agent{
 		cfg: cfg, log: cfg.Log.WithName("agent").WithValues("node", cfg.Node.ID), ring: cfg.Ring, since: now,
-		stats: newStats(cfg.Node.ID), mailbox: make(chan func(time.Time), mailboxSize), ctx: ctx, cancel: cancel,
+		stats: newStats(cfg.Node.ID, cfg.Domain), mailbox: make(chan func(time.Time), mailboxSize), ctx: ctx, cancel: cancel,
 		links: make(map[*ccrpc.Peer]*link), byEntry: make(map[ccnode.Ref]*link),
 		table: ccagent.NewTable(ccagent.Config{
 			Self: cfg.Node, Domain: cfg.Domain, Service: cfg.Service, Slots: cfg.Slots, Since: now, Guards: cfg.Guards,
--- a/io/ccagent/stats.go
+++ b/io/ccagent/stats.go
@@ -21,8 +21,9 @@
 	since                           versionSince
 }
 
-func newStats(node ccnode.ID) *stats {
+func newStats(node ccnode.ID, domain string) *stats {
 	set := ccmetric.NewSet(string(node))
+	set.Func("domain", func() any { return domain })
 	s := &stats{
 		set:        set,
 		dispatches: set.Int("dispatches"), ignored: set.Int("dispatchesIgnored"),
--- a/io/cccli/fleet_test.go
+++ b/io/cccli/fleet_test.go
@@ -71,7 +71,7 @@
 		if code != ExitOK || strings.Contains(out, "loans") {
 			t.Errorf("got code %d", code)
 		}
-		assertHas(t, out, "# job "+testJob, "accepted    tasks=1 team=sales", "started     task=0 after=entry-1:2")
+		assertHas(t, out, "# job "+testJob, "accepted    count=1 team=sales", "started     task=0 after=entry-1:2")
 	})
 	t.Run("JSON with filters", func(t *testing.T) {
 		_, out, _ := run(t, "timeline", "--nodes", nodes, "--output", "json", "--kind", "accepted", "--team", "loans")
--- a/io/cccli/timeline.go
+++ b/io/cccli/timeline.go
@@ -149,9 +149,9 @@
 	case outputJSON:
 		return writeJSON(Streams{Out: w}, timeline)
 	case outputSVG:
-		return ccevent.WriteSVG(w, timeline)
+		return ccevent.WriteSVG(w, timeline.Fold())
 	default:
-		return ccevent.WriteText(w, timeline)
+		return ccevent.WriteText(w, timeline.Fold())
 	}
 }
 
--- a/io/ccentry/vars.go
+++ b/io/ccentry/vars.go
@@ -25,6 +25,7 @@
 
 func (e *Entry) newMetrics() *ccmetric.Set {
 	set := ccmetric.NewSet(string(e.self.ID))
+	set.Func("domain", func() any { return e.cfg.Domain })
 	set.Map("refusals")
 	set.Map("outcomes")
 	set.Func("entry", func() any {
--- a/io/ccinventory/status.go
+++ b/io/ccinventory/status.go
@@ -130,6 +130,7 @@
 // entry are in Entry.
 type vars struct {
 	Process            ccnode.ID `json:"process"`
+	Domain             string    `json:"domain"`
 	UptimeSeconds      float64   `json:"uptimeSeconds"`
 	MemoryBytes        uint64    `json:"memoryBytes"`
 	SettingsVersion    uint64    `json:"settingsVersion"`
@@ -152,6 +153,9 @@
 	if status.Ref.ID == "" {
 		status.Ref.ID = v.Process
 	}
+	if status.Domain == "" {
+		status.Domain = v.Domain
+	}
 	status.UptimeSeconds, status.MemoryBytes = v.UptimeSeconds, v.MemoryBytes
 	if v.Entry == nil {
 		status.Role = RoleAgent
