--- a/io/ccagent/stats.go
+++ b/io/ccagent/stats.go
@@ -18,11 +18,13 @@
 	controlBytesIn, controlBytesOut *expvar.Int
 	bounced, finished               *expvar.Map
 	slots                           *expvar.Int
+	cell, cellTerm, cellLeads       *expvar.Int
 	since                           versionSince
 }
 
-func newStats(node ccnode.ID) *stats {
+func newStats(node ccnode.ID, domain string) *stats {
 	set := ccmetric.NewSet(string(node))
+	set.Func("domain", func() any { return domain })
 	s := &stats{
 		set:        set,
 		dispatches: set.Int("dispatches"), ignored: set.Int("dispatchesIgnored"),
@@ -33,6 +35,7 @@
 		controlBytesIn: set.Int("controlBytesIn"), controlBytesOut: set.Int("controlBytesOut"),
 		bounced: set.Map("tasksBounced"), finished: set.Map("tasksFinished"),
 		slots: set.Int("slots"),
+		cell:  set.Int("cell"), cellTerm: set.Int("cellTerm"), cellLeads: set.Int("cellLeads"),
 	}
 	set.Func("settingsAgeSeconds", func() any { return s.since.ageSeconds() })
 	return s
