--- a/core/ccclaim/authority.go
+++ b/core/ccclaim/authority.go
@@ -121,7 +121,7 @@
 		s.ready, s.epoch, s.complete = true, a.roster.Epoch, true
 		return
 	}
-	s.notBefore = now.Add(a.cfg.GrantLife)
+	s.turned = now
 	s.promise = max(s.promise, a.roster.Epoch) // What was told to others holds here too.
 	s.waiting = map[ccnode.Ref]struct{}{}
 	for _, member := range a.roster.Entries {
@@ -147,18 +147,19 @@
 
 // settle makes a slot ready once all members were heard. If whoever held the
 // slot last was lost before it could tell, the horizon moves ahead of every job
-// that it can have granted: its clock may be ahead of this one by the margin,
-// and the job's time ahead of that clock by as much again.
+// that it can have granted before the roster said so: its clock may be ahead of
+// this one by the margin, and the job's time ahead of that clock by as much
+// again.
 func (a *Authority) settle(now time.Time, s *slot) {
 	if !s.owned || s.ready || len(s.waiting) > 0 {
 		return
 	}
 	known := s.epoch > 0 && s.epoch >= a.roster.Lost
-	if !known && now.Before(s.notBefore) {
+	if !known && now.Sub(s.turned) < a.cfg.GrantLife {
 		return
 	}
 	if !known && a.cfg.Guards.Vouching {
-		s.horizon = max(s.horizon, now.Add(2*a.cfg.ClockMargin).UnixMilli())
+		s.horizon = max(s.horizon, s.turned.Add(2*a.cfg.ClockMargin).UnixMilli())
 		s.complete = false
 		a.doubt(s)
 	}
--- a/core/ccclaim/seek.go
+++ b/core/ccclaim/seek.go
@@ -74,7 +74,7 @@
 	// Neither of the next two holds a claim, so another submission of the job may
 	// have been granted since the authority answered.
 	case ccwire.ClaimInvalid:
-		r.finish(s, ccjob.Fail(s.id, ccjob.KindInvalid, false, "the jobID carries a time that lies ahead"))
+		r.waitForTime(now, s)
 	case ccwire.ClaimFull:
 		r.finish(s, ccjob.Fail(s.id, ccjob.KindOverload, false, "the table of claims is full"))
 	default:
@@ -82,6 +82,17 @@
 	}
 }
 
+// waitForTime claims again until the fleet's clocks have come up with the job's,
+// since its client's clock may just be ahead. It gives up on a job whose time
+// lies beyond its deadline.
+func (r *Requester) waitForTime(now time.Time, s *seek) {
+	if jobTime, _ := s.id.Time(); jobTime.Add(-r.cfg.Authority.cfg.ClockMargin).After(s.due) {
+		r.finish(s, ccjob.Fail(s.id, ccjob.KindInvalid, false, "the jobID carries a time that lies ahead"))
+		return
+	}
+	s.next = now.Add(claimRetry)
+}
+
 // usable reports whether a grant may be taken up now. Replies that grant nothing
 // always may.
 func (r *Requester) usable(now time.Time, s *seek, reply ccwire.ClaimReply) bool {
--- a/core/ccclaim/slot.go
+++ b/core/ccclaim/slot.go
@@ -18,8 +18,8 @@
 	// older epochs are neither made nor taken up.
 	promise uint64
 	// waiting holds the members whose answer to a gather is missing.
-	waiting   map[ccnode.Ref]struct{}
-	notBefore time.Time // End of the life of any grant by a lost authority.
+	waiting map[ccnode.Ref]struct{}
+	turned  time.Time // When the roster gave the slot to this entry.
 	claims    map[jobKey]*record
 }
 
--- a/core/ccsettings/defaults.go
+++ b/core/ccsettings/defaults.go
@@ -39,6 +39,6 @@
 		LogLevel:    "info",
 		MaxClaims:   200_000,
 		Retention:   Duration(10 * time.Minute),
-		ClockMargin: Duration(2 * time.Second),
+		ClockMargin: Duration(500 * time.Millisecond),
 	}
 }
--- a/core/ccsettings/effective.go
+++ b/core/ccsettings/effective.go
@@ -79,8 +79,8 @@
 	MaxClaims int    `json:"maxClaims" yaml:"maxClaims" validate:"min=1000,max=100000000"`
 	// Retention is how long answers and started tasks are remembered.
 	Retention Duration `json:"retention" yaml:"retention"`
-	// ClockMargin is how far a client's clock may be ahead of an entry's, and
-	// any two clocks of the fleet apart.
+	// ClockMargin is how far any two clocks of the fleet may be apart, and a
+	// client's ahead of an entry's before its jobs have to wait.
 	ClockMargin Duration `json:"clockMargin" yaml:"clockMargin"`
 }
 
--- a/io/ccentry/entry.go
+++ b/io/ccentry/entry.go
@@ -88,6 +88,7 @@
 	links        map[ccnode.ID]*link
 	claims       claimer
 	presence     *presence
+	served       *peerHandler
 	unready      bool   // A planned stop has begun.
 	draining     bool   // No new jobs are taken.
 	version      uint64 // Of the settings in force.
@@ -123,6 +124,7 @@
 	e.metrics = e.newMetrics()
 	e.presence = newPresence(e)
 	e.claims = e.presence
+	e.served = &peerHandler{entry: e}
 	return e
 }
 
@@ -145,7 +147,7 @@
 		Ref: e.self, Addr: e.Addr(), HTTP: e.HTTPAddr(), Domain: e.cfg.Domain,
 	})
 	go e.control(running)
-	e.goBackground(func() { ccrpc.Serve(e.listener, &peerHandler{entry: e}) })
+	e.goBackground(func() { ccrpc.Serve(e.listener, e.served) })
 	e.goBackground(func() { _ = e.httpServer.Serve(e.httpSocket) })
 	e.goBackground(func() { e.followSettings(running) })
 	e.goBackground(func() { e.followCells(running) })
@@ -229,6 +231,7 @@
 func (e *Entry) close() {
 	e.cancel()
 	_ = e.listener.Close()
+	e.served.closeAll()
 	_ = e.httpServer.Close()
 	<-e.stopped
 	e.background.Wait()
--- /dev/null
+++ b/io/ccentry/fleet_test.go
@@ -0,0 +1,237 @@
+package ccentry_test
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/uuid"
+
+	"camphorcroft/core/ccfault"
+	"camphorcroft/core/ccjob"
+	"camphorcroft/core/ccload"
+	"camphorcroft/io/ccclient"
+	"camphorcroft/io/ccfleet"
+)
+
+// newFleet starts three entries and four targets around one stand-in store.
+func newFleet(t *testing.T) *ccfleet.Fleet {
+	t.Helper()
+	fleet := ccfleet.New(ccfleet.Config{
+		Profile: ccload.Profile{
+			Service: "s",
+			Domains: []string{"north", "south"},
+			Targets: []ccload.Target{
+				{Domain: "north", Speed: 1, Slots: 8}, {Domain: "north", Speed: 1, Slots: 8},
+				{Domain: "south", Speed: 1, Slots: 8}, {Domain: "south", Speed: 1, Slots: 8},
+			},
+		},
+		Entries: 3,
+		Log:     logr.Discard(),
+	})
+	if err := fleet.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(fleet.Close)
+	return fleet
+}
+
+// newSpec returns a job of the given number of tasks.
+func newSpec(t *testing.T, tasks int, run, deadline time.Duration) ccjob.Spec {
+	t.Helper()
+	id, err := uuid.NewV7()
+	if err != nil {
+		t.Fatal(err)
+	}
+	arrival := ccload.Arrival{Service: "s", Team: "t", Deadline: deadline}
+	for range tasks {
+		arrival.Tasks = append(arrival.Tasks, run)
+	}
+	return arrival.Spec(ccjob.ID(id.String()))
+}
+
+// submitAt submits to one entry and gives the outcome, or none when the entry
+// ended.
+func submitAt(ctx context.Context, entry netip.AddrPort, spec ccjob.Spec) (ccjob.Outcome, bool) {
+	client := ccclient.New(ccclient.Config{Entries: []netip.AddrPort{entry}})
+	defer client.Close()
+	outcome, err := client.SubmitOnce(ctx, entry, &spec)
+	return outcome, err == nil
+}
+
+// submitAll submits each job to one entry, all at once.
+func submitAll(ctx context.Context, entry netip.AddrPort, specs []ccjob.Spec) <-chan []ccjob.Outcome {
+	outcomes := make([]ccjob.Outcome, len(specs))
+	var all sync.WaitGroup
+	for i := range specs {
+		all.Go(func() { outcomes[i], _ = submitAt(ctx, entry, specs[i]) })
+	}
+	done := make(chan []ccjob.Outcome, 1)
+	go func() {
+		all.Wait()
+		done <- outcomes
+	}()
+	return done
+}
+
+// assertOnce holds the targets' logs against what clients were told.
+func assertOnce(t *testing.T, fleet *ccfleet.Fleet, specs []ccjob.Spec, outcomes []ccjob.Outcome) {
+	t.Helper()
+	type key struct {
+		id    ccjob.ID
+		index int
+	}
+	starts, ran := map[key]int{}, map[ccjob.ID]int{}
+	for _, start := range fleet.Starts() {
+		starts[key{start.JobID, start.Index}]++
+		ran[start.JobID]++
+	}
+	for task, count := range starts {
+		if count > 1 {
+			t.Errorf("task %s/%d started %d times", task.id, task.index, count)
+		}
+	}
+	for i, outcome := range outcomes {
+		switch {
+		case outcome.State == "":
+			t.Errorf("job %s has no outcome", specs[i].ID)
+		case outcome.NotRun && ran[specs[i].ID] > 0:
+			t.Errorf("job %s was said not to run, and %d of its tasks started", specs[i].ID, ran[specs[i].ID])
+		case outcome.State == ccjob.StateComplete && (len(outcome.Answers) != len(specs[i].Payloads) || ran[specs[i].ID] != len(specs[i].Payloads)):
+			t.Errorf("job %s is complete with %d answers and %d starts", specs[i].ID, len(outcome.Answers), ran[specs[i].ID])
+		}
+	}
+}
+
+func countComplete(outcomes []ccjob.Outcome) int {
+	complete := 0
+	for _, outcome := range outcomes {
+		if outcome.State == ccjob.StateComplete {
+			complete++
+		}
+	}
+	return complete
+}
+
+func apply(t *testing.T, fleet *ccfleet.Fleet, fault ccfault.Fault) {
+	t.Helper()
+	if err := fleet.Apply(t.Context(), fault); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// awaitStarts waits until the targets have started so many tasks.
+func awaitStarts(t *testing.T, fleet *ccfleet.Fleet, count int) {
+	t.Helper()
+	for len(fleet.Starts()) < count {
+		if t.Context().Err() != nil {
+			t.Fatal("the targets started too few tasks")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestResubmission(t *testing.T) {
+	fleet := newFleet(t)
+	addrs := fleet.EntryAddrs()
+
+	t.Run("attaches at every entry and gets the same answer", func(t *testing.T) {
+		spec := newSpec(t, 3, 50*time.Millisecond, time.Minute)
+		var specs []ccjob.Spec
+		var outcomes []ccjob.Outcome
+		var pending []<-chan []ccjob.Outcome
+		for _, addr := range addrs {
+			pending = append(pending, submitAll(t.Context(), addr, []ccjob.Spec{spec}))
+		}
+		for _, done := range pending {
+			specs, outcomes = append(specs, spec), append(outcomes, <-done...)
+		}
+		assertOnce(t, fleet, specs, outcomes)
+		if got := countComplete(outcomes); got != len(addrs) {
+			t.Errorf("%d of %d submissions got the answer: %+v", got, len(addrs), outcomes)
+		}
+	})
+	t.Run("gets the answer after the end", func(t *testing.T) {
+		spec := newSpec(t, 2, time.Millisecond, time.Minute)
+		for _, addr := range addrs {
+			if outcome, _ := submitAt(t.Context(), addr, spec); outcome.State != ccjob.StateComplete {
+				t.Errorf("outcome %+v", outcome)
+			}
+		}
+	})
+	t.Run("with other content is a conflict", func(t *testing.T) {
+		spec := newSpec(t, 2, time.Millisecond, time.Minute)
+		if outcome, _ := submitAt(t.Context(), addrs[0], spec); outcome.State != ccjob.StateComplete {
+			t.Errorf("outcome %+v", outcome)
+		}
+		spec.Payloads = spec.Payloads[:1]
+		for _, addr := range addrs {
+			if outcome, _ := submitAt(t.Context(), addr, spec); outcome.Kind != ccjob.KindConflict {
+				t.Errorf("outcome %+v", outcome)
+			}
+		}
+	})
+}
+
+// TestEntryKilled ends an entry with jobs in flight and submits them all again
+// elsewhere.
+func TestEntryKilled(t *testing.T) {
+	fleet := newFleet(t)
+	addrs := fleet.EntryAddrs()
+	var specs []ccjob.Spec
+	for range 60 {
+		specs = append(specs, newSpec(t, 2, 100*time.Millisecond, time.Minute))
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	first := submitAll(ctx, addrs[0], specs)
+	awaitStarts(t, fleet, 20)
+	apply(t, fleet, ccfault.Fault{Kind: ccfault.KindKillEntry, Number: 0})
+	cancel()
+	<-first
+	outcomes := <-submitAll(t.Context(), addrs[1], specs)
+	assertOnce(t, fleet, specs, outcomes)
+	if got := countComplete(outcomes); got != len(specs) {
+		t.Errorf("%d of %d jobs are complete: %+v", got, len(specs), outcomes)
+	}
+}
+
+// TestEntryStopped hands over: the stopped entry's slots serve at once.
+func TestEntryStopped(t *testing.T) {
+	fleet := newFleet(t)
+	addrs := fleet.EntryAddrs()
+	apply(t, fleet, ccfault.Fault{Kind: ccfault.KindStopEntry, Number: 0})
+	var specs []ccjob.Spec
+	for range 30 {
+		spec := newSpec(t, 1, time.Millisecond, time.Minute)
+		spec.ID = "untimed-" + spec.ID
+		specs = append(specs, spec)
+	}
+	outcomes := <-submitAll(t.Context(), addrs[1], specs)
+	assertOnce(t, fleet, specs, outcomes)
+	if got := countComplete(outcomes); got != len(specs) {
+		t.Errorf("%d of %d jobs are complete: %+v", got, len(specs), outcomes)
+	}
+}
+
+// TestStoreDown runs jobs, resubmitted at another entry, while the store is away.
+func TestStoreDown(t *testing.T) {
+	fleet := newFleet(t)
+	addrs := fleet.EntryAddrs()
+	if err := fleet.SetStoreOutage(true); err != nil {
+		t.Fatal(err)
+	}
+	var specs []ccjob.Spec
+	for range 30 {
+		specs = append(specs, newSpec(t, 2, 50*time.Millisecond, time.Minute))
+	}
+	first, second := submitAll(t.Context(), addrs[0], specs), submitAll(t.Context(), addrs[1], specs)
+	outcomes := append(<-first, <-second...)
+	all := append(append([]ccjob.Spec{}, specs...), specs...)
+	assertOnce(t, fleet, all, outcomes)
+	if got := countComplete(outcomes); got != len(all) {
+		t.Errorf("%d of %d submissions are complete", got, len(all))
+	}
+}
--- a/io/ccentry/outage_pulse.go
+++ b/io/ccentry/outage_pulse.go
@@ -32,7 +32,11 @@
 			if err != nil {
 				return
 			}
+			unsettled := !p.rule.Settled()
 			p.rule.Answered(now, reply)
+			if unsettled && p.rule.Settled() {
+				p.order(storeOrder{}) // Whoever waited to write the next roster may now.
+			}
 			if removal != nil {
 				removal.Denied(reply)
 			}
