Let a task wait briefly at an agent for a slot

Cause: three entries place on counts of free slots that are as old as the last report; a task that finds no slot costs two wasted messages. Change: an agent whose next slot is likely to be free within 30 ms holds the task that long, checks everything again, and starts it or sends it back. It holds no more than its slots, and a revoke, a lost session, a domain that goes out or a leave ends the hold.

--- a/core/ccagent/dispatch.go
+++ b/core/ccagent/dispatch.go
@@ -46,16 +46,14 @@
 			continue
 		}
 		code, reason := t.check(now, s, msg, part, sent, known)
-		if code != "" {
-			t.bounce(now, s, part, sent, ccwire.TaskReport{Index: sent.Index, Attempt: sent.Attempt, Code: code, Reason: reason})
-			result.Bounced = append(result.Bounced, Bounce{Job: part.ID, Index: sent.Index, Claim: part.Claim, Code: code})
-			continue
+		switch {
+		case code == "":
+			result.Starts = append(result.Starts, t.start(now, s, msg, part, sent))
+		case code == ccwire.CodeFull && t.memory.roomForStart() && t.mayHold():
+			t.hold(now, s, msg, part, sent)
+		default:
+			result.Bounced = append(result.Bounced, t.bounce(now, s, msg, part, sent, code, reason))
 		}
-		t.start(now, s, part, sent)
-		result.Starts = append(result.Starts, Start{
-			Job: part.ID, Index: sent.Index, Attempt: sent.Attempt, Claim: part.Claim, Payload: sent.Payload,
-			Budget: time.Duration(part.BudgetMS) * time.Millisecond, By: now.Add(startLimit),
-		})
 	}
 }
 
@@ -100,7 +98,7 @@
 }
 
 // start marks the task and takes a slot, first one that was offered to the entry.
-func (t *Table) start(now time.Time, s *session, part *ccwire.DispatchJob, sent ccwire.DispatchTask) {
+func (t *Table) start(now time.Time, s *session, msg *ccwire.Dispatch, part *ccwire.DispatchJob, sent ccwire.DispatchTask) Start {
 	j := t.memory.touch(now, part.ID)
 	if part.Claim >= j.claim {
 		j.claim, j.owner = part.Claim, s.entry
@@ -113,17 +111,22 @@
 		s.offers = s.offers[1:]
 		s.newOffers = min(s.newOffers, len(s.offers))
 	}
+	return Start{
+		From: s.entry, Cause: msg.Cause,
+		Job: part.ID, Index: sent.Index, Attempt: sent.Attempt, Claim: part.Claim, Payload: sent.Payload,
+		Budget: time.Duration(part.BudgetMS) * time.Millisecond, By: now.Add(startLimit),
+	}
 }
 
 // bounce answers a task that did not start, and leaves a tombstone so that a
 // late copy of the same attempt doesn't start either. Messages of one session
 // come once and in order, so a table without room may leave the tombstone out.
-func (t *Table) bounce(now time.Time, s *session, part *ccwire.DispatchJob, sent ccwire.DispatchTask, report ccwire.TaskReport) {
-	s.add(part.ID, part.Claim, report)
-	if !t.memory.roomForPromise(2) {
-		return
+func (t *Table) bounce(now time.Time, s *session, msg *ccwire.Dispatch, part *ccwire.DispatchJob, sent ccwire.DispatchTask, code ccwire.TaskCode, reason string) Bounce {
+	s.add(part.ID, part.Claim, ccwire.TaskReport{Index: sent.Index, Attempt: sent.Attempt, Code: code, Reason: reason})
+	if t.memory.roomForPromise(2) {
+		t.memory.task(t.memory.touch(now, part.ID), sent.Index).bury(part.Claim, sent.Attempt)
 	}
-	t.memory.task(t.memory.touch(now, part.ID), sent.Index).bury(part.Claim, sent.Attempt)
+	return Bounce{From: s.entry, Cause: msg.Cause, Job: part.ID, Index: sent.Index, Claim: part.Claim, Code: code}
 }
 
 // repeat answers a task that has started before. When it still runs, its end
--- a/core/ccagent/finish.go
+++ b/core/ccagent/finish.go
@@ -21,6 +21,7 @@
 	t.memory.touch(now, end.Job)
 	j.running--
 	t.running--
+	t.learnRun(end.Run)
 	known.runMS = float64(end.Run) / float64(time.Millisecond)
 	known.code, known.reason = end.Code, end.Reason
 	report := known.report(end.Index, known.attempt)
@@ -33,9 +34,9 @@
 	}
 	owner := t.sessions[j.owner.ID]
 	if owner == nil || !owner.connected || owner.entry != j.owner {
-		t.offer(now, nil)
+		t.fill(now, nil)
 		return
 	}
 	owner.add(j.id, j.claim, report)
-	t.offer(now, owner)
+	t.fill(now, owner)
 }
--- a/core/ccagent/hello.go
+++ b/core/ccagent/hello.go
@@ -41,7 +41,7 @@
 	}
 	s.connected = false
 	s.reset()
-	t.offer(now, nil)
+	t.fill(now, nil)
 }
 
 // before reports whether the hello is newer than the session.
--- a/core/ccagent/revoke.go
+++ b/core/ccagent/revoke.go
@@ -40,6 +40,7 @@
 		return known.report(asked.Index, asked.Attempt)
 	}
 	known.bury(part.Claim, asked.Attempt)
+	t.forgetHeld(part.ID, asked.Index)
 	return ccwire.TaskReport{Index: asked.Index, Attempt: asked.Attempt, Code: ccwire.CodeFenced}
 }
 
--- a/core/ccagent/table.go
+++ b/core/ccagent/table.go
@@ -21,11 +21,17 @@
 	seen     time.Time     // The time of the last call.
 	fresh    time.Duration // Echoes below this clock are from before a pause.
 	pause    time.Duration // The last pause, until it is taken.
-	newest   uint64        // The greatest settings version that any entry named.
+	held     []held
+	late     Result        // What became of held tasks, until it is taken.
+	meanRun  time.Duration // Zero when no task has ended.
+	runs     int
+	newest   uint64 // The greatest settings version that any entry named.
 }
 
 // Start is a task that must be given to the target now.
 type Start struct {
+	From    ccnode.Ref // The entry that sent it.
+	Cause   uint64     // The entry's newest event when it did.
 	Job     ccjob.ID
 	Index   int
 	Attempt int
@@ -39,6 +45,8 @@
 
 // Bounce is a task that did not start.
 type Bounce struct {
+	From  ccnode.Ref
+	Cause uint64
 	Job   ccjob.ID
 	Index int
 	Claim uint64
@@ -81,7 +89,13 @@
 // Call it a few times a second.
 func (t *Table) Tick(now time.Time) {
 	t.observe(now)
-	t.offer(now, nil)
+	t.fill(now, nil)
+}
+
+// fill gives free slots to held tasks first, and offers the rest.
+func (t *Table) fill(now time.Time, preferred *session) {
+	t.startHeld(now)
+	t.offer(now, preferred)
 }
 
 // observe notices a pause: a gap since the last call that is too long. From then
@@ -115,7 +129,7 @@
 		return false
 	}
 	t.view = view
-	t.offer(now, nil)
+	t.fill(now, nil)
 	return true
 }
 
@@ -126,6 +140,7 @@
 	for _, s := range t.sessions {
 		s.dirty = s.connected
 	}
+	t.startHeld(now)
 }
 
 // Version returns the settings version in force here.
--- a/core/ccagent/table_test.go
+++ b/core/ccagent/table_test.go
@@ -412,3 +412,61 @@
 		}
 	}
 }
+
+func TestHold(t *testing.T) {
+	full := func(t *testing.T, run time.Duration) *bench {
+		b := newBench(t, Config{})
+		b.table.Dispatch(b.now, entryA, b.dispatch("k", 0, 1))
+		b.table.Finished(b.now, End{Job: "k", Index: 0, Attempt: 1, Claim: 3, Code: ccwire.CodeDone, Run: run})
+		b.table.Dispatch(b.now, entryA, b.dispatch("l", 0))
+		return b
+	}
+	hold := func(t *testing.T) *bench {
+		b := full(t, 20*time.Millisecond)
+		result := b.table.Dispatch(b.now, entryA, b.dispatch("j", 0))
+		if len(result.Starts)+len(result.Bounced) != 0 {
+			t.Fatalf("got %+v, want the task held", result)
+		}
+		return b
+	}
+	free := func(b *bench) {
+		b.table.Finished(b.now, End{Job: "k", Index: 1, Attempt: 1, Claim: 3, Code: ccwire.CodeDone, Run: 20 * time.Millisecond})
+	}
+	t.Run("starts when a slot is free", func(t *testing.T) {
+		b := hold(t)
+		free(b)
+		b.assertStarts(b.table.TakeLate(), 0)
+	})
+	t.Run("goes back after the limit", func(t *testing.T) {
+		b := hold(t)
+		b.now = b.now.Add(holdLimit)
+		b.table.Tick(b.now)
+		b.assertBounce(b.table.TakeLate(), ccwire.CodeFull)
+	})
+	t.Run("goes back at once where tasks are long", func(t *testing.T) {
+		b := full(t, time.Second)
+		b.assertBounce(b.table.Dispatch(b.now, entryA, b.dispatch("j", 0)), ccwire.CodeFull)
+	})
+	t.Run("is revoked like any task that has not started", func(t *testing.T) {
+		b := hold(t)
+		_, err := b.table.Revoke(b.now, ccwire.Revoke{Agent: b.table.cfg.Self, Jobs: []ccwire.RevokeJob{
+			{ID: "j", Claim: 3, Tasks: []ccwire.RevokeTask{{Index: 0, Attempt: 1}}},
+		}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		free(b)
+		b.assertStarts(b.table.TakeLate())
+	})
+	t.Run("goes back when the agent leaves", func(t *testing.T) {
+		b := hold(t)
+		b.table.Leave(b.now)
+		b.assertBounce(b.table.TakeLate(), ccwire.CodeClosed)
+	})
+	t.Run("ends with its session", func(t *testing.T) {
+		b := hold(t)
+		b.table.Disconnected(b.now, entryA, 1)
+		free(b)
+		b.assertStarts(b.table.TakeLate())
+	})
+}
--- a/core/ccagent/walk_test.go
+++ b/core/ccagent/walk_test.go
@@ -167,8 +167,13 @@
 	w.running = append(w.running, start)
 }
 
-// collect checks every report that is due.
+// collect runs held tasks that start late, and checks every report that is due.
+// A late start has no parcel; what its session and age may be is checked as for
+// one that arrives now.
 func (w *walk) collect() {
+	for _, start := range w.table.TakeLate().Starts {
+		w.started(start, parcel{from: start.From, sent: w.now, msg: ccwire.Dispatch{Session: w.session[start.From.ID], Version: w.version}})
+	}
 	for _, entry := range w.table.Dirty() {
 		report, _ := w.table.TakeReport(w.now, entry)
 		for _, part := range report.Jobs {
@@ -245,7 +250,7 @@
 	if code == ccwire.CodeRefused {
 		w.starts = slices.DeleteFunc(w.starts, func(b attempt) bool { return b == attempt{start.Job, start.Index, start.Claim, start.Attempt} })
 	}
-	w.table.Finished(w.now, End{Job: start.Job, Index: start.Index, Attempt: start.Attempt, Claim: start.Claim, Code: code})
+	w.table.Finished(w.now, End{Job: start.Job, Index: start.Index, Attempt: start.Attempt, Claim: start.Claim, Code: code, Run: 10 * time.Millisecond})
 	w.collect()
 }
 
@@ -264,11 +269,13 @@
 	case 10:
 		w.now = w.now.Add(time.Duration(1+w.choose(300, "wait")) * time.Millisecond)
 		w.table.Tick(w.now)
+		w.collect()
 	case 11:
 		w.hello(w.entry())
 	case 12:
 		w.out, w.version = !w.out, w.version+1
 		w.setView()
+		w.collect()
 	case 13:
 		if w.choose(4, "pause or restart") == 0 {
 			w.restart()
--- a/io/ccagent/control.go
+++ b/io/ccagent/control.go
@@ -35,6 +35,7 @@
 		a.log.Info("Process was paused.", "pause", pause)
 	}
 	a.stepCells(now)
+	a.carryOut(now, a.table.TakeLate())
 	for _, entry := range a.table.Dirty() {
 		a.sendReport(now, entry)
 	}
@@ -95,24 +96,32 @@
 		a.stats.ignored.Add(1)
 		return
 	}
-	cause := ccevent.Cause{Node: l.entry.ID, Incarnation: l.entry.Incarnation, Seq: msg.Cause}
+	a.carryOut(now, result)
+}
+
+// carryOut runs what starts, and records what starts and what doesn't.
+func (a *Agent) carryOut(now time.Time, result ccagent.Result) {
 	for _, bounce := range result.Bounced {
 		a.stats.bounced.Add(string(bounce.Code), 1)
 		a.ring.Record(now, ccevent.Event{
 			Kind: ccevent.KindBounced, Job: bounce.Job, Index: bounce.Index, Claim: bounce.Claim,
-			Domain: a.cfg.Domain, Peer: l.entry.ID, Cause: cause, Text: string(bounce.Code),
+			Domain: a.cfg.Domain, Peer: bounce.From.ID, Cause: causeOf(bounce.From, bounce.Cause), Text: string(bounce.Code),
 		})
 	}
 	for _, start := range result.Starts {
 		a.stats.started.Add(1)
 		a.ring.Record(now, ccevent.Event{
 			Kind: ccevent.KindStarted, Job: start.Job, Index: start.Index, Claim: start.Claim,
-			Domain: a.cfg.Domain, Peer: l.entry.ID, Cause: cause,
+			Domain: a.cfg.Domain, Peer: start.From.ID, Cause: causeOf(start.From, start.Cause),
 		})
 		a.run(start)
 	}
 }
 
+func causeOf(entry ccnode.Ref, seq uint64) ccevent.Cause {
+	return ccevent.Cause{Node: entry.ID, Incarnation: entry.Incarnation, Seq: seq}
+}
+
 // run gives a task to the target in a goroutine of its own. There are never
 // more of them than slots.
 func (a *Agent) run(start ccagent.Start) {
