--- a/core/ccsettings/diff.go
+++ b/core/ccsettings/diff.go
@@ -30,3 +30,18 @@
 	}
 	return differences
 }
+
+// String returns the key with its value before and after.
+func (d Difference) String() string {
+	return string(d.Key) + ": " + shown(d.Key, d.Before) + " -> " + shown(d.Key, d.After)
+}
+
+func shown(key Key, value Value) string {
+	if value != "" {
+		return string(value)
+	}
+	if value = DefaultValue(key); value != "" {
+		return string(value) + " (default)"
+	}
+	return "none"
+}
--- /dev/null
+++ b/core/ccsettings/explain.go
@@ -0,0 +1,64 @@
+package ccsettings
+
+// Explanation says how a key got its value.
+type Explanation struct {
+	Key     Key    `json:"key"`
+	Value   Value  `json:"value"`
+	Version uint64 `json:"version"`
+	Origin
+	// Claims are what the teams and the chair's section set.
+	Claims []Claim `json:"claims"`
+	// Vote is the chair's vote on the key, if there is one.
+	Vote *VoteView `json:"vote,omitempty"`
+	// Since is the change that brought the value into force. It is nil for a
+	// default, and when the change is older than the history.
+	Since *Change `json:"since,omitempty"`
+	// Oldest is the first version that the history still has.
+	Oldest uint64 `json:"oldest,omitempty"`
+}
+
+// VoteView is a vote as it is shown.
+type VoteView struct {
+	Team  string `json:"team,omitempty"`
+	Value Value  `json:"value,omitempty"`
+}
+
+// Explain says how a key got its value. The history is in the order of versions.
+// It is false for a key that doesn't exist.
+func Explain(key Key, sections map[string]*Section, merged *Merged, history []Change) (Explanation, bool) {
+	value, ok := merged.Effective.Value(key)
+	if !ok {
+		return Explanation{}, false
+	}
+	e := Explanation{Key: key, Value: value, Version: merged.Effective.Version, Origin: merged.Origins[key]}
+	if e.Decision == "" {
+		e.Decision = DecisionDefault
+	}
+	m := merger{sections: sections}
+	e.Claims = m.claims()[key]
+	if e.Claims == nil {
+		e.Claims = []Claim{}
+	}
+	if chair := sections[Chair]; chair != nil {
+		if vote, ok := chair.Votes[key]; ok {
+			e.Vote = &VoteView{Team: vote.Team, Value: vote.Value}
+		}
+	}
+	if len(history) > 0 {
+		e.Oldest = history[0].Version
+	}
+	e.Since = sinceOf(key, history)
+	return e, true
+}
+
+// sinceOf returns the newest change of the key's value.
+func sinceOf(key Key, history []Change) *Change {
+	for i := len(history) - 1; i >= 0; i-- {
+		for _, difference := range history[i].Differences {
+			if difference.Key == key {
+				return &history[i]
+			}
+		}
+	}
+	return nil
+}
--- a/io/ccsettings/snapshot.go
+++ b/io/ccsettings/snapshot.go
@@ -14,6 +14,7 @@
 // snapshot is one version in full.
 type snapshot struct {
 	head     ccsettings.Head
+	revision uint64 // The head's revision in the store, where a writer needs it.
 	sections map[string]*ccsettings.Section
 	texts    map[string]string
 	merged   *ccsettings.Merged
@@ -96,3 +97,39 @@
 	}
 	return record.Text, section, nil
 }
+
+// loadSnapshot reads the version in force. A section that vanishes between two
+// reads belongs to a head that was replaced, so the head is read again.
+func loadSnapshot(ctx context.Context, store getter) (*snapshot, error) {
+	var wait backoff
+	for try := 1; ; try++ {
+		loaded, err := loadOnce(ctx, store)
+		if err == nil {
+			return loaded, nil
+		}
+		if try == headTries || wait.pause(ctx) != nil {
+			return nil, err
+		}
+	}
+}
+
+func loadOnce(ctx context.Context, store getter) (*snapshot, error) {
+	item, err := getRetry(ctx, store, ccsettings.HeadKey)
+	if err != nil || item.Revision == 0 {
+		return emptySnapshot(), err
+	}
+	head, err := ccsettings.ParseHead(item.Value)
+	if err != nil {
+		return nil, &Error{Op: "read head", Kind: KindRecord, Err: err}
+	}
+	loaded, err := emptySnapshot().next(ctx, store, head)
+	if err != nil {
+		return nil, err
+	}
+	loaded.revision = item.Revision
+	return loaded, nil
+}
+
+func (s *snapshot) present() ccsettings.Present {
+	return ccsettings.Present{Head: s.head, Sections: s.sections, Values: s.merged.Values}
+}
