Hold the settings' rules by tests, and refuse fractions

Cause: the YAML library cuts the fraction off a number that is read as a whole one, and a name with nothing below it silently didn't exist. Change: both are refused with file, line and key; golden files hold the texts. Conclusion: what parses can be merged and edited, and keeps its other keys.

--- a/core/ccsettings/parse.go
+++ b/core/ccsettings/parse.go
@@ -14,6 +14,7 @@
 const (
 	keyVotes         = "votes"
 	reasonUnknownKey = "there is no such key"
+	reasonNoKeys     = "there must be keys below"
 )
 
 // ParseSection reads a section's YAML. The file names the text in errors, which
@@ -78,7 +79,7 @@
 // with plain, distinct keys is a fault.
 func (p *parser) fields(node *yaml.Node, key Key, each func(name string, at, value *yaml.Node)) {
 	if node.Kind != yaml.MappingNode {
-		p.fault(node, key, "there must be keys below")
+		p.fault(node, key, reasonNoKeys)
 		return
 	}
 	seen := map[string]bool{}
@@ -125,6 +126,11 @@
 		p.fault(at, key, "a name has letters, digits, dash and underscore, up to %d", MaxNameBytes)
 		return
 	}
+	if value.Kind == yaml.MappingNode && len(value.Content) == 0 {
+		// It would not exist, which nobody would expect who wrote its name.
+		p.fault(at, key, reasonNoKeys)
+		return
+	}
 	p.parseGroup(key, value)
 }
 
@@ -207,6 +213,9 @@
 	if node.Kind != yaml.ScalarNode || node.Tag == "!!null" {
 		return "", fmt.Errorf("there must be %s", nameOf(kind))
 	}
+	if kind.Kind() == reflect.Int && node.ShortTag() != "!!int" {
+		return "", fmt.Errorf("%q is not %s", node.Value, nameOf(kind)) // Decode would cut a fraction off.
+	}
 	into := reflect.New(kind)
 	if err := node.Decode(into.Interface()); err != nil {
 		return "", fmt.Errorf("%q is not %s", node.Value, nameOf(kind))
--- /dev/null
+++ b/core/ccsettings/settings_test.go
@@ -0,0 +1,266 @@
+package ccsettings_test
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"camphorcroft/core/ccsettings"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+func parse(t *testing.T, name, text string) *ccsettings.Section {
+	t.Helper()
+	section, err := ccsettings.ParseSection(name, name+".yaml", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return section
+}
+
+// merge merges sections given as name and text in turn.
+func merge(t *testing.T, head ccsettings.Head, previous ccsettings.Values, texts ...string) (*ccsettings.Merged, error) {
+	t.Helper()
+	sections := map[string]*ccsettings.Section{}
+	for i := 0; i < len(texts); i += 2 {
+		sections[texts[i]] = parse(t, texts[i], texts[i+1])
+	}
+	return ccsettings.Merge(head, sections, previous)
+}
+
+func mustMerge(t *testing.T, previous ccsettings.Values, texts ...string) *ccsettings.Merged {
+	t.Helper()
+	merged, err := merge(t, ccsettings.Head{Version: 1}, previous, texts...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return merged
+}
+
+func wantIssues(t *testing.T, name string, err error) {
+	t.Helper()
+	var issues ccsettings.IssueErrors
+	if !errors.As(err, &issues) {
+		t.Fatalf("no issues in %v", err)
+	}
+	goldie.New(t).Assert(t, name, []byte(issues.Error()+"\n"))
+}
+
+func TestParseFaults(t *testing.T) {
+	_, err := ccsettings.ParseSection("sales", "sales.yaml", []byte(`services:
+  notices:
+    slots: many
+    slot: 3
+    slots: 4
+    ejectFor: 5
+    weights: {north: fast, south: 1, "a b": 1}
+  "two words": {slots: 3}
+  empty:
+  bare: {}
+domains:
+  north: {out: perhaps}
+  south: {out: ~}
+teams: [sales]
+fleet: {cells: 1.5, logLevel: [info], retention: *none}
+votes: {fleet.cells: {team: sales}}
+queues: {}
+`))
+	if err == nil || !strings.Contains(err.Error(), "unknown anchor") {
+		t.Fatalf("an alias passed: %v", err)
+	}
+	_, err = ccsettings.ParseSection("sales", "sales.yaml", []byte(`services:
+  notices:
+    slots: many
+    slot: 3
+    slots: 4
+    ejectFor: 5
+    weights: {north: fast, south: 1, "a b": 1}
+  "two words": {slots: 3}
+  empty:
+  bare: {}
+domains:
+  north: {out: perhaps}
+  south: {out: ~}
+teams: [sales]
+fleet: {cells: 1.5, logLevel: [info], retention: 5m}
+votes: {fleet.cells: {team: sales}}
+queues: {}
+`))
+	wantIssues(t, "parse-faults", err)
+}
+
+func TestVoteFaults(t *testing.T) {
+	_, err := ccsettings.ParseSection(ccsettings.Chair, "chair.yaml", []byte(`votes:
+  fleet.cells: {team: sales, value: 3}
+  fleet.cell: {team: sales}
+  fleet.logLevel: {}
+  fleet.maxClaims: {value: few}
+  fleet.retention: {group: sales}
+  fleet.clockMargin: {team: chair}
+`))
+	wantIssues(t, "vote-faults", err)
+}
+
+func TestLimits(t *testing.T) {
+	_, err := merge(t, ccsettings.Head{Version: 1}, nil,
+		"chair", "votes: {fleet.cells: {team: nobody}}",
+		"sales", `services:
+  notices:
+    slots: 0
+    policy: fastest
+    maxDeadline: 2h
+    weights: {north: 1, nowhere: 2, east: -1}
+domains: {north: {rampUp: -1s}}
+teams: {sales: {share: 0}}
+fleet: {clockMargin: 2m}
+`)
+	wantIssues(t, "limits", err)
+}
+
+func TestNotOneDocument(t *testing.T) {
+	for _, text := range []string{"fleet: {}\n---\nfleet: {}", "fleet: [", "\x00", "a: b: c"} {
+		_, err := ccsettings.ParseSection("sales", "sales.yaml", []byte(text))
+		var e *ccsettings.Error
+		if !errors.As(err, &e) || e.Kind != ccsettings.KindSyntax {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+	for _, text := range []string{"", "# nothing\n", "---\n", "~"} {
+		if section := parse(t, "sales", text); len(section.Settings) != 0 {
+			t.Errorf("%q gave settings", text)
+		}
+	}
+}
+
+func TestDecisions(t *testing.T) {
+	const a, b = "fleet: {cells: 2}", "fleet: {cells: 3}"
+	inForce := ccsettings.Values{"fleet.cells": "9"}
+	tests := []struct {
+		name     string
+		texts    []string
+		cells    int
+		decision ccsettings.Decision
+		conflict bool
+	}{
+		{"nobody", nil, 1, "", false},
+		{"one team", []string{"a", a}, 2, ccsettings.DecisionAgreed, false},
+		{"agreeing teams", []string{"a", a, "b", a}, 2, ccsettings.DecisionAgreed, false},
+		{"no vote", []string{"a", a, "b", b}, 9, ccsettings.DecisionHeld, true},
+		{"vote for a team", []string{"a", a, "b", b, "chair", "votes: {fleet.cells: {team: b}}"}, 3, ccsettings.DecisionVote, true},
+		{"vote for a value", []string{"a", a, "b", b, "chair", "votes: {fleet.cells: {value: 7}}"}, 7, ccsettings.DecisionVote, true},
+		{"vote for a team that is silent", []string{"a", a, "b", b, "c", "", "chair", "votes: {fleet.cells: {team: c}}"}, 9, ccsettings.DecisionHeld, true},
+		{"vote on what is agreed", []string{"a", a, "b", a, "chair", "votes: {fleet.cells: {value: 7}}"}, 2, ccsettings.DecisionAgreed, false},
+		{"chair alone", []string{"chair", b}, 3, ccsettings.DecisionChair, false},
+		{"chair over a team", []string{"a", a, "chair", b}, 3, ccsettings.DecisionChair, false},
+		{"chair over a vote", []string{"a", a, "b", b, "chair", "fleet: {cells: 5}\nvotes: {fleet.cells: {team: a}}"}, 5, ccsettings.DecisionChair, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			merged := mustMerge(t, inForce, test.texts...)
+			if got := merged.Effective.Fleet.Cells; got != test.cells {
+				t.Errorf("%d cells, want %d", got, test.cells)
+			}
+			if got := merged.Origins["fleet.cells"].Decision; got != test.decision {
+				t.Errorf("decision %q, want %q", got, test.decision)
+			}
+			if got := len(merged.Conflicts) == 1; got != test.conflict {
+				t.Errorf("conflicts %+v", merged.Conflicts)
+			}
+		})
+	}
+}
+
+// A reader that has only the head must come to what the writer planned.
+func TestReadersAgreeWithTheWriter(t *testing.T) {
+	present := ccsettings.Present{Sections: map[string]*ccsettings.Section{}}
+	step := func(section, text string) {
+		t.Helper()
+		plan, err := ccsettings.NewPlan(time.Unix(0, 0), present, ccsettings.Proposal{Section: section, Text: text, Writer: fmt.Sprint(present.Head.Version)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		present.Head = plan.Head
+		present.Sections[section] = parse(t, section, text)
+		merged, err := ccsettings.Merge(plan.Head, present.Sections, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if left := ccsettings.Diff(present.Values, merged.Values); len(left) != len(plan.Head.Change.Differences) {
+			t.Fatalf("the reader sees %v, the writer planned %v", left, plan.Head.Change.Differences)
+		}
+		present.Values = merged.Values
+	}
+	want := func(value ccsettings.Value) {
+		t.Helper()
+		if got := present.Values["fleet.cells"]; got != value {
+			t.Fatalf("cells are %q, want %q", got, value)
+		}
+	}
+	step("a", "fleet: {cells: 2}")
+	step("b", "fleet: {cells: 3}")
+	want("2")
+	step("a", "fleet: {cells: 4}")
+	want("2") // Held until somebody decides.
+	step("chair", "votes: {fleet.cells: {team: b}}")
+	want("3")
+	step("chair", "")
+	want("3") // What was in force stays.
+	step("a", "fleet: {cells: 3}")
+	want("3")
+	step("a", "")
+	step("b", "")
+	want("")
+}
+
+func TestSetText(t *testing.T) {
+	const before = "# Decided on Monday.\ndomains:\n  north:\n    region: coast # Near the harbor.\nvotes:\n  fleet.cells: {team: a}\n"
+	after, err := ccsettings.SetText(before, "domains.north.out", "true")
+	if err != nil {
+		t.Fatal(err)
+	}
+	goldie.New(t).Assert(t, "set-text", []byte(after))
+	section := parse(t, ccsettings.Chair, after)
+	if got := section.Settings["domains.north.out"].Value; got != "true" {
+		t.Fatalf("out is %q", got)
+	}
+	for _, text := range []string{"", "# Nothing yet.\n", "domains:\n", "domains: {north: {out: false}}"} {
+		after, err := ccsettings.SetText(text, "domains.north.out", "true")
+		if err != nil || parse(t, ccsettings.Chair, after).Settings["domains.north.out"].Value != "true" {
+			t.Errorf("%q became %q: %v", text, after, err)
+		}
+	}
+	if _, err := ccsettings.SetText("", "domains.north.off", "true"); err == nil {
+		t.Error("an unknown key was set")
+	}
+}
+
+func FuzzParseSection(f *testing.F) {
+	f.Add("services: {a: {slots: 3, weights: {n: .5}}}\nvotes: {fleet.cells: {value: 2}}")
+	f.Add("fleet: {retention: 5m}\n# end")
+	f.Add("domains: &a {n: *a}")
+	f.Add("? [a]\n: b")
+	f.Fuzz(func(t *testing.T, text string) {
+		section, err := ccsettings.ParseSection(ccsettings.Chair, "f", []byte(text))
+		if err != nil {
+			return
+		}
+		// What parses merges or is refused, and can be edited.
+		_, _ = ccsettings.Merge(ccsettings.Head{}, map[string]*ccsettings.Section{ccsettings.Chair: section}, nil)
+		edited, err := ccsettings.SetText(text, "domains.north.out", "true")
+		if err != nil {
+			t.Fatalf("%q can't be edited: %v", text, err)
+		}
+		again, err := ccsettings.ParseSection(ccsettings.Chair, "f", []byte(edited))
+		if err != nil {
+			t.Fatalf("%q became %q: %v", text, edited, err)
+		}
+		for key, setting := range section.Settings {
+			if key != "domains.north.out" && again.Settings[key].Value != setting.Value {
+				t.Fatalf("editing changed %s: %q became %q", key, text, edited)
+			}
+		}
+	})
+}
