--- a/io/ccagent/agent.go
+++ b/io/ccagent/agent.go
@@ -13,6 +13,7 @@
 	"camphorcroft/core/ccnode"
 	"camphorcroft/core/ccwire"
 	"camphorcroft/io/ccrpc"
+	settingsio "camphorcroft/io/ccsettings"
 
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
@@ -35,6 +36,7 @@
 	web      *http.Server
 	webAddr  netip.AddrPort
 	runner   *runner
+	reader   *settingsio.Reader // Of the settings, for a lead.
 
 	// The control goroutine alone uses what follows.
 	table        *ccagent.Table
@@ -57,13 +59,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	a := &Agent{
 		cfg: cfg, log: cfg.Log.WithName("agent").WithValues("node", cfg.Node.ID), ring: cfg.Ring, since: now,
-		stats: newStats(cfg.Node.ID), mailbox: make(chan func(time.Time), mailboxSize), ctx: ctx, cancel: cancel,
+		stats: newStats(cfg.Node.ID, cfg.Domain), mailbox: make(chan func(time.Time), mailboxSize), ctx: ctx, cancel: cancel,
 		links: make(map[*ccrpc.Peer]*link), byEntry: make(map[ccnode.Ref]*link),
 		table: ccagent.NewTable(ccagent.Config{
 			Self: cfg.Node, Domain: cfg.Domain, Service: cfg.Service, Slots: cfg.Slots, Since: now, Guards: cfg.Guards,
 		}),
 	}
 	a.runner = newRunner(cfg.Target)
+	a.reader = a.newReader()
 	return a
 }
 
