Let operators check, change and explain settings

Cause: the settings could be changed by code alone. Change: the commands settings check, propose, show, history, explain and domain out, in, list, with diffs, JSON and exit codes; limits are checked in each section, in force or not, so that one team's value can't block another's change; a flag that can't be read exits with 2 like any wrong use.

--- a/core/ccsettings/check.go
+++ b/core/ccsettings/check.go
@@ -3,8 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/go-playground/validator/v10"
@@ -30,41 +28,98 @@
 	return v
 }
 
-// check returns what is wrong with the merged settings.
+// limitCheck looks for values out of their limits.
+type limitCheck struct {
+	// place gives a key's file, line and name in errors.
+	place  func(key Key) Issue
+	issues IssueErrors
+}
+
+// checkLimits checks a section's own values and votes, whether they are in force
+// or not: a value that is out of its limits must not wait there until it is.
+func (s *Section) checkLimits() IssueErrors {
+	values, votes := Values{}, Values{}
+	for key, setting := range s.Settings {
+		values[key] = setting.Value
+	}
+	for key, vote := range s.Votes {
+		if vote.Value != "" {
+			votes[key] = vote.Value
+		}
+	}
+	issues := limitsOf(values, func(key Key) Issue {
+		return Issue{File: s.File, Line: s.Settings[key].Line, Key: key}
+	})
+	return append(issues, limitsOf(votes, func(key Key) Issue {
+		return Issue{File: s.File, Line: s.Votes[key].Line, Key: below(keyVotes, string(key))}
+	})...)
+}
+
+func limitsOf(values Values, place func(key Key) Issue) IssueErrors {
+	e, err := build(0, values)
+	if err != nil {
+		return IssueErrors{{Reason: err.Error()}}
+	}
+	c := &limitCheck{place: place}
+	c.check(e)
+	return c.issues
+}
+
+// check returns what is wrong with the merged settings as a whole. Each value is
+// within its limits, since its section was checked.
 func (m *merger) check() IssueErrors {
-	var issues IssueErrors
-	e := m.merged.Effective
-	for _, name := range slices.Sorted(maps.Keys(e.Services)) {
-		service := e.Services[name]
+	issues := m.checkDomains()
+	return append(issues, m.checkVotes()...)
+}
+
+func (c *limitCheck) check(e *Effective) {
+	for name, service := range e.Services {
 		prefix := joinKey(groupServices, name)
-		issues = append(issues, m.checkLimits(prefix, service)...)
-		issues = append(issues, m.checkDuration(prefix+".ejectFor", service.EjectFor, 0, maxEjectFor)...)
-		issues = append(issues, m.checkDuration(prefix+".maxDeadline", service.MaxDeadline, minDeadline, maxDeadline)...)
-		issues = append(issues, m.checkWeights(prefix+".weights", service.Weights)...)
+		c.fields(prefix, service)
+		c.duration(prefix+".ejectFor", service.EjectFor, 0, maxEjectFor)
+		c.duration(prefix+".maxDeadline", service.MaxDeadline, minDeadline, maxDeadline)
+		for domain, weight := range service.Weights {
+			c.weight(joinKey(groupServices, name, "weights", domain), weight)
+		}
 	}
 	for name, domain := range e.Domains {
-		issues = append(issues, m.checkDuration(joinKey(groupDomains, name, "rampUp"), domain.RampUp, 0, maxRampUp)...)
+		c.duration(joinKey(groupDomains, name, "rampUp"), domain.RampUp, 0, maxRampUp)
 	}
 	for name, team := range e.Teams {
-		issues = append(issues, m.checkLimits(joinKey(groupTeams, name), team)...)
+		c.fields(joinKey(groupTeams, name), team)
 	}
-	issues = append(issues, m.checkLimits(groupFleet, e.Fleet)...)
-	issues = append(issues, m.checkDuration("fleet.retention", e.Fleet.Retention, minRetention, maxRetention)...)
-	issues = append(issues, m.checkDuration("fleet.clockMargin", e.Fleet.ClockMargin, 0, maxClockMargin)...)
-	return append(issues, m.checkVotes()...)
+	c.fields(groupFleet, e.Fleet)
+	c.duration("fleet.retention", e.Fleet.Retention, minRetention, maxRetention)
+	c.duration("fleet.clockMargin", e.Fleet.ClockMargin, 0, maxClockMargin)
 }
 
-func (m *merger) checkLimits(prefix Key, settings any) IssueErrors {
+func (c *limitCheck) fault(key Key, format string, args ...any) {
+	issue := c.place(key)
+	issue.Reason = fmt.Sprintf(format, args...)
+	c.issues = append(c.issues, issue)
+}
+
+// fields checks the limits that stand in the types' tags.
+func (c *limitCheck) fields(prefix Key, settings any) {
 	var faults validator.ValidationErrors
 	if !errors.As(limits.Struct(settings), &faults) {
-		return nil
+		return
 	}
-	var issues IssueErrors
 	for _, fault := range faults {
-		key := below(prefix, fault.Field())
-		issues = append(issues, m.issue(key, fmt.Sprintf("%v is not %s", fault.Value(), limitText(fault))))
+		c.fault(below(prefix, fault.Field()), "%v is not %s", fault.Value(), limitText(fault))
+	}
+}
+
+func (c *limitCheck) duration(key Key, d Duration, least, most time.Duration) {
+	if d.Std() < least || d.Std() > most {
+		c.fault(key, "%s is not from %s to %s", d, least, most)
+	}
+}
+
+func (c *limitCheck) weight(key Key, weight float64) {
+	if weight < 0 || weight > maxWeight {
+		c.fault(key, "%v is not from 0 to %d", weight, maxWeight)
 	}
-	return issues
 }
 
 func limitText(fault validator.FieldError) string {
@@ -82,22 +137,15 @@
 	}
 }
 
-func (m *merger) checkDuration(key Key, d Duration, least, most time.Duration) IssueErrors {
-	if d.Std() >= least && d.Std() <= most {
-		return nil
-	}
-	return IssueErrors{m.issue(key, fmt.Sprintf("%s is not from %s to %s", d, least, most))}
-}
-
-func (m *merger) checkWeights(prefix Key, weights map[string]float64) IssueErrors {
+// checkDomains refuses references to failure domains that don't exist.
+func (m *merger) checkDomains() IssueErrors {
 	var issues IssueErrors
-	for domain, weight := range weights {
-		key := below(prefix, domain)
-		if _, ok := m.merged.Effective.Domains[domain]; !ok {
-			issues = append(issues, m.issue(key, fmt.Sprintf("there is no failure domain %s", domain)))
-		}
-		if weight < 0 || weight > maxWeight {
-			issues = append(issues, m.issue(key, fmt.Sprintf("%v is not from 0 to %d", weight, maxWeight)))
+	for name, service := range m.merged.Effective.Services {
+		for domain := range service.Weights {
+			if _, ok := m.merged.Effective.Domains[domain]; !ok {
+				key := joinKey(groupServices, name, "weights", domain)
+				issues = append(issues, m.issue(key, fmt.Sprintf("there is no failure domain %s", domain)))
+			}
 		}
 	}
 	return issues
--- a/core/ccsettings/diff.go
+++ b/core/ccsettings/diff.go
@@ -1,6 +1,7 @@
 package ccsettings
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 )
@@ -33,15 +34,24 @@
 
 // String returns the key with its value before and after.
 func (d Difference) String() string {
-	return string(d.Key) + ": " + shown(d.Key, d.Before) + " -> " + shown(d.Key, d.After)
+	byDefault := DefaultValue(d.Key)
+	switch {
+	case d.Before == "" && d.After == byDefault:
+		return fmt.Sprintf("%s: %s, now set, was the default", d.Key, d.After)
+	case d.After == "" && d.Before == byDefault:
+		return fmt.Sprintf("%s: %s, no longer set, is the default", d.Key, d.Before)
+	default:
+		return fmt.Sprintf("%s: %s -> %s", d.Key, shown(d.Before, byDefault), shown(d.After, byDefault))
+	}
 }
 
-func shown(key Key, value Value) string {
-	if value != "" {
+func shown(value, byDefault Value) string {
+	switch {
+	case value != "":
 		return string(value)
+	case byDefault != "":
+		return string(byDefault) + " (default)"
+	default:
+		return "none"
 	}
-	if value = DefaultValue(key); value != "" {
-		return string(value) + " (default)"
-	}
-	return "none"
 }
--- a/core/ccsettings/merge.go
+++ b/core/ccsettings/merge.go
@@ -68,7 +68,9 @@
 		head:     head,
 		sections: sections,
 		previous: previous,
-		merged:   &Merged{Values: Values{}, Origins: map[Key]Origin{}, Held: Values{}},
+		merged: &Merged{
+			Values: Values{}, Origins: map[Key]Origin{}, Held: Values{}, Conflicts: []Conflict{},
+		},
 	}
 	claims := m.claims()
 	for _, key := range slices.Sorted(maps.Keys(claims)) {
--- a/core/ccsettings/parse.go
+++ b/core/ccsettings/parse.go
@@ -36,6 +36,9 @@
 	if root != nil {
 		p.parseRoot(root)
 	}
+	if len(p.issues) == 0 {
+		p.issues = p.section.checkLimits()
+	}
 	if len(p.issues) > 0 {
 		p.issues.sort()
 		return nil, &Error{Op: "parse " + file, Kind: KindInvalid, Err: p.issues}
--- a/core/ccsettings/settings_test.go
+++ b/core/ccsettings/settings_test.go
@@ -105,21 +105,27 @@
 }
 
 func TestLimits(t *testing.T) {
-	_, err := merge(t, ccsettings.Head{Version: 1}, nil,
-		"chair", "votes: {fleet.cells: {team: nobody}}",
-		"sales", `services:
+	_, err := ccsettings.ParseSection(ccsettings.Chair, "chair.yaml", []byte(`services:
   notices:
     slots: 0
     policy: fastest
     maxDeadline: 2h
-    weights: {north: 1, nowhere: 2, east: -1}
+    weights: {north: 1, east: -1}
 domains: {north: {rampUp: -1s}}
 teams: {sales: {share: 0}}
 fleet: {clockMargin: 2m}
-`)
+votes: {fleet.cells: {value: 0}}
+`))
 	wantIssues(t, "limits", err)
 }
 
+func TestReferences(t *testing.T) {
+	_, err := merge(t, ccsettings.Head{Version: 1}, nil,
+		"chair", "domains: {north: {out: true}}\nvotes: {fleet.cells: {team: nobody}}",
+		"sales", "services:\n  notices:\n    weights: {north: 1, nowhere: 2}\n")
+	wantIssues(t, "references", err)
+}
+
 func TestNotOneDocument(t *testing.T) {
 	for _, text := range []string{"fleet: {}\n---\nfleet: {}", "fleet: [", "\x00", "a: b: c"} {
 		_, err := ccsettings.ParseSection("sales", "sales.yaml", []byte(text))
--- a/io/cccli/root.go
+++ b/io/cccli/root.go
@@ -46,7 +46,20 @@
 		},
 	}
 	root.Subcommands = commands(streams)
-	return exitCode(root, root.ParseAndRun(ctx, args), streams)
+	return exitCode(root, parseAndRun(ctx, root, args), streams)
+}
+
+// parseAndRun tells a command line that can't be read from a command that failed.
+func parseAndRun(ctx context.Context, root *ff.Command, args []string) error {
+	err := root.Parse(args)
+	switch {
+	case err == nil:
+		return root.Run(ctx)
+	case errors.Is(err, ff.ErrHelp):
+		return err
+	default:
+		return &usageError{text: err.Error()}
+	}
 }
 
 // commands lists every command, in the order of the help text.
@@ -56,6 +69,8 @@
 		entryCommand(streams),
 		agentCommand(streams),
 		standinCommand(streams),
+		settingsCommand(streams),
+		domainCommand(streams),
 		submitCommand(streams),
 		loadCommand(streams),
 		statusCommand(streams),
--- a/io/ccsettings/reader.go
+++ b/io/ccsettings/reader.go
@@ -39,7 +39,7 @@
 	cfg ReaderConfig
 
 	mu       sync.Mutex // Guards what follows.
-	known    *snapshot
+	known    *Snapshot
 	lastSeen time.Time
 }
 
@@ -56,7 +56,7 @@
 
 // Current returns the settings that the reader knows, with no call to the store.
 func (r *Reader) Current() *ccsettings.Effective {
-	return r.snapshot().merged.Effective
+	return r.snapshot().Merged.Effective
 }
 
 // LastSeen returns when the newest call that the store answered was sent. It is
@@ -162,10 +162,10 @@
 	if err != nil {
 		return &Error{Op: "read head", Kind: KindRecord, Err: err}
 	}
-	if head.Version <= known.head.Version {
-		if head.Version < known.head.Version {
+	if head.Version <= known.Head.Version {
+		if head.Version < known.Head.Version {
 			r.cfg.Log.Info("The store holds an older version. The known one stays.",
-				"store", head.Version, "known", known.head.Version)
+				"store", head.Version, "known", known.Head.Version)
 		}
 		return nil
 	}
@@ -175,13 +175,13 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if next.head.Version > r.known.head.Version {
+	if next.Head.Version > r.known.Head.Version {
 		r.known = next
 	}
 	return nil
 }
 
-func (r *Reader) snapshot() *snapshot {
+func (r *Reader) snapshot() *Snapshot {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.known
--- a/io/ccsettings/snapshot.go
+++ b/io/ccsettings/snapshot.go
@@ -11,49 +11,49 @@
 // fetchers is how many sections are read at once.
 const fetchers = 8
 
-// snapshot is one version in full.
-type snapshot struct {
-	head     ccsettings.Head
+// Snapshot is one version in full. Treat it as read-only.
+type Snapshot struct {
+	Head     ccsettings.Head
+	Sections map[string]*ccsettings.Section
+	Texts    map[string]string // The sections as they were written.
+	Merged   *ccsettings.Merged
 	revision uint64 // The head's revision in the store, where a writer needs it.
-	sections map[string]*ccsettings.Section
-	texts    map[string]string
-	merged   *ccsettings.Merged
 }
 
 // emptySnapshot is what holds before the first change.
-func emptySnapshot() *snapshot {
-	return &snapshot{
-		sections: map[string]*ccsettings.Section{},
-		texts:    map[string]string{},
-		merged:   &ccsettings.Merged{Effective: ccsettings.Default(), Values: ccsettings.Values{}},
+func emptySnapshot() *Snapshot {
+	return &Snapshot{
+		Sections: map[string]*ccsettings.Section{},
+		Texts:    map[string]string{},
+		Merged:   &ccsettings.Merged{Effective: ccsettings.Default(), Values: ccsettings.Values{}},
 	}
 }
 
 // next returns the snapshot that a head describes. Sections that stand in this
 // snapshot under the same revision are not read again.
-func (s *snapshot) next(ctx context.Context, store getter, head ccsettings.Head) (*snapshot, error) {
-	next := &snapshot{head: head, sections: map[string]*ccsettings.Section{}, texts: map[string]string{}}
+func (s *Snapshot) next(ctx context.Context, store getter, head ccsettings.Head) (*Snapshot, error) {
+	next := &Snapshot{Head: head, Sections: map[string]*ccsettings.Section{}, Texts: map[string]string{}}
 	var missing []string
 	for name, revision := range head.Sections {
-		if s.head.Sections[name] != revision {
+		if s.Head.Sections[name] != revision {
 			missing = append(missing, name)
 			continue
 		}
-		next.sections[name], next.texts[name] = s.sections[name], s.texts[name]
+		next.Sections[name], next.Texts[name] = s.Sections[name], s.Texts[name]
 	}
 	if err := next.fetch(ctx, store, missing); err != nil {
 		return nil, err
 	}
-	merged, err := ccsettings.Merge(head, next.sections, nil)
+	merged, err := ccsettings.Merge(head, next.Sections, nil)
 	if err != nil {
 		return nil, &Error{Op: "merge", Kind: KindRecord, Err: err}
 	}
-	next.merged = merged
+	next.Merged = merged
 	return next, nil
 }
 
 // fetch reads sections from the store, a few at once.
-func (s *snapshot) fetch(ctx context.Context, store getter, names []string) error {
+func (s *Snapshot) fetch(ctx context.Context, store getter, names []string) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	var mu sync.Mutex // Guards the snapshot's maps.
@@ -63,14 +63,14 @@
 		wg.Go(func() {
 			room <- struct{}{}
 			defer func() { <-room }()
-			text, section, err := fetchSection(ctx, store, name, s.head.Sections[name])
+			text, section, err := fetchSection(ctx, store, name, s.Head.Sections[name])
 			if err != nil {
 				cancel(err)
 				return
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			s.sections[name], s.texts[name] = section, text
+			s.Sections[name], s.Texts[name] = section, text
 		})
 	}
 	wg.Wait()
@@ -100,7 +100,7 @@
 
 // loadSnapshot reads the version in force. A section that vanishes between two
 // reads belongs to a head that was replaced, so the head is read again.
-func loadSnapshot(ctx context.Context, store getter) (*snapshot, error) {
+func loadSnapshot(ctx context.Context, store getter) (*Snapshot, error) {
 	var wait backoff
 	for try := 1; ; try++ {
 		loaded, err := loadOnce(ctx, store)
@@ -113,7 +113,7 @@
 	}
 }
 
-func loadOnce(ctx context.Context, store getter) (*snapshot, error) {
+func loadOnce(ctx context.Context, store getter) (*Snapshot, error) {
 	item, err := getRetry(ctx, store, ccsettings.HeadKey)
 	if err != nil || item.Revision == 0 {
 		return emptySnapshot(), err
@@ -130,6 +130,6 @@
 	return loaded, nil
 }
 
-func (s *snapshot) present() ccsettings.Present {
-	return ccsettings.Present{Head: s.head, Sections: s.sections, Values: s.merged.Values}
+func (s *Snapshot) present() ccsettings.Present {
+	return ccsettings.Present{Head: s.Head, Sections: s.Sections, Values: s.Merged.Values}
 }
--- a/io/ccsettings/writer.go
+++ b/io/ccsettings/writer.go
@@ -79,7 +79,7 @@
 // change is accepted first. An error of KindRaced holds a RaceError, which says
 // what changed. It tries until the context ends while the store doesn't answer.
 func (w *Writer) Propose(ctx context.Context, r Request) (*Result, error) {
-	present, err := w.load(ctx)
+	present, err := w.Load(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -91,11 +91,11 @@
 func (w *Writer) Edit(ctx context.Context, section, by string, edit func(text string) (string, error)) (*Result, error) {
 	var wait backoff
 	for try := 1; ; try++ {
-		present, err := w.load(ctx)
+		present, err := w.Load(ctx)
 		if err != nil {
 			return nil, err
 		}
-		text, err := edit(present.texts[section])
+		text, err := edit(present.Texts[section])
 		if err != nil {
 			return nil, &Error{Op: "edit", Kind: KindInvalid, Err: err}
 		}
@@ -106,13 +106,13 @@
 	}
 }
 
-func (w *Writer) propose(ctx context.Context, present *snapshot, r Request) (*Result, error) {
-	revision, exists := present.head.Sections[r.Section]
+func (w *Writer) propose(ctx context.Context, present *Snapshot, r Request) (*Result, error) {
+	revision, exists := present.Head.Sections[r.Section]
 	if r.Base > 0 && ccsettings.RevisionVersion(revision) > r.Base {
-		return nil, w.raced(ctx, r.Base, present.head)
+		return nil, w.raced(ctx, r.Base, present.Head)
 	}
-	if exists && present.texts[r.Section] == r.Text {
-		return &Result{Change: present.head.Change, Conflicts: present.merged.Conflicts, Unchanged: true}, nil
+	if exists && present.Texts[r.Section] == r.Text {
+		return &Result{Change: present.Head.Change, Conflicts: present.Merged.Conflicts, Unchanged: true}, nil
 	}
 	plan, err := ccsettings.NewPlan(w.cfg.Now(), present.present(), ccsettings.Proposal{
 		Section: r.Section, File: r.File, Text: r.Text, By: r.By, Writer: w.cfg.NewMark(),
@@ -120,7 +120,7 @@
 	if err != nil {
 		return nil, &Error{Op: "propose", Kind: KindInvalid, Err: err}
 	}
-	if err := w.prepare(ctx, present.head, plan); err != nil {
+	if err := w.prepare(ctx, present.Head, plan); err != nil {
 		return nil, err
 	}
 	if err := w.swapHead(ctx, present, plan); err != nil {
@@ -167,7 +167,7 @@
 
 // swapHead replaces the head, and reads back what became of it when the store
 // doesn't say.
-func (w *Writer) swapHead(ctx context.Context, present *snapshot, plan *ccsettings.Plan) error {
+func (w *Writer) swapHead(ctx context.Context, present *Snapshot, plan *ccsettings.Plan) error {
 	data, err := json.Marshal(plan.Head)
 	if err != nil {
 		return &Error{Op: "propose", Kind: KindInvalid, Err: err}
@@ -245,7 +245,7 @@
 	return change, nil
 }
 
-// load reads the version in force.
-func (w *Writer) load(ctx context.Context) (*snapshot, error) {
+// Load reads the version in force, with its sections.
+func (w *Writer) Load(ctx context.Context) (*Snapshot, error) {
 	return loadSnapshot(ctx, w.cfg.Store)
 }
--- a/io/ccstore/client_test.go
+++ b/io/ccstore/client_test.go
@@ -20,7 +20,7 @@
 	}
 }
 
-func clientOf(t *testing.T, handler http.HandlerFunc) *ccstore.Client {
+func clientOf(t testing.TB, handler http.HandlerFunc) *ccstore.Client {
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
