--- a/core/ccsettings/explain.go
+++ b/core/ccsettings/explain.go
@@ -13,6 +13,9 @@
 	// Since is the change that brought the value into force. It is nil for a
 	// default, and when the change is older than the history.
 	Since *Change `json:"since,omitempty"`
+	// Unsure tells that a later change than Since left out some differences, so
+	// that it may have been the one.
+	Unsure bool `json:"unsure,omitempty"`
 	// Oldest is the first version that the history still has.
 	Oldest uint64 `json:"oldest,omitempty"`
 }
@@ -47,18 +50,25 @@
 	if len(history) > 0 {
 		e.Oldest = history[0].Version
 	}
-	e.Since = sinceOf(key, history)
+	e.Since, e.Unsure = sinceOf(key, history)
 	return e, true
 }
 
-// sinceOf returns the newest change of the key's value.
-func sinceOf(key Key, history []Change) *Change {
+// sinceOf returns the newest change of the key's value, and whether a later one
+// may have left it out.
+func sinceOf(key Key, history []Change) (*Change, bool) {
+	unsure := false
 	for i := len(history) - 1; i >= 0; i-- {
-		for _, difference := range history[i].Differences {
+		change := &history[i]
+		for _, difference := range change.Differences {
 			if difference.Key == key {
-				return &history[i]
+				return change, unsure
 			}
 		}
+		// Differences are in the order of keys, and the last ones are left out.
+		if n := len(change.Differences); change.More > 0 && n > 0 && key > change.Differences[n-1].Key {
+			unsure = true
+		}
 	}
-	return nil
+	return nil, unsure
 }
--- a/core/ccsettings/settings_test.go
+++ b/core/ccsettings/settings_test.go
@@ -221,6 +221,20 @@
 	want("")
 }
 
+func TestSinceWhenDifferencesAreLeftOut(t *testing.T) {
+	history := []ccsettings.Change{
+		{Version: 1, Differences: []ccsettings.Difference{{Key: "fleet.cells", After: "2"}, {Key: "teams.a.share", After: "2"}}},
+		{Version: 2, Differences: []ccsettings.Difference{{Key: "fleet.maxClaims", After: "5000"}}, More: 1},
+	}
+	merged := mustMerge(t, nil, "a", "fleet: {cells: 2}\nteams: {a: {share: 2}}")
+	for key, unsure := range map[ccsettings.Key]bool{"fleet.cells": false, "teams.a.share": true} {
+		e, ok := ccsettings.Explain(key, nil, merged, history)
+		if !ok || e.Since == nil || e.Since.Version != 1 || e.Unsure != unsure {
+			t.Errorf("%s: %+v, want version 1 and unsure %v", key, e, unsure)
+		}
+	}
+}
+
 func TestSetText(t *testing.T) {
 	const before = "# Decided on Monday.\ndomains:\n  north:\n    region: coast # Near the harbor.\nvotes:\n  fleet.cells: {team: a}\n"
 	after, err := ccsettings.SetText(before, "domains.north.out", "true")
--- a/io/cccli/settings_explain.go
+++ b/io/cccli/settings_explain.go
@@ -71,5 +71,8 @@
 	default:
 		fmt.Fprintf(&b, "  since before version %d, the oldest in the history\n", e.Oldest)
 	}
+	if e.Unsure {
+		b.WriteString("  or since a later version that changed too many values to list them all\n")
+	}
 	return b.String()
 }
