--- a/core/ccsettings/check.go
+++ b/core/ccsettings/check.go
@@ -32,12 +32,12 @@
 type limitCheck struct {
 	// place gives a key's file, line and name in errors.
 	place  func(key Key) Issue
-	issues IssueErrors
+	issues Issues
 }
 
 // checkLimits checks a section's own values and votes, whether they are in force
 // or not: a value that is out of its limits must not wait there until it is.
-func (s *Section) checkLimits() IssueErrors {
+func (s *Section) checkLimits() Issues {
 	values, votes := Values{}, Values{}
 	for key, setting := range s.Settings {
 		values[key] = setting.Value
@@ -55,10 +55,10 @@
 	})...)
 }
 
-func limitsOf(values Values, place func(key Key) Issue) IssueErrors {
+func limitsOf(values Values, place func(key Key) Issue) Issues {
 	e, err := build(0, values)
 	if err != nil {
-		return IssueErrors{{Reason: err.Error()}}
+		return Issues{{Reason: err.Error()}}
 	}
 	c := &limitCheck{place: place}
 	c.check(e)
@@ -67,7 +67,7 @@
 
 // check returns what is wrong with the merged settings as a whole. Each value is
 // within its limits, since its section was checked.
-func (m *merger) check() IssueErrors {
+func (m *merger) check() Issues {
 	issues := m.checkDomains()
 	return append(issues, m.checkVotes()...)
 }
@@ -138,8 +138,8 @@
 }
 
 // checkDomains refuses references to failure domains that don't exist.
-func (m *merger) checkDomains() IssueErrors {
-	var issues IssueErrors
+func (m *merger) checkDomains() Issues {
+	var issues Issues
 	for name, service := range m.merged.Effective.Services {
 		for domain := range service.Weights {
 			if _, ok := m.merged.Effective.Domains[domain]; !ok {
@@ -152,12 +152,12 @@
 }
 
 // checkVotes refuses votes for teams that have no section.
-func (m *merger) checkVotes() IssueErrors {
+func (m *merger) checkVotes() Issues {
 	chair := m.sections[Chair]
 	if chair == nil {
 		return nil
 	}
-	var issues IssueErrors
+	var issues Issues
 	for key, vote := range chair.Votes {
 		if vote.Team != "" && m.sections[vote.Team] == nil {
 			issues = append(issues, Issue{
--- a/core/ccsettings/edit.go
+++ b/core/ccsettings/edit.go
@@ -11,7 +11,7 @@
 // comments. The value is YAML, such as true.
 func SetText(text string, key Key, value string) (string, error) {
 	if !key.Known() {
-		return "", &Error{Op: "edit", Kind: KindInvalid, Err: IssueErrors{{Key: key, Reason: reasonUnknownKey}}}
+		return "", newIssuesError("edit", Issues{{Key: key, Reason: reasonUnknownKey}})
 	}
 	root, err := readDocument("section", []byte(text))
 	if err != nil {
--- a/core/ccsettings/error.go
+++ b/core/ccsettings/error.go
@@ -1,6 +1,9 @@
 package ccsettings
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+)
 
 // Kind sorts the errors of this package.
 type Kind string
@@ -14,12 +17,28 @@
 	KindRecord Kind = "record"
 )
 
-// Error is the error of this package. Err is IssueErrors when single keys are at
-// fault.
+// Error is the error of this package. Issues lists the faults when single keys
+// are at fault; Err then has them as text.
 type Error struct {
-	Op   string
-	Kind Kind
-	Err  error
+	Op     string
+	Kind   Kind
+	Err    error
+	Issues Issues
+}
+
+// newIssuesError returns the error of a check that found faults.
+func newIssuesError(op string, issues Issues) *Error {
+	issues.sort()
+	return &Error{Op: op, Kind: KindInvalid, Err: errors.New(issues.Text()), Issues: issues}
+}
+
+// IssuesOf returns the faults that an error of this package lists, if any.
+func IssuesOf(err error) Issues {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Issues
+	}
+	return nil
 }
 
 // Error returns the operation, the kind and the cause.
--- a/core/ccsettings/issue.go
+++ b/core/ccsettings/issue.go
@@ -32,11 +32,11 @@
 	return b.String()
 }
 
-// IssueErrors are the faults of one check, in the order of file and line.
-type IssueErrors []Issue
+// Issues are the faults of one check, in the order of file and line.
+type Issues []Issue
 
-// Error lists the issues, one a line.
-func (is IssueErrors) Error() string {
+// Text lists the issues, one a line.
+func (is Issues) Text() string {
 	lines := make([]string, len(is))
 	for i, issue := range is {
 		lines[i] = issue.String()
@@ -44,7 +44,7 @@
 	return strings.Join(lines, "\n")
 }
 
-func (is IssueErrors) sort() {
+func (is Issues) sort() {
 	slices.SortStableFunc(is, func(a, b Issue) int {
 		return cmp.Or(cmp.Compare(a.File, b.File), cmp.Compare(a.Line, b.Line), cmp.Compare(a.Key, b.Key))
 	})
--- a/core/ccsettings/merge.go
+++ b/core/ccsettings/merge.go
@@ -82,8 +82,7 @@
 	}
 	m.merged.Effective = effective
 	if issues := m.check(); len(issues) > 0 {
-		issues.sort()
-		return nil, &Error{Op: "merge", Kind: KindInvalid, Err: issues}
+		return nil, newIssuesError("merge", issues)
 	}
 	return m.merged, nil
 }
--- a/core/ccsettings/parse.go
+++ b/core/ccsettings/parse.go
@@ -2,11 +2,9 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
-	"reflect"
 
 	"go.yaml.in/yaml/v3"
 )
@@ -40,8 +38,7 @@
 		p.issues = p.section.checkLimits()
 	}
 	if len(p.issues) > 0 {
-		p.issues.sort()
-		return nil, &Error{Op: "parse " + file, Kind: KindInvalid, Err: p.issues}
+		return nil, newIssuesError("parse "+file, p.issues)
 	}
 	return p.section, nil
 }
@@ -69,7 +66,7 @@
 
 type parser struct {
 	section *Section
-	issues  IssueErrors
+	issues  Issues
 }
 
 func (p *parser) fault(node *yaml.Node, key Key, format string, args ...any) {
@@ -163,84 +160,3 @@
 	}
 	p.section.Settings[key] = Setting{Value: value, Line: at.Line}
 }
-
-func (p *parser) parseVotes(at, node *yaml.Node) {
-	if p.section.Name != Chair {
-		p.fault(at, keyVotes, "only the section %s has votes", Chair)
-		return
-	}
-	p.fields(node, keyVotes, func(name string, at, value *yaml.Node) {
-		key := Key(name)
-		kind, ok := key.valueType()
-		if !ok {
-			p.fault(at, below(keyVotes, name), reasonUnknownKey)
-			return
-		}
-		p.parseVote(key, kind, at, value)
-	})
-}
-
-func (p *parser) parseVote(key Key, kind reflect.Type, at, node *yaml.Node) {
-	vote := Vote{Line: at.Line}
-	path := below(keyVotes, string(key))
-	before := len(p.issues)
-	p.fields(node, path, func(name string, at, value *yaml.Node) {
-		switch name {
-		case "team":
-			vote.Team = value.Value
-			if !isName(vote.Team) || vote.Team == Chair {
-				p.fault(value, path, "team must name a team's section")
-			}
-		case "value":
-			read, err := readValue(kind, value)
-			if err != nil {
-				p.fault(value, path, "%v", err)
-			}
-			vote.Value = read
-		default:
-			p.fault(at, below(path, name), reasonUnknownKey)
-		}
-	})
-	if len(p.issues) > before {
-		return
-	}
-	if (vote.Team == "") == (vote.Value == "") {
-		p.fault(at, path, "a vote has either team or value")
-		return
-	}
-	p.section.Votes[key] = vote
-}
-
-// readValue reads a scalar as a type of the schema.
-func readValue(kind reflect.Type, node *yaml.Node) (Value, error) {
-	if node.Kind != yaml.ScalarNode || node.Tag == "!!null" {
-		return "", fmt.Errorf("there must be %s", nameOf(kind))
-	}
-	if kind.Kind() == reflect.Int && node.ShortTag() != "!!int" {
-		return "", fmt.Errorf("%q is not %s", node.Value, nameOf(kind)) // Decode would cut a fraction off.
-	}
-	into := reflect.New(kind)
-	if err := node.Decode(into.Interface()); err != nil {
-		return "", fmt.Errorf("%q is not %s", node.Value, nameOf(kind))
-	}
-	data, err := json.Marshal(into.Interface())
-	if err != nil {
-		return "", fmt.Errorf("%q is not %s", node.Value, nameOf(kind))
-	}
-	return Value(data), nil
-}
-
-func nameOf(kind reflect.Type) string {
-	switch {
-	case kind == reflect.TypeFor[Duration]():
-		return "a duration with a unit, such as 250ms"
-	case kind.Kind() == reflect.Bool:
-		return "true or false"
-	case kind.Kind() == reflect.Int:
-		return "a whole number"
-	case kind.Kind() == reflect.Float64:
-		return "a number"
-	default:
-		return "text"
-	}
-}
--- a/core/ccsettings/schema.go
+++ b/core/ccsettings/schema.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"reflect"
 	"strings"
 )
@@ -55,7 +56,7 @@
 func (e *Effective) set(key Key, value Value) error {
 	path, ok := key.path()
 	if !ok || !key.Known() {
-		return IssueErrors{{Key: key, Reason: reasonUnknownKey}}
+		return errors.New(reasonUnknownKey)
 	}
 	switch path.group {
 	case groupServices:
--- a/core/ccsettings/settings_test.go
+++ b/core/ccsettings/settings_test.go
@@ -42,11 +42,11 @@
 
 func wantIssues(t *testing.T, name string, err error) {
 	t.Helper()
-	var issues ccsettings.IssueErrors
-	if !errors.As(err, &issues) {
+	issues := ccsettings.IssuesOf(err)
+	if len(issues) == 0 {
 		t.Fatalf("no issues in %v", err)
 	}
-	goldie.New(t).Assert(t, name, []byte(issues.Error()+"\n"))
+	goldie.New(t).Assert(t, name, []byte(issues.Text()+"\n"))
 }
 
 func TestParseFaults(t *testing.T) {
--- a/io/cccli/settings_check.go
+++ b/io/cccli/settings_check.go
@@ -18,7 +18,7 @@
 	Valid bool `json:"valid"`
 	// Version is the version in force that the files were merged with.
 	Version     uint64                  `json:"version"`
-	Issues      ccsettings.IssueErrors  `json:"issues"`
+	Issues      ccsettings.Issues       `json:"issues"`
 	Differences []ccsettings.Difference `json:"differences"`
 	Conflicts   []ccsettings.Conflict   `json:"conflicts"`
 }
@@ -58,12 +58,12 @@
 	for name, section := range present.Sections {
 		sections[name] = section
 	}
-	var issues ccsettings.IssueErrors
+	var issues ccsettings.Issues
 	for _, file := range files {
 		section, err := parseFile(file)
-		var found ccsettings.IssueErrors
+		found := ccsettings.IssuesOf(err)
 		switch {
-		case errors.As(err, &found):
+		case len(found) > 0:
 			issues = append(issues, found...)
 		case err != nil:
 			return err
@@ -75,7 +75,7 @@
 		return reportCheck(streams, flags, &checkReport{Version: present.Head.Version, Issues: issues})
 	}
 	merged, err := ccsettings.Merge(ccsettings.Head{Version: present.Head.Version + 1}, sections, present.Merged.Values)
-	if errors.As(err, &issues) {
+	if issues = ccsettings.IssuesOf(err); len(issues) > 0 {
 		return reportCheck(streams, flags, &checkReport{Version: present.Head.Version, Issues: issues})
 	}
 	if err != nil {
@@ -98,7 +98,7 @@
 
 func reportCheck(streams Streams, flags settingsFlags, report *checkReport) error {
 	if report.Issues == nil {
-		report.Issues = ccsettings.IssueErrors{}
+		report.Issues = ccsettings.Issues{}
 	}
 	if !report.Valid {
 		report.Differences, report.Conflicts = []ccsettings.Difference{}, []ccsettings.Conflict{}
--- a/io/cccli/settings_propose.go
+++ b/io/cccli/settings_propose.go
@@ -17,7 +17,7 @@
 	Kind     iosettings.Kind `json:"kind"`
 	Reason   string          `json:"reason"`
 	// Issues are the faults of a change that the checks refused.
-	Issues ccsettings.IssueErrors `json:"issues,omitempty"`
+	Issues ccsettings.Issues `json:"issues,omitempty"`
 	// Meanwhile are the changes that were accepted first.
 	Meanwhile []ccsettings.Change `json:"meanwhile,omitempty"`
 }
@@ -71,14 +71,13 @@
 }
 
 func reportRefusal(streams Streams, flags settingsFlags, err error) error {
-	report := refusalReport{Kind: iosettings.KindOf(err), Reason: err.Error()}
-	var race *iosettings.RaceError
-	switch {
-	case errors.As(err, &report.Issues):
+	report := refusalReport{Kind: iosettings.KindOf(err), Reason: err.Error(), Issues: ccsettings.IssuesOf(err)}
+	if len(report.Issues) > 0 {
 		err = faultsError(report.Issues)
-	case errors.As(err, &race):
+	}
+	if race := iosettings.RaceOf(err); race != nil {
 		report.Meanwhile = race.Changes
-		err = race
+		err = errors.New(race.Text())
 	}
 	if *flags.output == outputJSON {
 		if failed := writeJSON(streams, report); failed != nil {
@@ -89,6 +88,6 @@
 }
 
 // faultsError lists the faults of refused settings, one a line.
-func faultsError(issues ccsettings.IssueErrors) error {
-	return errors.Errorf("refused, faults: %d\n%v", len(issues), issues)
+func faultsError(issues ccsettings.Issues) error {
+	return errors.Errorf("refused, faults: %d\n%v", len(issues), issues.Text())
 }
--- a/io/ccsettings/error.go
+++ b/io/ccsettings/error.go
@@ -1,6 +1,9 @@
 package ccsettings
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+)
 
 // Kind sorts the errors of this package.
 type Kind string
@@ -19,11 +22,13 @@
 	KindUnknown Kind = "unknown"
 )
 
-// Error is the error of this package.
+// Error is the error of this package. Race is set with KindRaced alone; Err then
+// has it as text.
 type Error struct {
 	Op   string
 	Kind Kind
 	Err  error
+	Race *Race
 }
 
 // Error returns the operation, the kind and the cause.
@@ -33,3 +38,21 @@
 
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
+
+// KindOf returns the kind of an error of this package, or an empty kind.
+func KindOf(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return ""
+}
+
+// RaceOf returns what an error of KindRaced tells of the change that won.
+func RaceOf(err error) *Race {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Race
+	}
+	return nil
+}
--- a/io/ccsettings/race.go
+++ b/io/ccsettings/race.go
@@ -9,24 +9,24 @@
 	"camphorcroft/core/ccsettings"
 )
 
-// maxRaceChanges bounds the changes that a RaceError lists, newest first kept.
+// maxRaceChanges bounds the changes that a race lists, newest first kept.
 const maxRaceChanges = 20
 
-// RaceError says what was accepted since the version that a change was based on.
-type RaceError struct {
+// Race says what was accepted since the version that a change was based on.
+type Race struct {
 	Base    uint64
 	Changes []ccsettings.Change // In the order of versions.
 	More    uint64              // How many older ones are left out.
 }
 
-// Error lists the changes, one a line.
-func (e *RaceError) Error() string {
+// Text lists the changes, one a line.
+func (r *Race) Text() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "nothing was applied, since version %d was replaced meanwhile:", e.Base)
-	if e.More > 0 {
-		fmt.Fprintf(&b, "\n  %d older changes", e.More)
+	fmt.Fprintf(&b, "nothing was applied, since version %d was replaced meanwhile:", r.Base)
+	if r.More > 0 {
+		fmt.Fprintf(&b, "\n  %d older changes", r.More)
 	}
-	for _, change := range e.Changes {
+	for _, change := range r.Changes {
 		fmt.Fprintf(&b, "\n  version %d: section %s", change.Version, change.Section)
 		if change.By != "" {
 			fmt.Fprintf(&b, " by %s", change.By)
@@ -34,6 +34,9 @@
 		for _, d := range change.Differences {
 			fmt.Fprintf(&b, "\n    %s", d)
 		}
+		if change.More > 0 {
+			fmt.Fprintf(&b, "\n    and %d more", change.More)
+		}
 	}
 	return b.String()
 }
@@ -41,7 +44,7 @@
 // raced returns the error of a change that lost. The changes come from the
 // history as far as it can be read.
 func (w *Writer) raced(ctx context.Context, base uint64, now ccsettings.Head) error {
-	race := &RaceError{Base: base}
+	race := &Race{Base: base}
 	first := base + 1
 	if now.Version > base+maxRaceChanges {
 		first = now.Version - maxRaceChanges + 1
@@ -53,14 +56,5 @@
 		}
 	}
 	race.Changes = append(race.Changes, now.Change)
-	return &Error{Op: "propose", Kind: KindRaced, Err: race}
-}
-
-// KindOf returns the kind of an error of this package, or an empty kind.
-func KindOf(err error) Kind {
-	var e *Error
-	if errors.As(err, &e) {
-		return e.Kind
-	}
-	return ""
+	return &Error{Op: "propose", Kind: KindRaced, Err: errors.New(race.Text()), Race: race}
 }
--- a/io/ccsettings/writer_test.go
+++ b/io/ccsettings/writer_test.go
@@ -133,8 +133,8 @@
 	}})
 	_, err := slow.Propose(t.Context(), ccsettings.Request{Section: "c", Text: "fleet: {maxClaims: 5000}"})
 	wantKind(t, err, ccsettings.KindRaced)
-	var race *ccsettings.RaceError
-	if !errors.As(err, &race) || race.Base != 1 || len(race.Changes) != 1 || race.Changes[0].Section != "b" {
+	race := ccsettings.RaceOf(err)
+	if race == nil || race.Base != 1 || len(race.Changes) != 1 || race.Changes[0].Section != "b" {
 		t.Fatalf("the error doesn't tell of section b: %v", err)
 	}
 	items, _, _ := store.List(t.Context(), core.SectionPrefix+"c/")
