--- a/io/ccagent/agent_test.go
+++ b/io/ccagent/agent_test.go
@@ -101,12 +101,16 @@
 	return newAgent(t, store, target.Addr(), id), target
 }
 
-func newAgent(t testing.TB, store ccstore.Store, target netip.AddrPort, id string) *Agent {
+func newAgent(t testing.TB, store ccstore.Store, target netip.AddrPort, id string, changes ...func(*Config)) *Agent {
 	t.Helper()
-	agent := New(Config{
+	cfg := Config{
 		Node: ccnode.Ref{ID: ccnode.ID(id)}, Domain: "a", Service: "proof", Slots: 4,
 		Listen: loopback, HTTP: loopback, Target: target, Store: store, Log: logr.Discard(),
-	})
+	}
+	for _, change := range changes {
+		change(&cfg)
+	}
+	agent := New(cfg)
 	if err := agent.Start(t.Context()); err != nil {
 		t.Fatal(err)
 	}
--- a/io/ccagent/cell_test.go
+++ b/io/ccagent/cell_test.go
@@ -9,7 +9,6 @@
 	"camphorcroft/core/ccsettings"
 	"camphorcroft/core/ccwire"
 	"camphorcroft/io/ccstandin"
-	"camphorcroft/io/ccstore"
 )
 
 // ask has the agent's control goroutine answer a question.
@@ -89,22 +88,6 @@
 	return &ccsettings.AgentView{Version: version, Fleet: fleet}
 }
 
-// putVersion writes a settings version straight into the store.
-func putVersion(t *testing.T, store *ccstandin.Store, version uint64, text string) {
-	t.Helper()
-	put := func(key string, value any) {
-		data, err := json.Marshal(value)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if _, err := store.Swap(t.Context(), key, 0, data, ccstore.NoLease); err != nil {
-			t.Fatal(err)
-		}
-	}
-	put(ccsettings.SectionKey("fleet", "r1"), ccsettings.SectionRecord{Name: "fleet", Revision: "r1", Text: text})
-	put(ccsettings.HeadKey, ccsettings.Head{Version: version, Sections: map[string]string{"fleet": "r1"}})
-}
-
 func TestCell(t *testing.T) {
 	t.Parallel()
 	store := ccstandin.NewStore(ccstandin.StoreConfig{})
@@ -116,7 +99,7 @@
 	lead := awaitCell(t, store, agents...)
 
 	// A version that operators accept reaches all.
-	putVersion(t, store, 5, "fleet: {cells: 1}")
+	putHead(t, store, 5, 0, "fleet: {cells: 1}")
 	for _, a := range agents {
 		await(t, "the accepted version is in force", func() bool { return version(a) == 5 })
 	}
