--- a/io/ccentry/vars.go
+++ b/io/ccentry/vars.go
@@ -48,7 +48,7 @@
 func (e *Entry) varsState(now time.Time) varsState {
 	return varsState{
 		Version:           e.version,
-		VersionAgeSeconds: now.Sub(e.versionSince).Seconds(),
+		VersionAgeSeconds: e.versionAge(now).Seconds(),
 		Draining:          e.draining,
 		Pending:           len(e.pending),
 		Answers:           e.answers.Len(),
@@ -59,6 +59,15 @@
 	}
 }
 
+// versionAge returns for how long the settings have been in force, or zero when
+// none have come yet.
+func (e *Entry) versionAge(now time.Time) time.Duration {
+	if e.versionSince.IsZero() {
+		return 0
+	}
+	return now.Sub(e.versionSince)
+}
+
 func (e *Entry) getVars(c *gin.Context) {
 	e.metrics.ServeHTTP(c.Writer, c.Request)
 }
