Take an old echo while the agent's own settings are known to be new

Change: a lead vouches in its heartbeat replies that its lease was renewed of late; while an agent was vouched for within 2 s it takes echoes up to 30 s old, unless it was paused since.

--- a/core/ccagent/config.go
+++ b/core/ccagent/config.go
@@ -39,6 +39,12 @@
 const (
 	// echoLimit is how old an echo of the agent's clock may be.
 	echoLimit = time.Second
+	// idleEchoLimit is how old an echo may be while the agent's own view of the
+	// settings is known to be new, so that the first dispatch after a quiet time is
+	// not sent back.
+	idleEchoLimit = 30 * time.Second
+	// confirmLimit is how long ago the view must have been known to be new.
+	confirmLimit = 2 * time.Second
 	// startLimit is how long after the decision a task may still be given to the
 	// target.
 	startLimit = time.Second
--- a/core/ccagent/dispatch.go
+++ b/core/ccagent/dispatch.go
@@ -86,10 +86,16 @@
 	}
 }
 
+// staleEcho reports whether a dispatch may be from before something that the
+// agent should know: a pause of its own, or a change of the settings. An echo
+// that is merely old is no harm while the agent's own view is known to be new.
 func (t *Table) staleEcho(now time.Time, echo int64) bool {
 	at := time.Duration(echo) * time.Millisecond
-	clock := t.Clock(now)
-	return clock-at > echoLimit || at > clock || at < t.fresh.Truncate(time.Millisecond)
+	age := t.Clock(now) - at
+	if age < 0 || at < t.fresh.Truncate(time.Millisecond) {
+		return true
+	}
+	return age > echoLimit && (age > idleEchoLimit || now.Sub(t.confirmed) > confirmLimit)
 }
 
 func (t *Table) fenced(part *ccwire.DispatchJob) bool {
--- a/core/ccagent/table.go
+++ b/core/ccagent/table.go
@@ -12,20 +12,21 @@
 // Table is the control state of an agent. It is not safe for use by several
 // goroutines.
 type Table struct {
-	cfg      Config
-	view     *ccsettings.AgentView
-	sessions map[ccnode.ID]*session
-	memory   *memory
-	running  int
-	leaving  bool
-	seen     time.Time     // The time of the last call.
-	fresh    time.Duration // Echoes below this clock are from before a pause.
-	pause    time.Duration // The last pause, until it is taken.
-	held     []held
-	late     Result        // What became of held tasks, until it is taken.
-	meanRun  time.Duration // Zero when no task has ended.
-	runs     int
-	newest   uint64 // The greatest settings version that any entry named.
+	cfg       Config
+	view      *ccsettings.AgentView
+	sessions  map[ccnode.ID]*session
+	memory    *memory
+	running   int
+	leaving   bool
+	seen      time.Time     // The time of the last call.
+	fresh     time.Duration // Echoes below this clock are from before a pause.
+	pause     time.Duration // The last pause, until it is taken.
+	confirmed time.Time     // When the view was last known to be the newest.
+	held      []held
+	late      Result        // What became of held tasks, until it is taken.
+	meanRun   time.Duration // Zero when no task has ended.
+	runs      int
+	newest    uint64 // The greatest settings version that any entry named.
 }
 
 // Start is a task that must be given to the target now.
@@ -133,6 +134,9 @@
 	return true
 }
 
+// Confirm notes that the view in force was the newest at that time.
+func (t *Table) Confirm(at time.Time) { t.confirmed = at }
+
 // Leave stops all starts for good and tells every entry.
 func (t *Table) Leave(now time.Time) {
 	t.observe(now)
--- a/core/ccagent/table_test.go
+++ b/core/ccagent/table_test.go
@@ -470,3 +470,32 @@
 		b.assertStarts(b.table.TakeLate())
 	})
 }
+
+func TestOldEcho(t *testing.T) {
+	idle := func(t *testing.T, quiet, confirmed time.Duration) (*bench, ccwire.Dispatch) {
+		b := newBench(t, Config{})
+		msg := b.dispatch("j", 0)
+		b.advance(quiet)
+		b.table.Confirm(b.now.Add(-confirmed))
+		return b, msg
+	}
+	t.Run("starts while the view is known to be new", func(t *testing.T) {
+		b, msg := idle(t, 10*time.Second, 2*time.Second)
+		b.assertStarts(b.table.Dispatch(b.now, entryA, msg), 0)
+	})
+	t.Run("goes back when the view may be old", func(t *testing.T) {
+		b, msg := idle(t, 10*time.Second, 2001*time.Millisecond)
+		b.assertBounce(b.table.Dispatch(b.now, entryA, msg), ccwire.CodeStale)
+	})
+	t.Run("goes back when it is too old for any view", func(t *testing.T) {
+		b, msg := idle(t, 31*time.Second, 0)
+		b.assertBounce(b.table.Dispatch(b.now, entryA, msg), ccwire.CodeStale)
+	})
+	t.Run("goes back after a pause", func(t *testing.T) {
+		b := newBench(t, Config{})
+		msg := b.dispatch("j", 0)
+		b.now = b.now.Add(2 * time.Second)
+		b.table.Confirm(b.now)
+		b.assertBounce(b.table.Dispatch(b.now, entryA, msg), ccwire.CodeStale)
+	})
+}
--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -52,6 +52,10 @@
 // LeaseTTL is the time to live of a lead's lease.
 const LeaseTTL = 3 * time.Second
 
+// currentLimit is how long after the renewal of its lease a lead vouches for the
+// view that it relays.
+const currentLimit = 1500 * time.Millisecond
+
 const (
 	leaseMargin   = 200 * time.Millisecond // Kept between the last write and the end of the lease.
 	renewInterval = time.Second
--- a/core/cccell/follower.go
+++ b/core/cccell/follower.go
@@ -14,17 +14,19 @@
 
 // follower is the state of a member that doesn't lead.
 type follower struct {
-	known    bool // A lead's address is known.
-	lead     LeadRecord
-	joined   bool
-	heard    time.Time // When the lead last answered, or was first found.
-	beatAt   time.Time
-	askedAt  time.Time
-	lookAt   time.Time // When to look at the store. Zero is not at all.
-	failures int       // Looks in a row that failed or found the silent lead again.
-	size     int       // Members of the cell, as far as known.
-	waited   bool      // The turn to stand has come; one more look decides.
-	standNow bool
+	known     bool // A lead's address is known.
+	lead      LeadRecord
+	joined    bool
+	heard     time.Time // When the lead last answered, or was first found.
+	beatAt    time.Time
+	askedAt   time.Time
+	lookAt    time.Time // When to look at the store. Zero is not at all.
+	failures  int       // Looks in a row that failed or found the silent lead again.
+	size      int       // Members of the cell, as far as known.
+	waited    bool      // The turn to stand has come; one more look decides.
+	standNow  bool
+	beatSent  time.Time
+	confirmed time.Time // When a heartbeat was sent whose reply vouched for the view.
 }
 
 // nextLink returns the next message to the lead.
@@ -45,6 +47,7 @@
 	if !f.joined {
 		return Action{Op: OpJoin, Addr: f.lead.Addr, Join: ccwire.Join{Cell: m.cfg.Cell, Member: m.self}}, true
 	}
+	f.beatSent = now
 	return Action{Op: OpBeat, Addr: f.lead.Addr, Beat: ccwire.Heartbeat{Cell: m.cfg.Cell, Node: m.self.Node, Version: m.Version()}}, true
 }
 
@@ -73,7 +76,18 @@
 		f.lookAt, f.failures, f.waited = time.Time{}, 0, false
 		f.size = max(f.size, reply.Members)
 		m.term = max(m.term, reply.Term)
+		if reply.Current {
+			f.confirmed = f.beatSent
+		}
+	}
+}
+
+// Confirmed returns when the view in force here was last known to be the newest.
+func (m *Machine) Confirmed() time.Time {
+	if m.lead != nil {
+		return m.lead.until.Add(-LeaseTTL)
 	}
+	return m.follow.confirmed
 }
 
 // LinkDown tells that the connection to the lead has ended.
--- a/core/cccell/serve.go
+++ b/core/cccell/serve.go
@@ -24,6 +24,7 @@
 		return reply
 	}
 	reply.Version = m.Version()
+	reply.Current = m.lead.until.Sub(now) >= LeaseTTL-currentLimit
 	if msg.Version < reply.Version {
 		reply.View = m.view
 	}
--- a/core/ccwire/cell.go
+++ b/core/ccwire/cell.go
@@ -64,7 +64,10 @@
 // HeartbeatReply carries what the member lacks. View is nil when the member is
 // up to date.
 type HeartbeatReply struct {
-	Term    uint64                `json:"term"`
+	Term uint64 `json:"term"`
+	// Current is whether the lead has been seen by the store of late, so that the
+	// member's view was the newest a short time ago.
+	Current bool                  `json:"current,omitempty"`
 	Known   bool                  `json:"known"` // False asks the member to join again.
 	Version uint64                `json:"version"`
 	View    *ccsettings.AgentView `json:"view,omitempty"`
--- a/io/ccagent/cell.go
+++ b/io/ccagent/cell.go
@@ -103,6 +103,7 @@
 		return
 	}
 	a.cells.own.Step(now)
+	a.table.Confirm(a.cells.own.Machine().Confirmed())
 	a.stepOldCell(now)
 	a.countCell()
 	a.watchWhileLeading()
