Send ahead to fast targets, and ask fewer agents for a slot

A free count below zero also passed for a free slot. Change: a target that frees a slot within 20 ms is sent one task beyond its slots, which its agent holds; beyond that the fastest agents are asked, one for each four waiting tasks and at least three. A negative count is not free.

--- a/core/ccdispatch/agent.go
+++ b/core/ccdispatch/agent.go
@@ -52,7 +52,9 @@
 	lastSeen time.Time
 	probed   time.Time
 	heldTill time.Time
-	offered  bool // Slots are held for this entry.
+	// aheadAfter is from when on another task may be sent beyond the free slots.
+	aheadAfter time.Time
+	offered    bool // Slots are held for this entry.
 
 	outbox *ccwire.Dispatch // Being put together.
 	boxJob map[ccjob.ID]int // Index of the job in the outbox.
--- /dev/null
+++ b/core/ccdispatch/ahead_test.go
@@ -0,0 +1,32 @@
+package ccdispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"camphorcroft/core/ccwire"
+)
+
+// TestSendAhead checks that a fast target without a free slot is sent one task
+// beyond its slots, and a slow one none.
+func TestSendAhead(t *testing.T) {
+	cases := map[string]struct {
+		slots int
+		want  int
+	}{
+		"fast": {slots: 8, want: 9}, // Tasks of 100 ms free a slot each 12.5 ms.
+		"slow": {slots: 2, want: 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, nil)
+			b.up("a", 1, "north", c.slots)
+			b.submit("first", c.slots)
+			b.report("a", ccwire.CodeDone, c.slots)
+			b.submit("j", 100)
+			b.assertCount("a", c.want)
+			b.advance(10 * time.Millisecond)
+			b.assertCount("a", c.want)
+		})
+	}
+}
--- a/core/ccdispatch/place.go
+++ b/core/ccdispatch/place.go
@@ -1,6 +1,7 @@
 package ccdispatch
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -12,6 +13,18 @@
 	"camphorcroft/core/ccwire"
 )
 
+const (
+	// aheadLimit is how often a target must free a slot for a task to be sent to
+	// it while it has none.
+	aheadLimit = 20 * time.Millisecond
+	// aheadGap is how long after such a task the next one is sent.
+	aheadGap = 20 * time.Millisecond
+	// minWanted is at least how many agents are asked for a slot.
+	minWanted = 3
+	// wantShare is how many waiting tasks there are for each agent that is asked.
+	wantShare = 4
+)
+
 // flush sends what can be sent, so that no task waits while a usable slot is
 // known to be free.
 func (d *Dispatcher) flush(now time.Time) {
@@ -36,8 +49,7 @@
 	for s.queue.Len() > 0 {
 		i := s.policy.Pick(s.view, s.queue.Len())
 		if i == ccplacement.None {
-			d.want(s)
-			return
+			break
 		}
 		item, _ := s.queue.Pop()
 		if !d.assign(now, s, s.ranked[i], item.Job, item.Index) {
@@ -46,6 +58,35 @@
 		s.view[i].Free--
 		s.view[i].InFlight++
 	}
+	if s.queue.Len() > 0 {
+		d.placeAhead(now, s)
+		d.want(s)
+	}
+}
+
+// placeAhead sends to targets with no free slot that end tasks so fast that the
+// agent will hold a task until the next slot. A send that succeeds costs nothing
+// beyond the task's own two messages, where a want costs two more.
+func (d *Dispatcher) placeAhead(now time.Time, s *service) {
+	for _, a := range s.byspeed() {
+		if s.queue.Len() == 0 {
+			return
+		}
+		if a.free != 0 || now.Before(a.aheadAfter) || a.speed.Mean() <= 0 ||
+			a.speed.Mean()/time.Duration(a.slots) > aheadLimit || a.health.Allowed(now, a.slots) < a.slots {
+			continue
+		}
+		item, _ := s.queue.Pop()
+		if d.assign(now, s, a, item.Job, item.Index) {
+			a.aheadAfter = now.Add(aheadGap)
+		}
+	}
+}
+
+// byspeed returns the agents of the last view, the fastest first.
+func (s *service) byspeed() []*agent {
+	slices.SortStableFunc(s.ranked, func(a, b *agent) int { return cmp.Compare(a.speed.Typical(), b.speed.Typical()) })
+	return s.ranked
 }
 
 // view lists the agents of the service that may be given work, with the slots
@@ -142,12 +183,24 @@
 // want tells agents without a free slot that tasks wait, so that they offer the
 // next slot. Each is told once until it offers; a message that goes out anyway
 // tells it anew, since each dispatch replaces the want of the one before.
+//
+// The fastest are told first, and no more of them than are likely to be needed:
+// each offer that comes too late costs two messages.
 func (d *Dispatcher) want(s *service) {
-	for _, a := range s.ranked {
-		if a.free > 0 || (a.wanted > 0 && a.outbox == nil) {
+	tell := max(minWanted, (s.queue.Len()+wantShare-1)/wantShare)
+	each := (s.queue.Len() + tell - 1) / tell
+	for _, a := range s.byspeed() {
+		if tell == 0 {
+			return
+		}
+		if a.free > 0 {
+			continue
+		}
+		tell--
+		if a.wanted > 0 && a.outbox == nil {
 			continue
 		}
-		a.wanted = min(s.queue.Len(), a.slots)
+		a.wanted = min(each, a.slots)
 		a.open().Want = a.wanted
 	}
 }
--- a/core/ccplacement/policy.go
+++ b/core/ccplacement/policy.go
@@ -31,7 +31,7 @@
 
 // Candidate is what a policy knows of one target.
 type Candidate struct {
-	Free     int           // Slots that may be used now.
+	Free     int           // Slots that may be used now. May be below zero.
 	InFlight int           // Tasks of this entry at the target.
 	Typical  time.Duration // Learned run time; zero when unknown.
 	Near     bool          // In the entry's own failure domain.
@@ -99,7 +99,7 @@
 func (p *lateBinding) Pick(candidates []Candidate, waiting int) int {
 	for ; p.next < len(p.order); p.next++ {
 		i := p.order[p.next]
-		if candidates[i].Free == 0 {
+		if candidates[i].Free <= 0 {
 			continue
 		}
 		if candidates[i].Typical > muchSlower*p.elsewhere(candidates, waiting) {
--- a/core/cctarget/speed.go
+++ b/core/cctarget/speed.go
@@ -29,15 +29,23 @@
 	// meanLog is a moving mean of the logarithm of the run time in seconds. The
 	// logarithm keeps a few very long tasks from hiding the target's speed.
 	meanLog float64
+	mean    float64 // Moving mean of the run time in seconds.
 }
 
 // Observe learns from one finished task.
 func (s *Speed) Observe(run time.Duration) {
 	s.samples++
 	weight := 1 / float64(min(s.samples, speedMemory))
+	s.mean += weight * (run.Seconds() - s.mean)
 	s.meanLog += weight * (math.Log(max(run, minRunTime).Seconds()) - s.meanLog)
 }
 
+// Mean returns the mean run time, or zero when nothing is known. How often a
+// target's slots get free follows from it.
+func (s *Speed) Mean() time.Duration {
+	return time.Duration(s.mean * float64(time.Second))
+}
+
 // Known reports whether the target has finished any task.
 func (s *Speed) Known() bool { return s.samples > 0 }
 
