Load all sections by one call

Cause: a first load made one call a section. At 460 teams, twenty leads that restart together would make 9,200 reads, more than the store takes in seconds. Change: from 16 missing sections on they are listed at once, and sections that are no longer in force are kept for 64 versions in place of 2,048. Figures: 460 sections load by 2 calls, before 461, held by a test.

--- a/io/ccsettings/backoff.go
+++ b/io/ccsettings/backoff.go
@@ -19,9 +19,10 @@
 	sectionTries = 12
 )
 
-// getter is what it takes to load a version.
-type getter interface {
+// source is what it takes to load a version.
+type source interface {
 	Get(ctx context.Context, key string) (ccstore.Item, error)
+	List(ctx context.Context, prefix string) ([]ccstore.Item, uint64, error)
 }
 
 // backoff spaces the tries of one thing. Its zero value is ready.
@@ -43,7 +44,7 @@
 func (b *backoff) reset() { b.wait = 0 }
 
 // getRetry reads a key, and tries again a few times when the store doesn't answer.
-func getRetry(ctx context.Context, store getter, key string) (ccstore.Item, error) {
+func getRetry(ctx context.Context, store source, key string) (ccstore.Item, error) {
 	var wait backoff
 	for try := 1; ; try++ {
 		item, err := store.Get(ctx, key)
--- a/io/ccsettings/history.go
+++ b/io/ccsettings/history.go
@@ -12,6 +12,9 @@
 
 const (
 	defaultKeep = 2048
+	// keepSections is for how many versions a replaced section is kept, for those
+	// that have just read the head that named it.
+	keepSections = 64
 	// sweepEvery is after how many versions old records are removed.
 	sweepEvery = 64
 	// cleanupTime bounds what a writer does after its change is settled.
@@ -58,7 +61,7 @@
 		w.cfg.Log.Info("History is not written yet. The next change writes it.", "version", head.Version, "reason", err.Error())
 		return
 	}
-	if head.Version%sweepEvery == 0 && head.Version > w.cfg.Keep {
+	if head.Version%sweepEvery == 0 {
 		w.sweep(ctx, head)
 	}
 }
@@ -73,30 +76,30 @@
 	w.remove(ctx, ccsettings.SectionKey(plan.Record.Name, plan.Record.Revision))
 }
 
-// sweep removes the history below the versions to keep, and the sections written
-// for them that are no longer in force.
+// sweep removes what is too old of the history, and of the sections that are no
+// longer in force.
 func (w *Writer) sweep(ctx context.Context, head ccsettings.Head) {
-	oldest := head.Version - w.cfg.Keep
-	for _, prefix := range []string{ccsettings.HistoryPrefix, ccsettings.SectionPrefix} {
-		items, err := listRetry(ctx, w.cfg.Store, prefix)
-		if err != nil {
-			w.cfg.Log.Info("Old settings are not removed yet.", "reason", err.Error())
-			return
-		}
-		for _, item := range items {
-			if isOld(item.Key, oldest, head) {
-				_ = w.cfg.Store.Delete(ctx, item.Key, item.Revision)
-			}
-		}
-	}
+	w.sweepPrefix(ctx, ccsettings.HistoryPrefix, func(key string) bool {
+		version := ccsettings.RevisionVersion(strings.TrimPrefix(key, ccsettings.HistoryPrefix))
+		return version+w.cfg.Keep < head.Version
+	})
+	w.sweepPrefix(ctx, ccsettings.SectionPrefix, func(key string) bool {
+		name, revision, _ := strings.Cut(strings.TrimPrefix(key, ccsettings.SectionPrefix), "/")
+		return ccsettings.RevisionVersion(revision)+keepSections < head.Version && head.Sections[name] != revision
+	})
 }
 
-func isOld(key string, oldest uint64, head ccsettings.Head) bool {
-	if rest, ok := strings.CutPrefix(key, ccsettings.HistoryPrefix); ok {
-		return ccsettings.RevisionVersion(rest) < oldest
+func (w *Writer) sweepPrefix(ctx context.Context, prefix string, isOld func(key string) bool) {
+	items, err := listRetry(ctx, w.cfg.Store, prefix)
+	if err != nil {
+		w.cfg.Log.Info("Old settings are not removed yet.", "reason", err.Error())
+		return
+	}
+	for _, item := range items {
+		if isOld(item.Key) {
+			_ = w.cfg.Store.Delete(ctx, item.Key, item.Revision)
+		}
 	}
-	name, revision, _ := strings.Cut(strings.TrimPrefix(key, ccsettings.SectionPrefix), "/")
-	return ccsettings.RevisionVersion(revision) < oldest && head.Sections[name] != revision
 }
 
 func (w *Writer) remove(ctx context.Context, key string) {
@@ -107,13 +110,9 @@
 	_ = w.cfg.Store.Delete(ctx, key, item.Revision)
 }
 
-type lister interface {
-	List(ctx context.Context, prefix string) ([]ccstore.Item, uint64, error)
-}
-
 // listRetry lists a prefix, and tries again a few times when the store doesn't
 // answer.
-func listRetry(ctx context.Context, store lister, prefix string) ([]ccstore.Item, error) {
+func listRetry(ctx context.Context, store source, prefix string) ([]ccstore.Item, error) {
 	var wait backoff
 	for try := 1; ; try++ {
 		items, _, err := store.List(ctx, prefix)
--- a/io/ccsettings/snapshot.go
+++ b/io/ccsettings/snapshot.go
@@ -6,11 +6,16 @@
 	"sync"
 
 	"camphorcroft/core/ccsettings"
+	"camphorcroft/io/ccstore"
 )
 
 // fetchers is how many sections are read at once.
 const fetchers = 8
 
+// listFrom is from how many missing sections on they are listed by one call, with
+// those that are no longer in force, in place of one call each.
+const listFrom = 16
+
 // Snapshot is one version in full. Treat it as read-only.
 type Snapshot struct {
 	Head     ccsettings.Head
@@ -31,7 +36,7 @@
 
 // next returns the snapshot that a head describes. Sections that stand in this
 // snapshot under the same revision are not read again.
-func (s *Snapshot) next(ctx context.Context, store getter, head ccsettings.Head) (*Snapshot, error) {
+func (s *Snapshot) next(ctx context.Context, store source, head ccsettings.Head) (*Snapshot, error) {
 	next := &Snapshot{Head: head, Sections: map[string]*ccsettings.Section{}, Texts: map[string]string{}}
 	var missing []string
 	for name, revision := range head.Sections {
@@ -52,8 +57,37 @@
 	return next, nil
 }
 
-// fetch reads sections from the store, a few at once.
-func (s *Snapshot) fetch(ctx context.Context, store getter, names []string) error {
+// fetch reads sections from the store.
+func (s *Snapshot) fetch(ctx context.Context, store source, names []string) error {
+	if len(names) < listFrom {
+		return s.fetchEach(ctx, store, names)
+	}
+	items, _, err := store.List(ctx, ccsettings.SectionPrefix)
+	if err != nil {
+		return s.fetchEach(ctx, store, names) // The list may be too long for one answer.
+	}
+	listed := make(map[string]ccstore.Item, len(items))
+	for _, item := range items {
+		listed[item.Key] = item
+	}
+	var missing []string
+	for _, name := range names {
+		item, ok := listed[ccsettings.SectionKey(name, s.Head.Sections[name])]
+		if !ok {
+			missing = append(missing, name)
+			continue
+		}
+		text, section, err := parseSection(name, item)
+		if err != nil {
+			return err
+		}
+		s.Sections[name], s.Texts[name] = section, text
+	}
+	return s.fetchEach(ctx, store, missing)
+}
+
+// fetchEach reads sections one by one, a few at once.
+func (s *Snapshot) fetchEach(ctx context.Context, store source, names []string) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	var mu sync.Mutex // Guards the snapshot's maps.
@@ -77,7 +111,7 @@
 	return context.Cause(ctx)
 }
 
-func fetchSection(ctx context.Context, store getter, name, revision string) (string, *ccsettings.Section, error) {
+func fetchSection(ctx context.Context, store source, name, revision string) (string, *ccsettings.Section, error) {
 	key := ccsettings.SectionKey(name, revision)
 	item, err := getRetry(ctx, store, key)
 	if err != nil {
@@ -87,12 +121,16 @@
 		err := fmt.Errorf("the head names %s, which isn't there", key)
 		return "", nil, &Error{Op: "read section", Kind: KindRecord, Err: err}
 	}
+	return parseSection(name, item)
+}
+
+func parseSection(name string, item ccstore.Item) (string, *ccsettings.Section, error) {
 	record, section, err := ccsettings.ParseSectionRecord(item.Value)
 	if err != nil {
 		return "", nil, &Error{Op: "read section", Kind: KindRecord, Err: err}
 	}
 	if record.Name != name {
-		err := fmt.Errorf("%s holds section %s", key, record.Name)
+		err := fmt.Errorf("%s holds section %s", item.Key, record.Name)
 		return "", nil, &Error{Op: "read section", Kind: KindRecord, Err: err}
 	}
 	return record.Text, section, nil
@@ -100,7 +138,7 @@
 
 // loadSnapshot reads the version in force. A section that vanishes between two
 // reads belongs to a head that was replaced, so the head is read again.
-func loadSnapshot(ctx context.Context, store getter) (*Snapshot, error) {
+func loadSnapshot(ctx context.Context, store source) (*Snapshot, error) {
 	var wait backoff
 	for try := 1; ; try++ {
 		loaded, err := loadOnce(ctx, store)
@@ -113,7 +151,7 @@
 	}
 }
 
-func loadOnce(ctx context.Context, store getter) (*Snapshot, error) {
+func loadOnce(ctx context.Context, store source) (*Snapshot, error) {
 	item, err := getRetry(ctx, store, ccsettings.HeadKey)
 	if err != nil || item.Revision == 0 {
 		return emptySnapshot(), err
--- a/io/ccsettings/spread_test.go
+++ b/io/ccsettings/spread_test.go
@@ -93,6 +93,18 @@
 	})
 }
 
+func TestFirstLoadTakesFewCalls(t *testing.T) {
+	store := ccstandin.NewStore(ccstandin.StoreConfig{})
+	putTeams(t, store, manyTeams)
+	before := store.Counts().Reads()
+	if _, err := newReader(store).Load(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if calls := store.Counts().Reads() - before; calls > 2 {
+		t.Fatalf("%d calls to load %d sections, want 2", calls, manyTeams)
+	}
+}
+
 func BenchmarkLoad(b *testing.B) {
 	store := ccstandin.NewStore(ccstandin.StoreConfig{})
 	putTeams(b, store, manyTeams)
--- a/io/ccsettings/writer_test.go
+++ b/io/ccsettings/writer_test.go
@@ -224,6 +224,9 @@
 	e, err := newReader(store).Load(t.Context())
 	wantKind(t, err, "")
 	wantCells(t, e, 128, 128)
+	if items, _, _ := store.List(t.Context(), core.SectionPrefix); len(items) > 70 {
+		t.Fatalf("%d sections are kept", len(items))
+	}
 	if e.Fleet.MaxClaims != 5000 {
 		t.Fatal("a section in force was removed")
 	}
