--- a/cmd/camphorcroft/fleet_test.go
+++ b/cmd/camphorcroft/fleet_test.go
@@ -123,6 +123,8 @@
 	f.t.Helper()
 	cmd := exec.Command(os.Args[0], args...)
 	cmd.Env = append(os.Environ(), asProgram+"=1")
+	// No process outlives a test that ends by a crash.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	log, err := os.Create(filepath.Join(f.dir, name+".log"))
 	if err != nil {
 		f.t.Fatal(err)
--- a/io/cccli/explain.go
+++ b/io/cccli/explain.go
@@ -34,7 +34,7 @@
 	output := outputFlag(flags)
 	return &ff.Command{
 		Name:      "job",
-		Usage:     "camphorcroft explain job (--store IP:PORT | --nodes IP:PORT,...) JOB",
+		Usage:     "camphorcroft explain job [--store IP:PORT | --nodes IP:PORT,...] JOB",
 		ShortHelp: "say what became of a job",
 		LongHelp: "Says when and where the job was accepted, how long it waited and for what, where its tasks ran,\n" +
 			"how it ended and why, and which processes might know more.",
--- a/io/cccli/nodes.go
+++ b/io/cccli/nodes.go
@@ -24,20 +24,20 @@
 
 func newNodeFlags(flags *ff.FlagSet) nodeFlags {
 	return nodeFlags{
-		nodes: flags.StringLong("nodes", "", "HTTP addresses of processes, as IP:PORT,IP:PORT; or use --store"),
-		store: flags.StringLong("store", "", "IP:PORT of the store, to find all processes"),
+		nodes: flags.StringLong("nodes", "", "HTTP addresses of processes, as IP:PORT,IP:PORT, in place of the store's list"),
+		store: flags.StringLong("store", defaultStore, "IP:PORT of the store, to find all processes"),
 	}
 }
 
 // inventory lists the processes to ask.
 func (f nodeFlags) inventory(ctx context.Context) (ccinventory.Inventory, error) {
 	var inventory ccinventory.Inventory
-	if *f.store != "" {
+	if *f.nodes == "" {
 		found, err := readInventory(ctx, *f.store)
-		if err != nil {
-			return inventory, err
+		if err == nil && len(found.Nodes) == 0 {
+			err = errors.New("the store knows no process")
 		}
-		inventory = found
+		return found, err
 	}
 	addrs, err := parseAddrs("nodes", splitList(*f.nodes))
 	if err != nil {
@@ -46,12 +46,6 @@
 	for _, addr := range addrs {
 		inventory.Nodes = append(inventory.Nodes, ccinventory.Node{HTTP: addr})
 	}
-	if len(inventory.Nodes) == 0 {
-		if *f.store != "" {
-			return inventory, errors.New("the store knows no process")
-		}
-		return inventory, &usageError{text: "say which processes to ask: --nodes or --store"}
-	}
 	return inventory, nil
 }
 
--- a/io/cccli/status.go
+++ b/io/cccli/status.go
@@ -39,7 +39,7 @@
 	output := outputFlag(flags)
 	return &ff.Command{
 		Name:      "status",
-		Usage:     "camphorcroft status (--store IP:PORT | --nodes IP:PORT,...) [FLAGS]",
+		Usage:     "camphorcroft status [--store IP:PORT | --nodes IP:PORT,...] [FLAGS]",
 		ShortHelp: "show the fleet: versions in force, targets, load",
 		LongHelp: "Asks each process for its metrics. A node whose settings are older than the newest accepted ones is\n" +
 			"named, and so is one that doesn't answer. Exit code 1 says that there is one of either.",
--- a/io/cccli/timeline.go
+++ b/io/cccli/timeline.go
@@ -56,7 +56,7 @@
 	}
 	return &ff.Command{
 		Name:      "timeline",
-		Usage:     "camphorcroft timeline (--store IP:PORT | --nodes IP:PORT,...) [FLAGS]",
+		Usage:     "camphorcroft timeline [--store IP:PORT | --nodes IP:PORT,...] [FLAGS]",
 		ShortHelp: "show the events of all processes in one order",
 		LongHelp: "Reads the events that each process keeps and puts causes before effects, also when clocks differ.\n" +
 			"Processes that don't answer are listed as silent, with what others tell of them.",
