Name a job's events a history in code and pages

The word story stood for a job's events in several places, which is no term of the field. Types, tests and pages now say history or events; nothing else changes, and the golden files are the same.

--- a/core/ccdispatch/events_test.go
+++ b/core/ccdispatch/events_test.go
@@ -24,19 +24,19 @@
 	return b, ring
 }
 
-// assertStory checks the kinds of all events, with the number of tasks where
+// assertEvents checks the kinds of all events, with the number of tasks where
 // one event covers several.
-func assertStory(t *testing.T, ring *ccevent.Ring, want string) {
+func assertEvents(t *testing.T, ring *ccevent.Ring, want string) {
 	t.Helper()
-	var story []string
+	var kinds []string
 	for _, event := range ring.After(0) {
 		text := string(event.Kind)
 		if event.Count > 1 {
 			text += fmt.Sprintf("*%d", event.Count)
 		}
-		story = append(story, text)
+		kinds = append(kinds, text)
 	}
-	if got := strings.Join(story, " "); got != want {
+	if got := strings.Join(kinds, " "); got != want {
 		t.Errorf("got  %s\nwant %s", got, want)
 	}
 }
@@ -47,7 +47,7 @@
 	b.submit("j", 2)
 	b.report("a", ccwire.CodeStale, 2)
 	b.report("a", ccwire.CodeDone, 2)
-	assertStory(t, ring, "agentUp sent*2 returned returned sent*2 answered answered completed*2")
+	assertEvents(t, ring, "agentUp sent*2 returned returned sent*2 answered answered completed*2")
 	for _, event := range ring.After(0) {
 		cause := ccevent.Cause{}
 		if event.Kind == ccevent.KindReturned || event.Kind == ccevent.KindAnswered {
@@ -68,7 +68,7 @@
 	}
 	b.advance(5 * time.Second)
 	b.advance(5 * time.Second)
-	assertStory(t, ring, "agentUp sent answered failed sent answered failed sent answered ejected failed readmitted")
+	assertEvents(t, ring, "agentUp sent answered failed sent answered failed sent answered ejected failed readmitted")
 }
 
 func TestEventsTellWhyAJobFailed(t *testing.T) {
--- a/core/ccevent/explain.go
+++ b/core/ccevent/explain.go
@@ -16,23 +16,23 @@
 // long it waited and for what, where its tasks ran, and how it ended.
 func Explain(timeline Timeline, job ccjob.ID) []string {
 	around := Filter{Job: job, Around: true}.Apply(timeline)
-	story := newStory(around, job)
-	if len(story.steps) == 0 {
-		return append([]string{"No event of this job is kept."}, story.missing(true)...)
+	h := newHistory(around, job)
+	if len(h.steps) == 0 {
+		return append([]string{"No event of this job is kept."}, h.missing(true)...)
 	}
 	var sentences []string
-	sentences = append(sentences, story.beginning()...)
-	sentences = append(sentences, story.waiting()...)
-	sentences = append(sentences, story.ran()...)
-	sentences = append(sentences, story.returns()...)
-	sentences = append(sentences, story.doubled()...)
-	sentences = append(sentences, story.meanwhile()...)
-	sentences = append(sentences, story.end()...)
-	return append(sentences, story.missing(false)...)
+	sentences = append(sentences, h.beginning()...)
+	sentences = append(sentences, h.waiting()...)
+	sentences = append(sentences, h.ran()...)
+	sentences = append(sentences, h.returns()...)
+	sentences = append(sentences, h.doubled()...)
+	sentences = append(sentences, h.meanwhile()...)
+	sentences = append(sentences, h.end()...)
+	return append(sentences, h.missing(false)...)
 }
 
-// story is the events of one job, and those around it.
-type story struct {
+// history is the events of one job, and those around it.
+type history struct {
 	lanes  []Lane
 	steps  []*Step // Of the job.
 	around []*Step // Of no job.
@@ -40,23 +40,23 @@
 	byNode map[ccnode.ID]*place
 }
 
-func newStory(timeline Timeline, job ccjob.ID) *story {
-	s := &story{lanes: timeline.Lanes, byNode: make(map[ccnode.ID]*place)}
+func newHistory(timeline Timeline, job ccjob.ID) *history {
+	h := &history{lanes: timeline.Lanes, byNode: make(map[ccnode.ID]*place)}
 	for i := range timeline.Steps {
 		step := &timeline.Steps[i]
 		if step.Job != job {
-			s.around = append(s.around, step)
+			h.around = append(h.around, step)
 			continue
 		}
-		s.steps = append(s.steps, step)
-		s.note(step)
+		h.steps = append(h.steps, step)
+		h.note(step)
 	}
-	return s
+	return h
 }
 
 // first returns the first step of one of the kinds, or nil.
-func (s *story) first(kinds ...Kind) *Step {
-	for _, step := range s.steps {
+func (h *history) first(kinds ...Kind) *Step {
+	for _, step := range h.steps {
 		if slices.Contains(kinds, step.Kind) {
 			return step
 		}
@@ -65,9 +65,9 @@
 }
 
 // beginning tells who got the job, and who may drive it.
-func (s *story) beginning() []string {
+func (h *history) beginning() []string {
 	var sentences []string
-	for _, step := range s.steps {
+	for _, step := range h.steps {
 		if text := beginningText(step); text != "" {
 			sentences = append(sentences, text)
 		}
@@ -98,9 +98,9 @@
 }
 
 // waiting splits the time until the first start.
-func (s *story) waiting() []string {
-	accepted, claimed := s.first(KindAccepted), s.first(KindClaimed)
-	sent, started := s.first(KindSent), s.first(KindStarted)
+func (h *history) waiting() []string {
+	accepted, claimed := h.first(KindAccepted), h.first(KindClaimed)
+	sent, started := h.first(KindSent), h.first(KindStarted)
 	if accepted == nil {
 		return nil
 	}
@@ -123,7 +123,7 @@
 	until(sent, "in the queue")
 	until(started, "on the way to the agent")
 	sentences := []string{fmt.Sprintf("It waited %s before its first task was under way%s.", shortDuration(from.Sub(accepted.When)), list(": ", parts))}
-	if last := s.last(KindStarted); last != nil && last != started {
+	if last := h.last(KindStarted); last != nil && last != started {
 		sentences = append(sentences, fmt.Sprintf("Its last task started %s after it was accepted.", shortDuration(last.When.Sub(accepted.When))))
 	}
 	return sentences
@@ -145,8 +145,8 @@
 	return a
 }
 
-func (s *story) last(kind Kind) *Step {
-	for _, step := range slices.Backward(s.steps) {
+func (h *history) last(kind Kind) *Step {
+	for _, step := range slices.Backward(h.steps) {
 		if step.Kind == kind {
 			return step
 		}
--- a/core/ccevent/explain_end.go
+++ b/core/ccevent/explain_end.go
@@ -7,9 +7,9 @@
 )
 
 // meanwhile tells what befell the processes while they had a part in the job.
-func (s *story) meanwhile() []string {
+func (h *history) meanwhile() []string {
 	var sentences []string
-	for _, step := range s.around {
+	for _, step := range h.around {
 		if text := meanwhileText(step); text != "" {
 			sentences = append(sentences, fmt.Sprintf("At %s %s.", step.When.UTC().Format(secondLayout), text))
 		}
@@ -48,10 +48,10 @@
 }
 
 // end tells how each entry that had the job answered it.
-func (s *story) end() []string {
-	accepted := s.first(KindAccepted)
+func (h *history) end() []string {
+	accepted := h.first(KindAccepted)
 	var sentences []string
-	for _, step := range s.steps {
+	for _, step := range h.steps {
 		after := " at " + step.When.UTC().Format(secondLayout)
 		if accepted != nil {
 			after = " after " + shortDuration(step.When.Sub(accepted.When))
@@ -83,14 +83,14 @@
 }
 
 // missing tells which processes may know more: those of the job, or all.
-func (s *story) missing(all bool) []string {
+func (h *history) missing(all bool) []string {
 	named := make(map[ccnode.ID]bool)
-	for _, step := range s.steps {
+	for _, step := range h.steps {
 		named[step.Node.ID], named[step.Peer], named[step.Cause.Node] = true, true, true
 	}
 	var sentences []string
-	for i := range s.lanes {
-		l := &s.lanes[i]
+	for i := range h.lanes {
+		l := &h.lanes[i]
 		switch {
 		case !all && !named[l.Node.ID]:
 		case l.Silent && l.Named != nil:
--- a/core/ccevent/fuzz_test.go
+++ b/core/ccevent/fuzz_test.go
@@ -11,11 +11,11 @@
 // FuzzMerge puts arbitrary events, as processes may answer them, into one time
 // line and shows it in every form.
 func FuzzMerge(f *testing.F) {
-	story, err := json.Marshal(storyEvents())
+	history, err := json.Marshal(historyEvents())
 	if err != nil {
 		f.Fatal(err)
 	}
-	f.Add(story)
+	f.Add(history)
 	f.Add([]byte(`[{"seq":0},{"seq":18446744073709551615,"cause":{"node":"a","seq":3}},{"node":{"id":"a"},"seq":3,"cause":{"node":"","seq":1}}]`))
 	f.Add([]byte(`[{"node":{"id":"a"},"seq":1,"at":"0001-01-01T00:00:00Z","cause":{"node":"b","seq":1}},{"node":{"id":"b"},"seq":1,"at":"9999-12-31T23:59:59Z","cause":{"node":"a","seq":1}},{"node":{"id":"b"},"seq":2,"at":"9999-12-31T23:59:59Z","cause":{"node":"a","seq":1},"index":-9,"count":-1}]`))
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/core/ccevent/story_test.go
+++ b/core/ccevent/history_test.go
@@ -21,10 +21,10 @@
 	otherJob = ccjob.ID("0190a5c5-0000-7000-8000-000000000002")
 )
 
-// storyEvents is a job whose agent-3 dies, whose entry-1 dies, and that entry-2
+// historyEvents is a job whose agent-3 dies, whose entry-1 dies, and that entry-2
 // takes over. The clock of agent-1 is 40 s ahead. The rings of the two dead
 // processes are gone.
-func storyEvents() []Event {
+func historyEvents() []Event {
 	entry1, entry2 := newFakeNode("entry-1", 0, 100), newFakeNode("entry-2", 0, 100)
 	agent1, agent2 := newFakeNode("agent-1", 40*time.Second, 100), newFakeNode("agent-2", 0, 8)
 	agent3 := newFakeNode("agent-3", 0, 100)
@@ -76,7 +76,7 @@
 }
 
 func TestGolden(t *testing.T) {
-	timeline := Merge(storyEvents())
+	timeline := Merge(historyEvents())
 	job := Filter{Job: soldJob, Around: true}.Apply(timeline)
 	golden(t, "timeline.txt", func(w io.Writer) error { return WriteText(w, timeline) })
 	golden(t, "job.txt", func(w io.Writer) error { return WriteText(w, job) })
@@ -94,7 +94,7 @@
 }
 
 func TestJSONReadsBack(t *testing.T) {
-	timeline := Merge(storyEvents())
+	timeline := Merge(historyEvents())
 	data, err := json.Marshal(timeline)
 	if err != nil {
 		t.Fatal(err)
@@ -118,7 +118,7 @@
 		event := Event{Kind: KindSent, Job: soldJob, Text: strings.Repeat(`"<x>&`, 60)}
 		nodes[i%20].at(float64(i), event, nodes[(i+1)%20])
 	}
-	for name, timeline := range map[string]Timeline{"none": {}, "story": Merge(storyEvents()), "large": Merge(gather(nodes...))} {
+	for name, timeline := range map[string]Timeline{"none": {}, "story": Merge(historyEvents()), "large": Merge(gather(nodes...))} {
 		t.Run(name, func(t *testing.T) {
 			var out bytes.Buffer
 			if err := WriteSVG(&out, timeline); err != nil {
@@ -137,7 +137,7 @@
 }
 
 func TestFilter(t *testing.T) {
-	timeline := Merge(storyEvents())
+	timeline := Merge(historyEvents())
 	task := 2
 	cases := map[string]struct {
 		filter Filter
--- a/core/ccevent/place.go
+++ b/core/ccevent/place.go
@@ -29,33 +29,33 @@
 }
 
 // note adds an event of the job to the place that it tells of.
-func (s *story) note(step *Step) {
+func (h *history) note(step *Step) {
 	switch step.Kind {
 	case KindStarted:
-		p := s.place(step.Node.ID)
+		p := h.place(step.Node.ID)
 		p.domain = step.Domain
 		p.started[step.Index] = step.When
 		p.tasks = append(p.tasks, step.Index)
 	case KindFinished:
-		s.place(step.Node.ID).finish(step)
+		h.place(step.Node.ID).finish(step)
 	case KindSent:
-		s.place(step.Peer).sent += tasks(step)
+		h.place(step.Peer).sent += tasks(step)
 	case KindAnswered:
-		s.place(step.Peer).answered += tasks(step)
+		h.place(step.Peer).answered += tasks(step)
 	case KindReturned:
-		p := s.place(step.Peer)
+		p := h.place(step.Peer)
 		p.returned += tasks(step)
 		p.reasons[step.Text] += tasks(step)
 	default:
 	}
 }
 
-func (s *story) place(node ccnode.ID) *place {
-	p := s.byNode[node]
+func (h *history) place(node ccnode.ID) *place {
+	p := h.byNode[node]
 	if p == nil {
 		p = &place{node: node, started: make(map[int]time.Time), reasons: make(map[string]int)}
-		s.byNode[node] = p
-		s.places = append(s.places, p)
+		h.byNode[node] = p
+		h.places = append(h.places, p)
 	}
 	return p
 }
@@ -86,9 +86,9 @@
 
 // ran tells which tasks ran at each agent, or what the entries know of an agent
 // whose own events are missing.
-func (s *story) ran() []string {
+func (h *history) ran() []string {
 	var sentences []string
-	for _, p := range s.places {
+	for _, p := range h.places {
 		switch {
 		case len(p.tasks) > 0:
 			sentences = append(sentences, p.ranText())
@@ -125,9 +125,9 @@
 }
 
 // returns tells what came back unstarted and why.
-func (s *story) returns() []string {
+func (h *history) returns() []string {
 	var sentences []string
-	for _, p := range s.places {
+	for _, p := range h.places {
 		if p.returned == 0 {
 			continue
 		}
@@ -143,9 +143,9 @@
 }
 
 // doubled names tasks that started more than once, which must never be.
-func (s *story) doubled() []string {
+func (h *history) doubled() []string {
 	starts := make(map[int][]string)
-	for _, p := range s.places {
+	for _, p := range h.places {
 		for _, index := range p.tasks {
 			starts[index] = append(starts[index], string(p.node))
 		}
--- a/io/ccfleet/story_test.go
+++ b/io/ccfleet/events_test.go
@@ -20,7 +20,7 @@
 	"github.com/go-logr/logr"
 )
 
-func newStoryFleet(t *testing.T) *Fleet {
+func newEventsFleet(t *testing.T) *Fleet {
 	t.Helper()
 	profile := ccload.Profile{Service: "proof", Domains: []string{"north", "south", "west"}}
 	for _, domain := range profile.Domains {
@@ -78,9 +78,9 @@
 	}
 }
 
-func TestStoryOfAJob(t *testing.T) {
-	fleet := newStoryFleet(t)
-	const id, tasks = ccjob.ID("story"), 60
+func TestHistoryOfAJob(t *testing.T) {
+	fleet := newEventsFleet(t)
+	const id, tasks = ccjob.ID("history"), 60
 	assertComplete(t, fleet, id, tasks)
 	assertComplete(t, fleet, "another", 3)
 	agents := fleet.AgentAddrs()
@@ -129,7 +129,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	fleet := newStoryFleet(t)
+	fleet := newEventsFleet(t)
 	assertComplete(t, fleet, "j", 3)
 	for _, addr := range []netip.AddrPort{fleet.EntryAddrs()[0], fleet.AgentAddrs()[0]} {
 		body, err := get(t.Context(), addr, "/debug/vars")
