Take the fleet's settings from its store

Cause: the fleet in one process changed settings in memory, past the store, so its agents never saw a failure domain go out. Change: the first settings and each change are proposed to the stand-in store as an operator does; entries and agents read them there.

--- a/io/ccfleet/entries.go
+++ b/io/ccfleet/entries.go
@@ -38,7 +38,7 @@
 		Listen:   slot.listen,
 		HTTP:     slot.http,
 		Store:    f.store,
-		Settings: f.settings,
+		Settings: f.reader(),
 		Log:      f.cfg.Log,
 		Ring:     f.newRing(ccevent.RingConfig{Node: ref, Domain: domains[number%len(domains)]}),
 		Seed:     f.cfg.Seed + uint64(number),
--- a/io/ccfleet/faults.go
+++ b/io/ccfleet/faults.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"camphorcroft/core/ccfault"
-	"camphorcroft/core/ccsettings"
 	"camphorcroft/io/ccstandin"
 )
 
@@ -65,19 +63,6 @@
 	}
 }
 
-// SetDomain takes a failure domain out, or brings it back.
-func (f *Fleet) SetDomain(_ context.Context, name string, out bool) error {
-	if _, known := f.settings.settings.Domains[name]; !known {
-		return newError("set domain", KindSettings, fmt.Errorf("there is no domain %q", name))
-	}
-	f.settings.change(func(settings *ccsettings.Effective) {
-		domain := settings.Domains[name]
-		domain.Out = out
-		settings.Domains[name] = domain
-	})
-	return nil
-}
-
 // SetStoreOutage makes the store refuse all calls, or ends that.
 func (f *Fleet) SetStoreOutage(out bool) error {
 	faults := f.store.Faults()
--- a/io/ccfleet/fleet.go
+++ b/io/ccfleet/fleet.go
@@ -60,12 +60,11 @@
 	cfg   Config
 	store *ccstandin.Store
 
-	mu       sync.Mutex // Guards what follows.
-	entries  []*entrySlot
-	agents   []*agentSlot
-	rings    []*ccevent.Ring
-	ended    ccload.Messages // Of entries that have ended.
-	settings *operator
+	mu      sync.Mutex // Guards what follows.
+	entries []*entrySlot
+	agents  []*agentSlot
+	rings   []*ccevent.Ring
+	ended   ccload.Messages // Of entries that have ended.
 }
 
 // New returns a fleet that has not started.
@@ -78,7 +77,9 @@
 
 // Start starts everything and waits until each entry is connected to each agent.
 func (f *Fleet) Start(ctx context.Context) error {
-	f.settings = newOperator(f.initialSettings())
+	if err := f.proposeSettings(ctx); err != nil {
+		return err
+	}
 	for number := range f.cfg.Profile.Targets {
 		slot, err := f.newAgentSlot(ctx, number)
 		if err != nil {
--- a/io/ccfleet/settings.go
+++ b/io/ccfleet/settings.go
@@ -1,28 +1,78 @@
 package ccfleet
 
 import (
-	"camphorcroft/core/ccload"
+	"context"
+	"fmt"
+
 	"camphorcroft/core/ccsettings"
+	settingsio "camphorcroft/io/ccsettings"
+
+	"go.yaml.in/yaml/v3"
 )
 
-// initialSettings are what the operators of the fleet have agreed on.
-func (f *Fleet) initialSettings() *ccsettings.Effective {
-	return initialSettings(f.cfg.Profile, f.cfg.Service, f.cfg.Teams)
+// operator is who changes the settings, for the history.
+const operator = "fleet"
+
+// proposeSettings writes the first settings, all in the chair's section.
+func (f *Fleet) proposeSettings(ctx context.Context) error {
+	text, err := yaml.Marshal(f.initialSettings())
+	if err != nil {
+		return newError("write settings", KindSettings, err)
+	}
+	request := settingsio.Request{Section: ccsettings.Chair, File: "initial settings", Text: string(text), By: operator}
+	if _, err := f.writer().Propose(ctx, request); err != nil {
+		return newError("propose settings", KindSettings, err)
+	}
+	return nil
+}
+
+// initial is the shape of a section.
+type initial struct {
+	Services map[string]ccsettings.Service `yaml:"services"`
+	Domains  map[string]ccsettings.Domain  `yaml:"domains"`
+	Teams    map[string]ccsettings.Team    `yaml:"teams,omitempty"`
 }
 
-func initialSettings(profile ccload.Profile, change func(*ccsettings.Service), teams map[string]ccsettings.Team) *ccsettings.Effective {
+func (f *Fleet) initialSettings() initial {
 	service := ccsettings.DefaultService()
-	if change != nil {
-		change(&service)
+	if f.cfg.Service != nil {
+		f.cfg.Service(&service)
 	}
-	domains := make(map[string]ccsettings.Domain, len(profile.Domains))
-	for _, name := range profile.Domains {
+	domains := make(map[string]ccsettings.Domain, len(f.cfg.Profile.Domains))
+	for _, name := range f.cfg.Profile.Domains {
 		domains[name] = ccsettings.DefaultDomain()
 	}
-	return &ccsettings.Effective{
-		Services: map[string]ccsettings.Service{profile.Service: service},
+	return initial{
+		Services: map[string]ccsettings.Service{f.cfg.Profile.Service: service},
 		Domains:  domains,
-		Teams:    teams,
-		Fleet:    ccsettings.DefaultFleet(),
+		Teams:    f.cfg.Teams,
+	}
+}
+
+func (f *Fleet) writer() *settingsio.Writer {
+	return settingsio.NewWriter(settingsio.WriterConfig{Store: f.store, Log: f.cfg.Log})
+}
+
+func (f *Fleet) reader() *settingsio.Reader {
+	return settingsio.NewReader(settingsio.ReaderConfig{Store: f.store, Log: f.cfg.Log})
+}
+
+// SetDomain takes a failure domain out, or brings it back. It returns when the
+// store has accepted the change.
+func (f *Fleet) SetDomain(ctx context.Context, name string, out bool) error {
+	present, err := f.writer().Load(ctx)
+	if err != nil {
+		return newError("set domain", KindSettings, err)
+	}
+	if _, known := present.Merged.Effective.Domains[name]; !known {
+		return newError("set domain", KindSettings, fmt.Errorf("there is no domain %q", name))
+	}
+	key := ccsettings.Key("domains." + name + ".out")
+	_, err = f.writer().Edit(ctx, ccsettings.Chair, operator, func(text string) (string, error) {
+		return ccsettings.SetText(text, key, fmt.Sprint(out))
+	})
+	if err != nil {
+		return newError("set domain", KindSettings, err)
 	}
+	return nil
 }
