Count work against what failure domains in service can do

Cause: goodput during the absence of a failure domain was a share of the whole fleet's power, which no policy can reach. Change: the time for which a domain is out does not count; work done for all jobs is shown beside the part that was for complete ones.

--- a/core/ccload/report.go
+++ b/core/ccload/report.go
@@ -11,8 +11,8 @@
 	"camphorcroft/core/ccjob"
 )
 
-// Report is the outcome of one run. Shares are of the fleet's power over the
-// planned time, times are in milliseconds.
+// Report is the outcome of one run. Shares are of what the targets can do in the
+// measured time, times are in milliseconds.
 type Report struct {
 	Name    string `json:"name"`
 	Profile string `json:"profile"`
@@ -39,6 +39,7 @@
 	Unknown     int `json:"unknown"`     // Starts of jobs that nobody submitted.
 
 	Goodput      float64 `json:"goodput"`      // Work done for jobs that completed.
+	Busy         float64 `json:"busy"`         // Work done for all jobs.
 	IdealGoodput float64 `json:"idealGoodput"` // Work done in the ideal replay.
 
 	Response  Quantiles `json:"response"`
@@ -110,6 +111,7 @@
 	{"capacity, tasks/s", func(r *Report) string { return fmt.Sprintf("%.0f", r.Capacity) }},
 	{"offered load", func(r *Report) string { return share(r.Offered) }},
 	{"goodput", func(r *Report) string { return share(r.Goodput) }},
+	{"work done", func(r *Report) string { return share(r.Busy) }},
 	{"ideal goodput", func(r *Report) string { return share(r.IdealGoodput) }},
 	{"jobs complete", func(r *Report) string { return fmt.Sprint(r.Complete) }},
 	{"jobs refused", func(r *Report) string { return kinds(r.Refused) }},
--- a/core/ccload/report_test.go
+++ b/core/ccload/report_test.go
@@ -55,6 +55,17 @@
 		}
 		golden.Assert(t, "report", data)
 	})
+	t.Run("whatIsOutDoesNotCount", func(t *testing.T) {
+		profile := Profile{Targets: twoTargets}
+		plan := &Plan{Duration: time.Second, Arrivals: []Arrival{{Tasks: []time.Duration{500 * ms}}}}
+		summary := NewSummary(SummaryConfig{
+			Plan: plan, Profile: profile, Away: []Away{{Domain: "a", From: 500 * ms, To: 2 * time.Second}},
+		})
+		summary.Add(Result{JobID: "j", Answered: true, State: ccjob.StateComplete})
+		got := summary.Report(Observed{From: runStart, Starts: []Start{{JobID: "j", At: runStart, Target: 1}}})
+		// Target a counts for half a second at speed 2, b for one second at speed 1.
+		assertNear(t, "goodput", got.Goodput, 0.25, 1e-9)
+	})
 	t.Run("brokenPromisesAreCounted", func(t *testing.T) {
 		if report.Doubled != 1 || report.Lost != 1 || report.FalseNotRun != 1 || report.Unknown != 1 || report.NoAnswer != 1 || report.Wrong != 1 {
 			t.Errorf("the report misses a broken promise: %+v", report)
--- a/core/ccload/summary.go
+++ b/core/ccload/summary.go
@@ -23,6 +23,15 @@
 	// Warm is the time from the start in which the fleet learns. Its jobs are
 	// left out of the response times, and its work out of the goodput.
 	Warm time.Duration
+	// Away lists the times at which failure domains are out. Their targets' power
+	// does not count then.
+	Away []Away
+}
+
+// Away is a time at which a failure domain is out.
+type Away struct {
+	Domain   string
+	From, To time.Duration
 }
 
 // Summary takes the results of one run and sums them up. It is not safe for use
@@ -139,33 +148,55 @@
 	report.OverAlone, report.Floor = alone.quantiles(), floor.quantiles()
 }
 
-// addGoodput sums up the work that targets did for jobs that completed, and the
-// work of the ideal replay, from the end of the warm-up to the end of the plan.
+// addGoodput sums up the work that targets did, the part of it that was for jobs
+// that completed, and the work of the ideal replay, from the end of the warm-up
+// to the end of the plan.
 func (s *Summary) addGoodput(report *Report, observed Observed) {
 	from, to := s.cfg.Warm, s.cfg.Plan.Duration
-	possible := Power(s.cfg.Profile.Targets) * (to - from).Seconds()
-	var ideal, done time.Duration
+	var ideal, busy, done time.Duration
 	for _, span := range s.ideal.Spans {
 		ideal += span.inside(from, to)
 	}
 	for _, start := range observed.Starts {
-		if span, ok := s.useful(start, observed.From); ok {
+		span, useful := s.span(start, observed.From)
+		busy += span.inside(from, to)
+		if useful {
 			done += span.inside(from, to)
 		}
 	}
-	report.IdealGoodput = ideal.Seconds() / possible
-	report.Goodput = done.Seconds() / possible
+	available := s.available(from, to).Seconds()
+	report.IdealGoodput = ideal.Seconds() / (Power(s.cfg.Profile.Targets) * (to - from).Seconds())
+	report.Busy = busy.Seconds() / available
+	report.Goodput = done.Seconds() / available
+}
+
+// available is the nominal work that the targets can do between two times,
+// without those whose failure domain is out.
+func (s *Summary) available(from, to time.Duration) time.Duration {
+	var work time.Duration
+	for _, target := range s.cfg.Profile.Targets {
+		in := to - from
+		for _, away := range s.cfg.Away {
+			if away.Domain == target.Domain {
+				in -= max(min(away.To, to)-max(away.From, from), 0)
+			}
+		}
+		work += time.Duration(float64(in) * target.Speed * float64(target.Slots))
+	}
+	return work
 }
 
-// useful returns the span of a start whose job completed.
-func (s *Summary) useful(start Start, from time.Time) (Span, bool) {
+// span returns the time that a started task takes at its target, and whether its
+// job completed.
+func (s *Summary) span(start Start, from time.Time) (Span, bool) {
 	result, known := s.answers[start.JobID]
-	if !known || result.State != ccjob.StateComplete || start.Target >= len(s.cfg.Profile.Targets) {
+	if !known || start.Target >= len(s.cfg.Profile.Targets) {
 		return Span{}, false
 	}
 	begin, speed := start.At.Sub(from), s.cfg.Profile.Targets[start.Target].Speed
 	run := s.cfg.Plan.Arrivals[result.Number].Tasks[start.Index]
-	return Span{From: begin, To: begin + time.Duration(float64(run)/speed), Speed: speed}, true
+	span := Span{From: begin, To: begin + time.Duration(float64(run)/speed), Speed: speed}
+	return span, result.State == ccjob.StateComplete
 }
 
 // taskKey names a task.
--- a/io/ccexperiment/experiment.go
+++ b/io/ccexperiment/experiment.go
@@ -128,9 +128,29 @@
 func summarize(cfg Config, name string, run ccgenerator.Run, observed ccload.Observed) ccload.Report {
 	summary := ccload.NewSummary(ccload.SummaryConfig{
 		Name: name, Profile: cfg.Profile, Plan: cfg.Plan, RoundTrip: cfg.Profile.ClientDistance, Except: cfg.Except, Warm: cfg.Warm,
+		Away: away(cfg.Faults, cfg.Plan.Duration),
 	})
 	for _, result := range run.Results {
 		summary.Add(result)
 	}
 	return summary.Report(observed)
 }
+
+// away lists when the faults have failure domains out.
+func away(faults []ccfault.Fault, end time.Duration) []ccload.Away {
+	var spans []ccload.Away
+	for _, fault := range faults {
+		switch fault.Kind {
+		case ccfault.KindDomainOut:
+			spans = append(spans, ccload.Away{Domain: fault.Domain, From: fault.At.Std(), To: end})
+		case ccfault.KindDomainIn:
+			for i := range spans {
+				if spans[i].Domain == fault.Domain {
+					spans[i].To = min(spans[i].To, fault.At.Std())
+				}
+			}
+		default:
+		}
+	}
+	return spans
+}
--- a/io/ccexperiment/experiment_test.go
+++ b/io/ccexperiment/experiment_test.go
@@ -1,11 +1,13 @@
 package ccexperiment
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"camphorcroft/core/ccfault"
 	"camphorcroft/core/ccload"
+	"camphorcroft/core/ccsettings"
 	"camphorcroft/io/ccgenerator"
 
 	"github.com/go-logr/logr"
@@ -50,3 +52,18 @@
 		})
 	}
 }
+
+func TestAway(t *testing.T) {
+	spans := away([]ccfault.Fault{
+		{At: ccsettings.Duration(time.Second), Kind: ccfault.KindDomainOut, Domain: "mira"},
+		{At: ccsettings.Duration(2 * time.Second), Kind: ccfault.KindDomainOut, Domain: "ovar"},
+		{At: ccsettings.Duration(3 * time.Second), Kind: ccfault.KindDomainIn, Domain: "mira"},
+	}, 9*time.Second)
+	want := []ccload.Away{
+		{Domain: "mira", From: time.Second, To: 3 * time.Second},
+		{Domain: "ovar", From: 2 * time.Second, To: 9 * time.Second},
+	}
+	if !slices.Equal(spans, want) {
+		t.Errorf("domains are away %v, want %v", spans, want)
+	}
+}
