Refuse a job as not run only under its claim

Cause: a job over a quota, or at an overloaded or stopping entry, was refused before it was claimed, with the promise that it had not run. Change: what needs no claim is checked at once; guards, quotas and a planned stop refuse when the claim proves the job new, and give it back. An entry that can't claim answers that it doesn't know. A stopping entry shuts its clients out before it leaves the roster.

--- a/core/ccdispatch/admit.go
+++ b/core/ccdispatch/admit.go
@@ -15,10 +15,9 @@
 // unit.
 const retryAfter = time.Second
 
-// Admit checks a job against the settings, the guards and its team's quota
-// before it is claimed, so that a refusal costs no message. It returns true, or
-// the refusal.
-func (d *Dispatcher) Admit(spec *ccjob.Spec) (ccjob.Outcome, bool) {
+// Check checks a job against the settings' limits. Such a job never runs, so it
+// is refused before it is claimed. It returns true, or the refusal.
+func (d *Dispatcher) Check(spec *ccjob.Spec) (ccjob.Outcome, bool) {
 	guards, ok := d.settings.Services[spec.Service]
 	if !ok {
 		return ccjob.Refuse(spec.ID, ccjob.KindUnknownService, fmt.Sprintf("no service is named %q", spec.Service)), false
@@ -27,6 +26,14 @@
 	if err := spec.Validate(limits); err != nil {
 		return refuseInvalid(spec.ID, err), false
 	}
+	return ccjob.Outcome{}, true
+}
+
+// Admit decides by the guards and the team's quota whether a job that passed
+// Check, and whose claim is new, is taken. Without the claim nobody could say
+// that it has not run elsewhere. It returns true, or the refusal.
+func (d *Dispatcher) Admit(spec *ccjob.Spec) (ccjob.Outcome, bool) {
+	guards := d.service(spec.Service).guards
 	kind, reason := d.overload(spec, &guards)
 	if kind == "" {
 		return ccjob.Outcome{}, true
--- a/core/ccdispatch/dispatcher.go
+++ b/core/ccdispatch/dispatcher.go
@@ -18,7 +18,10 @@
 //	d := ccdispatch.New(ccdispatch.Config{Entry: self, Seed: seed, Record: ring.Record})
 //	d.SetSettings(now, effective)
 //	d.AgentUp(now, session, helloReply)
-//	if refusal, ok := d.Admit(&spec); !ok {
+//	if refusal, ok := d.Check(&spec); !ok {
+//		return refusal
+//	}
+//	if refusal, ok := d.Admit(&spec); !ok { // Once the job is claimed.
 //		return refusal
 //	}
 //	d.Submit(now, ccdispatch.Submission{Spec: spec, Claim: claim})
--- a/io/ccclient/client.go
+++ b/io/ccclient/client.go
@@ -130,9 +130,10 @@
 	return errors.As(err, &own) && own.Kind == kind
 }
 
-// worthAnotherEntry reports whether a refusal is the entry's own.
+// worthAnotherEntry reports whether an outcome is the entry's own and another
+// entry may know better.
 func worthAnotherEntry(outcome ccjob.Outcome) bool {
-	if outcome.State != ccjob.StateRefused {
+	if outcome.State == ccjob.StateComplete {
 		return false
 	}
 	return outcome.Kind == ccjob.KindUnavailable || outcome.Kind == ccjob.KindDraining
--- a/io/ccentry/claim_seek.go
+++ b/io/ccentry/claim_seek.go
@@ -69,12 +69,22 @@
 		return
 	}
 	if action.Fates == nil {
-		p.entry.drive(now, job, action.Claim, nil)
+		p.driveNew(now, job, action)
 		return
 	}
 	p.driveRecovered(now, job, action)
 }
 
+// driveNew drives a job that has not run, or refuses it and gives the claim back.
+func (p *presence) driveNew(now time.Time, job *pendingJob, action *ccclaim.Drive) {
+	if refusal, ok := p.entry.admit(&job.spec); !ok {
+		p.requester.Ended(action.JobID, action.Claim, true)
+		p.entry.refuse(now, job, refusal)
+		return
+	}
+	p.entry.drive(now, job, action.Claim, nil)
+}
+
 // finish ends a job that this entry does not drive. A whole answer is kept; a
 // failure may be this entry's alone and is not.
 func (p *presence) finish(now time.Time, outcome ccjob.Outcome) {
--- a/io/ccentry/entry.go
+++ b/io/ccentry/entry.go
@@ -194,10 +194,12 @@
 		e.cfg.Ring.Record(now, ccevent.Event{Kind: ccevent.KindDraining, Index: ccevent.NoIndex})
 	})
 	err := e.waitQuiet(ctx)
-	e.presence.leave(ctx)
+	// Clients are shut out first: a refusal is proved by a claim, and there are no
+	// claims for an entry that has left the roster.
 	if shutdownErr := e.httpServer.Shutdown(ctx); err == nil && shutdownErr != nil {
 		err = &Error{Op: "stop", Kind: KindUnfinished, Err: shutdownErr}
 	}
+	e.presence.leave(ctx)
 	e.cfg.Ring.Record(time.Now(), ccevent.Event{Kind: ccevent.KindDown, Index: ccevent.NoIndex})
 	e.close()
 	e.log.Info("Entry has stopped.")
--- a/io/ccentry/fleet_test.go
+++ b/io/ccentry/fleet_test.go
@@ -13,14 +13,22 @@
 	"camphorcroft/core/ccfault"
 	"camphorcroft/core/ccjob"
 	"camphorcroft/core/ccload"
+	"camphorcroft/core/ccsettings"
 	"camphorcroft/io/ccclient"
 	"camphorcroft/io/ccfleet"
 )
 
 // newFleet starts three entries and four targets around one stand-in store.
 func newFleet(t *testing.T) *ccfleet.Fleet {
+	t.Helper()
+	return newFleetOf(t, nil)
+}
+
+// newFleetOf starts such a fleet with settings for teams.
+func newFleetOf(t *testing.T, teams map[string]ccsettings.Team) *ccfleet.Fleet {
 	t.Helper()
 	fleet := ccfleet.New(ccfleet.Config{
+		Teams: teams,
 		Profile: ccload.Profile{
 			Service: "s",
 			Domains: []string{"north", "south"},
@@ -180,6 +188,28 @@
 	})
 }
 
+// TestResubmissionAtItsQuota submits a running job again at an entry that takes
+// no new job of the team. It must get the answer, not the promise that the job
+// has not run.
+func TestResubmissionAtItsQuota(t *testing.T) {
+	const quota = 3
+	fleet := newFleetOf(t, map[string]ccsettings.Team{"t": {Share: 1, MaxTasks: quota}})
+	addrs := fleet.EntryAddrs()
+	filling, shared, fresh := newSpec(t, quota, time.Second), newSpec(t, 2, time.Second), newSpec(t, 1, time.Millisecond)
+	filled := submitAll(t.Context(), addrs[1], []ccjob.Spec{filling})
+	first := submitAll(t.Context(), addrs[0], []ccjob.Spec{shared})
+	awaitStarts(t, fleet, quota+2)
+	if outcome := submitAt(t.Context(), addrs[1], fresh); outcome.Kind != ccjob.KindQuota || !outcome.NotRun {
+		t.Errorf("a new job over the quota has outcome %+v", outcome)
+	}
+	again := submitAt(t.Context(), addrs[1], shared)
+	outcomes := append(<-first, again, (<-filled)[0])
+	assertOnce(t, fleet, []ccjob.Spec{shared, shared, filling}, outcomes)
+	if got := countComplete(outcomes); got != len(outcomes) {
+		t.Errorf("%d of %d submissions got the answer: %+v", got, len(outcomes), outcomes)
+	}
+}
+
 // TestEntryKilled ends an entry with jobs in flight and submits them all again
 // elsewhere.
 func TestEntryKilled(t *testing.T) {
--- a/io/ccentry/pending.go
+++ b/io/ccentry/pending.go
@@ -46,9 +46,8 @@
 		p.waiters = append(p.waiters, waiter)
 		return
 	}
-	if refusal, ok := e.admit(spec); !ok {
-		e.record(now, ccevent.KindRefused, spec, string(refusal.Kind)+": "+refusal.Reason)
-		e.metrics.Map("refusals").Add(string(refusal.Kind), 1)
+	if refusal, ok := e.check(spec); !ok {
+		e.noteRefusal(now, spec, &refusal)
 		waiter <- refusal
 		return
 	}
@@ -58,16 +57,41 @@
 	e.claims.claim(e, now, p)
 }
 
-func (e *Entry) admit(spec *ccjob.Spec) (ccjob.Outcome, bool) {
+// check turns away what needs no claim: what can never run, and what this entry
+// can say nothing of.
+func (e *Entry) check(spec *ccjob.Spec) (ccjob.Outcome, bool) {
 	switch {
-	case e.draining:
-		return ccjob.Refuse(spec.ID, ccjob.KindDraining, "this entry is stopping"), false
+	case e.version == 0 || !e.claims.ready():
+		return ccjob.Fail(spec.ID, ccjob.KindUnavailable, false, "this entry is cut off and can't say whether the job has run"), false
 	case len(e.pending) >= maxPending:
-		return ccjob.Refuse(spec.ID, ccjob.KindOverload, "too many jobs are in flight"), false
+		return ccjob.Fail(spec.ID, ccjob.KindOverload, false, "too many jobs are in flight to say whether this one has run"), false
+	}
+	return e.dispatcher.Check(spec)
+}
+
+// admit turns away a job whose claim is new, which proves that it has not run.
+func (e *Entry) admit(spec *ccjob.Spec) (ccjob.Outcome, bool) {
+	if e.draining {
+		return ccjob.Refuse(spec.ID, ccjob.KindDraining, "this entry is stopping"), false
 	}
 	return e.dispatcher.Admit(spec)
 }
 
+// refuse answers all who wait for a job that was claimed and not admitted.
+func (e *Entry) refuse(now time.Time, p *pendingJob, refusal ccjob.Outcome) {
+	e.noteRefusal(now, &p.spec, &refusal)
+	e.finish(p, refusal)
+}
+
+func (e *Entry) noteRefusal(now time.Time, spec *ccjob.Spec, refusal *ccjob.Outcome) {
+	kind := ccevent.KindRefused
+	if !refusal.NotRun {
+		kind = ccevent.KindFailed
+	}
+	e.record(now, kind, spec, string(refusal.Kind)+": "+refusal.Reason)
+	e.metrics.Map("refusals").Add(string(refusal.Kind), 1)
+}
+
 func matching(outcome *ccjob.Outcome, same bool) ccjob.Outcome {
 	if same {
 		return *outcome
