Send in heartbeats only what the connection has not told

A lead of 64 members had 13.4 kB/s of control messages where a node may have 9 kB/s, and cells of 40 would have renewed more leases than the store should bear. Heartbeats now leave out cell and reference, which the join told, and replies to an up-to-date member leave out term and version.

--- a/core/cccell/action.go
+++ b/core/cccell/action.go
@@ -25,7 +25,7 @@
 	OpResign Op = "resign"
 	// OpJoin sends Join to the lead. Answer with Answered.
 	OpJoin Op = "join"
-	// OpBeat sends Heartbeat to the lead. Answer with Answered.
+	// OpBeat sends Heartbeat to the lead, on the connection of the last OpJoin. Answer with Answered.
 	OpBeat Op = "beat"
 	// OpAnnounce sends Lead to members. It has no answer.
 	OpAnnounce Op = "announce"
--- a/core/cccell/fleet_test.go
+++ b/core/cccell/fleet_test.go
@@ -125,7 +125,11 @@
 	case OpJoin:
 		f.call(n, action.Addr, ccwire.MethodJoin, action.Join, func(lead *node) any { return lead.Join(f.now, action.Join) })
 	case OpBeat:
-		f.call(n, action.Addr, ccwire.MethodHeartbeat, action.Beat, func(lead *node) any { return lead.Heartbeat(f.now, action.Beat) })
+		f.call(n, action.Addr, ccwire.MethodHeartbeat, action.Beat, func(lead *node) any {
+			msg := action.Beat
+			msg.Cell, msg.Node = n.Cell(), n.ref // As the connection tells.
+			return lead.Heartbeat(f.now, msg)
+		})
 	case OpLeave:
 		f.call(n, action.Addr, ccwire.MethodLeave, action.Leave, func(lead *node) any { return lead.MemberLeft(f.now, action.Leave) })
 	case OpAnnounce:
--- a/core/cccell/follower.go
+++ b/core/cccell/follower.go
@@ -45,7 +45,7 @@
 	if !f.joined {
 		return Action{Op: OpJoin, Addr: f.lead.Addr, Join: ccwire.Join{Cell: m.cfg.Cell, Member: m.self}}, true
 	}
-	return Action{Op: OpBeat, Addr: f.lead.Addr, Beat: ccwire.Heartbeat{Cell: m.cfg.Cell, Node: m.self.Node, Version: m.Version()}}, true
+	return Action{Op: OpBeat, Addr: f.lead.Addr, Beat: ccwire.Heartbeat{Version: m.Version()}}, true
 }
 
 // Answered takes the lead's answer to a join or a heartbeat, or its failure. The
--- a/core/cccell/serve.go
+++ b/core/cccell/serve.go
@@ -19,19 +19,20 @@
 // member's version is lower. An agent of another cell gets it too, and learns from it
 // how many cells there are.
 func (m *Machine) Heartbeat(now time.Time, msg ccwire.Heartbeat) ccwire.HeartbeatReply {
-	reply := ccwire.HeartbeatReply{Term: m.term}
 	if m.lead == nil {
-		return reply
+		return ccwire.HeartbeatReply{Term: m.term}
 	}
-	reply.Version = m.Version()
-	if msg.Version < reply.Version {
-		reply.View = m.view
+	reply := ccwire.HeartbeatReply{}
+	if msg.Version < m.Version() {
+		reply.Version, reply.View = m.Version(), m.view
 	}
 	known, ok := m.lead.members[msg.Node.ID]
 	if m.serves(msg.Cell) && ok && known.Node == msg.Node {
 		known.heard = now
 		reply.Known = true
+		return reply
 	}
+	reply.Term = m.term
 	return reply
 }
 
--- a/core/ccwire/cell.go
+++ b/core/ccwire/cell.go
@@ -54,8 +54,10 @@
 
 // Heartbeat tells the lead that a member lives, and what it knows.
 type Heartbeat struct {
-	Cell    int        `json:"cell"`
-	Node    ccnode.Ref `json:"node"`
+	// Cell and Node are left out on a connection that has carried the member's
+	// Join, which told them.
+	Cell    int        `json:"cell,omitempty"`
+	Node    ccnode.Ref `json:"node,omitzero"`
 	Version uint64     `json:"version"`
 	// Cause is the sequence number of the sender's newest event, for the time line.
 	Cause uint64 `json:"cause,omitempty"`
@@ -64,9 +66,11 @@
 // HeartbeatReply carries what the member lacks. View is nil when the member is
 // up to date.
 type HeartbeatReply struct {
-	Term    uint64                `json:"term"`
+	// Term and Version are left out of the reply to a heartbeat of a member that
+	// is up to date.
+	Term    uint64                `json:"term,omitempty"`
 	Known   bool                  `json:"known"` // False asks the member to join again.
-	Version uint64                `json:"version"`
+	Version uint64                `json:"version,omitempty"`
 	View    *ccsettings.AgentView `json:"view,omitempty"`
 	// Members is the size of the cell, by which members stagger what they do at
 	// once. Only the reply to Join has it.
--- a/io/ccagent/cell.go
+++ b/io/ccagent/cell.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"camphorcroft/core/cccell"
+	"camphorcroft/core/ccnode"
 	"camphorcroft/core/ccsettings"
 	"camphorcroft/core/ccwire"
 	cellio "camphorcroft/io/cccell"
@@ -189,36 +190,48 @@
 
 // serveCell answers a member's request.
 func (a *Agent) serveCell(peer *ccrpc.Peer, method string, params json.RawMessage, reply func(any, error)) {
-	cell := cellNumber(params)
+	head := readCellHead(params)
 	a.post(func(now time.Time) {
 		l := a.link(peer)
-		runner := a.cell(cell)
+		switch {
+		case method == ccwire.MethodJoin:
+			l.member = cellio.Sender{Cell: head.Cell, Node: head.Member.Node}
+		case head.Node == (ccnode.Ref{}):
+			head.Cell = l.member.Cell
+		}
+		runner := a.cell(head.Cell)
 		if runner == nil {
 			l.reply(reply, ccwire.HeartbeatReply{}, nil)
 			return
 		}
-		result, err := runner.Handle(now, method, params)
+		result, err := runner.Handle(now, l.member, method, params)
 		l.reply(reply, result, err)
 	})
 }
 
 // announced takes the notification of a new lead.
 func (a *Agent) announced(params json.RawMessage) {
-	cell := cellNumber(params)
+	head := readCellHead(params)
 	a.post(func(now time.Time) {
-		if runner := a.cell(cell); runner != nil {
+		if runner := a.cell(head.Cell); runner != nil {
 			runner.Announced(now, params)
 		}
 	})
 }
 
-// cellNumber returns the cell that a message is for.
-func cellNumber(params json.RawMessage) int {
-	var msg struct {
-		Cell int `json:"cell"`
-	}
-	_ = json.Unmarshal(params, &msg) // A message that can't be read is refused later.
-	return msg.Cell
+// cellHead is what the messages between agents say of cell and sender.
+type cellHead struct {
+	Cell   int        `json:"cell"`
+	Node   ccnode.Ref `json:"node"`
+	Member struct {
+		Node ccnode.Ref `json:"node"`
+	} `json:"member"` // Of a join.
+}
+
+func readCellHead(params json.RawMessage) cellHead {
+	var head cellHead
+	_ = json.Unmarshal(params, &head) // A message that can't be read is refused later.
+	return head
 }
 
 // sleep waits, or returns early when the agent closes.
--- a/io/ccagent/cell_test.go
+++ b/io/ccagent/cell_test.go
@@ -165,3 +165,18 @@
 }
 
 func testCell(a *Agent, cells int) int { return cccell.Of(a.Ref().ID, cells) }
+
+func TestHeartbeatWithoutJoin(t *testing.T) {
+	t.Parallel()
+	store := ccstandin.NewStore(ccstandin.StoreConfig{})
+	agent, _ := startAgentAs(t, store, "agent-1")
+	awaitCell(t, store, agent)
+	entry := dialAgent(t, agent)
+	var reply ccwire.HeartbeatReply
+	if err := entry.peer.Call(t.Context(), ccwire.MethodHeartbeat, ccwire.Heartbeat{Version: 1}, &reply); err != nil {
+		t.Fatal(err)
+	}
+	if reply.Known {
+		t.Errorf("a heartbeat from nobody was answered with %+v", reply)
+	}
+}
--- a/io/ccagent/link.go
+++ b/io/ccagent/link.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"camphorcroft/core/ccnode"
+	cellio "camphorcroft/io/cccell"
 	"camphorcroft/io/ccrpc"
 )
 
@@ -15,7 +16,8 @@
 	cancel  context.CancelFunc
 	entry   ccnode.Ref // Set by hello.
 	session uint64
-	busy    bool // A report is being written.
+	member  cellio.Sender // Set by join.
+	busy    bool          // A report is being written.
 }
 
 // link returns the link of a connection, made if need be.
--- a/io/cccell/lead.go
+++ b/io/cccell/lead.go
@@ -52,12 +52,12 @@
 	if err != nil {
 		return nil, err
 	}
-	r.cfg.BytesOut.Add(int64(len(data) + envelopeBytes))
+	r.cfg.BytesOut.Add(int64(len(data) + requestBytes))
 	var result json.RawMessage
 	if err := peer.Call(ctx, method, json.RawMessage(data), &result); err != nil {
 		return nil, err
 	}
-	r.cfg.BytesIn.Add(int64(len(result) + envelopeBytes))
+	r.cfg.BytesIn.Add(int64(len(result) + replyBytes))
 	return result, nil
 }
 
@@ -144,6 +144,6 @@
 	if err != nil {
 		return
 	}
-	r.cfg.BytesOut.Add(int64(len(data) + envelopeBytes))
+	r.cfg.BytesOut.Add(int64(len(data) + requestBytes))
 	_ = peer.Notify(ctx, ccwire.MethodLead, json.RawMessage(data))
 }
--- a/io/cccell/runner.go
+++ b/io/cccell/runner.go
@@ -20,6 +20,7 @@
 
 	"camphorcroft/core/cccell"
 	"camphorcroft/core/ccevent"
+	"camphorcroft/core/ccnode"
 	"camphorcroft/core/ccsettings"
 	"camphorcroft/core/ccwire"
 	"camphorcroft/io/ccrpc"
@@ -33,8 +34,10 @@
 	storeTimeout = time.Second
 	// leadTimeout bounds one request to the lead.
 	leadTimeout = time.Second
-	// envelopeBytes is what jsonrpc2 adds to the parameters or the result.
-	envelopeBytes = 64
+	// requestBytes and replyBytes are about what jsonrpc2 adds to the parameters
+	// and to the result.
+	requestBytes = 64
+	replyBytes   = 40
 	// announceAtOnce bounds the connections that announce a new lead.
 	announceAtOnce = 8
 )
@@ -143,14 +146,26 @@
 	}
 }
 
-// Handle answers a member's request: a join, a heartbeat or a leave.
-func (r *Runner) Handle(now time.Time, method string, params json.RawMessage) (any, error) {
-	r.cfg.BytesIn.Add(int64(len(params) + envelopeBytes))
+// Sender is who has joined on a connection.
+type Sender struct {
+	Cell int
+	Node ccnode.Ref
+}
+
+// Handle answers a member's request: a join, a heartbeat or a leave. The sender
+// stands in for what a heartbeat leaves out.
+func (r *Runner) Handle(now time.Time, from Sender, method string, params json.RawMessage) (any, error) {
+	r.cfg.BytesIn.Add(int64(len(params) + requestBytes))
 	switch method {
 	case ccwire.MethodJoin:
 		return answer(r, params, func(msg ccwire.Join) any { return r.machine.Join(now, msg) })
 	case ccwire.MethodHeartbeat:
-		return answer(r, params, func(msg ccwire.Heartbeat) any { return r.machine.Heartbeat(now, msg) })
+		return answer(r, params, func(msg ccwire.Heartbeat) any {
+			if msg.Node == (ccnode.Ref{}) {
+				msg.Cell, msg.Node = from.Cell, from.Node
+			}
+			return r.machine.Heartbeat(now, msg)
+		})
 	default:
 		return answer(r, params, func(msg ccwire.Leave) any { return r.machine.MemberLeft(now, msg) })
 	}
@@ -158,7 +173,7 @@
 
 // Announced takes the notification of a new lead.
 func (r *Runner) Announced(now time.Time, params json.RawMessage) {
-	r.cfg.BytesIn.Add(int64(len(params) + envelopeBytes))
+	r.cfg.BytesIn.Add(int64(len(params) + requestBytes))
 	var msg ccwire.Lead
 	if err := json.Unmarshal(params, &msg); err == nil {
 		r.machine.Announced(now, msg)
@@ -175,6 +190,6 @@
 	if err != nil {
 		return nil, err
 	}
-	r.cfg.BytesOut.Add(int64(len(data) + envelopeBytes))
+	r.cfg.BytesOut.Add(int64(len(data) + replyBytes))
 	return json.RawMessage(data), nil
 }
