--- a/core/cccell/fleet_test.go
+++ b/core/cccell/fleet_test.go
@@ -31,6 +31,7 @@
 	nodes  []*node
 	store  *fakeStore
 	events []event
+	blind  bool // The watch of the settings fails at leads.
 	// Bytes of jsonrpc2 messages, by where they went.
 	toLead, toMember int
 }
@@ -113,6 +114,9 @@
 			if n.dead || n.paused {
 				continue
 			}
+			if n.Leading() && !f.blind {
+				n.Vouch(f.now)
+			}
 			for _, action := range n.Next(f.now) {
 				f.act(n, action)
 			}
--- a/core/cccell/machine.go
+++ b/core/cccell/machine.go
@@ -19,9 +19,10 @@
 	storeBusy bool
 	linkBusy  bool
 
-	follow follower
-	lead   *leader // Nil when this agent doesn't lead.
-	leave  leaving
+	follow  follower
+	current time.Time // When a lead last knew that its view was the newest.
+	lead    *leader   // Nil when this agent doesn't lead.
+	leave   leaving
 
 	// What the last look found.
 	look Look
@@ -115,6 +116,15 @@
 	}
 }
 
+// Vouch notes, at a lead, that its view was the newest at that time. A renewed
+// lease doesn't show that: the watch of the settings may fail on its own.
+func (m *Machine) Vouch(at time.Time) { m.current = at }
+
+// vouches reports whether a lead may tell members that its view is the newest.
+func (m *Machine) vouches(now time.Time) bool {
+	return now.Sub(m.current) <= currentLimit
+}
+
 // SetSlots notes how many tasks the agent runs at once.
 func (m *Machine) SetSlots(now time.Time, slots int) {
 	if m.self.Slots == slots {
--- a/core/cccell/serve.go
+++ b/core/cccell/serve.go
@@ -10,9 +10,9 @@
 // answers that it doesn't know the member, who then looks at the store.
 func (m *Machine) Join(now time.Time, msg ccwire.Join) ccwire.JoinReply {
 	if !m.serves(msg.Cell) || !m.lead.put(now, msg.Member) {
-		return ccwire.JoinReply{Term: m.term}
+		return ccwire.JoinReply{Term: m.term, Unknown: true}
 	}
-	return ccwire.JoinReply{Term: m.term, Known: true, Version: m.Version(), View: m.view, Members: len(m.lead.members)}
+	return ccwire.JoinReply{Term: m.term, Version: m.Version(), View: m.view, Members: len(m.lead.members)}
 }
 
 // Heartbeat answers a member's sign of life. The view goes along only when the
@@ -20,19 +20,18 @@
 // how many cells there are.
 func (m *Machine) Heartbeat(now time.Time, msg ccwire.Heartbeat) ccwire.HeartbeatReply {
 	if m.lead == nil {
-		return ccwire.HeartbeatReply{Term: m.term}
+		return ccwire.HeartbeatReply{Term: m.term, Unknown: true}
 	}
-	reply := ccwire.HeartbeatReply{}
+	reply := ccwire.HeartbeatReply{Current: m.vouches(now)}
 	if msg.Version < m.Version() {
 		reply.Version, reply.View = m.Version(), m.view
 	}
 	known, ok := m.lead.members[msg.Node.ID]
 	if m.serves(msg.Cell) && ok && known.Node == msg.Node {
 		known.heard = now
-		reply.Known = true
 		return reply
 	}
-	reply.Term = m.term
+	reply.Term, reply.Unknown = m.term, true
 	return reply
 }
 
--- a/core/ccwire/cell.go
+++ b/core/ccwire/cell.go
@@ -69,7 +69,10 @@
 	// Term and Version are left out of the reply to a heartbeat of a member that
 	// is up to date.
 	Term    uint64                `json:"term,omitempty"`
-	Known   bool                  `json:"known"` // False asks the member to join again.
+	// Current is whether the lead knows its view to have been the newest a short
+	// time ago.
+	Current bool                  `json:"current,omitempty"`
+	Unknown bool                  `json:"unknown,omitempty"` // Asks the member to join again.
 	Version uint64                `json:"version,omitempty"`
 	View    *ccsettings.AgentView `json:"view,omitempty"`
 	// Members is the size of the cell, by which members stagger what they do at
--- a/io/ccagent/cell.go
+++ b/io/ccagent/cell.go
@@ -104,6 +104,8 @@
 		return
 	}
 	a.cells.own.Step(now)
+	a.cells.own.Machine().Vouch(a.reader.LastCurrent())
+	a.table.Confirm(a.cells.own.Machine().Confirmed())
 	a.stepOldCell(now)
 	a.countCell()
 	a.watchWhileLeading()
@@ -201,7 +203,7 @@
 		}
 		runner := a.cell(head.Cell)
 		if runner == nil {
-			l.reply(reply, ccwire.HeartbeatReply{}, nil)
+			l.reply(reply, ccwire.HeartbeatReply{Unknown: true}, nil)
 			return
 		}
 		result, err := runner.Handle(now, l.member, method, params)
--- a/io/ccagent/cell_test.go
+++ b/io/ccagent/cell_test.go
@@ -176,7 +176,7 @@
 	if err := entry.peer.Call(t.Context(), ccwire.MethodHeartbeat, ccwire.Heartbeat{Version: 1}, &reply); err != nil {
 		t.Fatal(err)
 	}
-	if reply.Known {
+	if !reply.Unknown {
 		t.Errorf("a heartbeat from nobody was answered with %+v", reply)
 	}
 }
--- a/io/ccsettings/reader.go
+++ b/io/ccsettings/reader.go
@@ -41,6 +41,7 @@
 	mu       sync.Mutex // Guards what follows.
 	known    *Snapshot
 	lastSeen time.Time
+	current  time.Time
 }
 
 // NewReader returns a reader that has the defaults, with version 0, in force.
@@ -90,6 +91,7 @@
 	failing := false
 	var at position
 	for ctx.Err() == nil {
+		sent := r.cfg.Now()
 		next, err := r.step(ctx, at)
 		if err != nil {
 			if !failing && ctx.Err() == nil {
@@ -108,10 +110,25 @@
 			taken = current.Version
 			take(current)
 		}
+		r.wasCurrent(sent)
 	}
 	return ctx.Err()
 }
 
+// LastCurrent returns a time at which what Watch had given to take by now was the
+// newest version that the store held. It is the zero time before the first.
+func (r *Reader) LastCurrent() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.current
+}
+
+func (r *Reader) wasCurrent(sent time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.current = sent
+}
+
 // position is where a watch goes on. Unless it is read, the head must be read
 // first.
 type position struct {
