--- a/core/ccclaim/config.go
+++ b/core/ccclaim/config.go
@@ -6,6 +6,20 @@
 	"camphorcroft/core/ccnode"
 )
 
+// Limits are the settings of an Authority that operators may change.
+type Limits struct {
+	MaxClaims   int
+	ClockMargin time.Duration
+	DriveLife   time.Duration
+	Retention   time.Duration
+}
+
+// Configure puts changed limits in force.
+func (a *Authority) Configure(limits Limits) {
+	a.cfg.MaxClaims, a.cfg.ClockMargin = limits.MaxClaims, limits.ClockMargin
+	a.cfg.DriveLife, a.cfg.Retention = limits.DriveLife, limits.Retention
+}
+
 // DefaultGrantLife is how long after a claim was sent its grant may be taken up,
 // on the requester's clock.
 const DefaultGrantLife = 500 * time.Millisecond
@@ -37,9 +51,10 @@
 	Vouching bool
 	// Leases grants only inside the authority's lease.
 	Leases bool
-	// GrantLife refuses grants that come too late.
+	// GrantLife takes up no grant that comes too late, be it by its age or since
+	// the slot was handed on.
 	GrantLife bool
-	// Promises keeps to what a gather was told.
+	// Promises grants nothing in a slot that was handed on.
 	Promises bool
 }
 
--- a/io/ccentry/vars.go
+++ b/io/ccentry/vars.go
@@ -27,6 +27,7 @@
 	set := ccmetric.NewSet(string(e.self.ID))
 	set.Func("domain", func() any { return e.cfg.Domain })
 	set.Map("refusals")
+	set.Map("peerRequests")
 	set.Map("outcomes")
 	set.Func("entry", func() any {
 		var state varsState
