--- a/core/ccagent/walk_test.go
+++ b/core/ccagent/walk_test.go
@@ -61,9 +61,9 @@
 	taken   map[attempt]parcel // Dispatches that were not ignored, by their attempt.
 	awake   time.Time          // The end of the last pause.
 	confirm time.Time          // When the view was last confirmed.
-	starts  []attempt // Starts that were not refused.
-	bounced []attempt // Exactly these never started.
-	fenced  []attempt // These and all before never started.
+	starts  []attempt          // Starts that were not refused.
+	bounced []attempt          // Exactly these never started.
+	fenced  []attempt          // These and all before never started.
 	err     error
 }
 
--- a/core/ccwire/cell.go
+++ b/core/ccwire/cell.go
@@ -68,7 +68,7 @@
 type HeartbeatReply struct {
 	// Term and Version are left out of the reply to a heartbeat of a member that
 	// is up to date.
-	Term    uint64                `json:"term,omitempty"`
+	Term uint64 `json:"term,omitempty"`
 	// Current is whether the lead knows its view to have been the newest a short
 	// time ago.
 	Current bool                  `json:"current,omitempty"`
