--- a/core/cccell/follower.go
+++ b/core/cccell/follower.go
@@ -48,7 +48,7 @@
 		return Action{Op: OpJoin, Addr: f.lead.Addr, Join: ccwire.Join{Cell: m.cfg.Cell, Member: m.self}}, true
 	}
 	f.beatSent = now
-	return Action{Op: OpBeat, Addr: f.lead.Addr, Beat: ccwire.Heartbeat{Cell: m.cfg.Cell, Node: m.self.Node, Version: m.Version()}}, true
+	return Action{Op: OpBeat, Addr: f.lead.Addr, Beat: ccwire.Heartbeat{Version: m.Version()}}, true
 }
 
 // Answered takes the lead's answer to a join or a heartbeat, or its failure. The
@@ -63,11 +63,11 @@
 	case !ok:
 		f.joined = false
 		f.beatAt = now.Add(jitter(m.cfg.Rand, linkRetry))
-	case !reply.Known && f.joined:
+	case reply.Unknown && f.joined:
 		// A lead that doesn't know the member may be a new one: join it.
 		f.joined = false
 		f.beatAt = now.Add(time.Duration(m.cfg.Rand.Int64N(int64(linkRetry))))
-	case !reply.Known:
+	case reply.Unknown:
 		f.beatAt = now.Add(jitter(m.cfg.Rand, linkRetry))
 		m.lookSoon(now, m.spread())
 	default:
@@ -85,7 +85,7 @@
 // Confirmed returns when the view in force here was last known to be the newest.
 func (m *Machine) Confirmed() time.Time {
 	if m.lead != nil {
-		return m.lead.until.Add(-LeaseTTL)
+		return m.current
 	}
 	return m.follow.confirmed
 }
--- a/io/ccagent/settings.go
+++ b/io/ccagent/settings.go
@@ -9,8 +9,9 @@
 )
 
 // watchWait is how long one watch of the settings waits. Each is one call to the
-// store, and there is one at a time for each cell.
-const watchWait = 5 * time.Second
+// store, and there is one at a time for each cell. Its end shows that there is
+// nothing newer, so it is short.
+const watchWait = 600 * time.Millisecond
 
 func (a *Agent) newReader() *settingsio.Reader {
 	return settingsio.NewReader(settingsio.ReaderConfig{Store: countedStore{a.cfg.Store, a.stats.storeCalls}, Log: a.log, Wait: watchWait})
@@ -30,6 +31,15 @@
 func (a *Agent) watchSettings(ctx context.Context) {
 	_ = a.reader.Watch(ctx, func(settings *ccsettings.Effective) {
 		view := settings.AgentView()
-		a.post(func(now time.Time) { a.setView(now, view) })
+		inForce := make(chan struct{})
+		a.post(func(now time.Time) {
+			a.setView(now, view)
+			close(inForce)
+		})
+		// The reader counts the version as passed on when this returns.
+		select {
+		case <-inForce:
+		case <-ctx.Done():
+		}
 	})
 }
