Count the messages between entries

Cause: the load report showed no messages for claims, since it read a counter that the entries don't keep. Change: the fleet reads the entries' counts of requests by method; a request counts with its reply.

--- a/io/ccfleet/vars.go
+++ b/io/ccfleet/vars.go
@@ -10,13 +10,15 @@
 	"time"
 
 	"camphorcroft/core/ccload"
+	"camphorcroft/core/ccwire"
 )
 
 const varsTimeout = 2 * time.Second
 
 // entryVars is the part of an entry's metrics that the fleet reads.
 type entryVars struct {
-	Entry struct {
+	PeerRequests map[string]uint64 `json:"peerRequests"` // By method.
+	Entry        struct {
 		Version  uint64 `json:"version"`
 		Dispatch struct {
 			TasksSent  uint64 `json:"tasksSent"`
@@ -25,9 +27,6 @@
 			Revokes    uint64 `json:"revokes"`
 			Probes     uint64 `json:"probesSent"`
 		} `json:"dispatch"`
-		Claims struct {
-			Messages uint64 `json:"messagesSent"`
-		} `json:"claims"`
 		Agents []struct {
 			Up bool `json:"up"`
 		} `json:"agents"`
@@ -46,14 +45,16 @@
 }
 
 func (v *entryVars) messages() ccload.Messages {
-	dispatch := v.Entry.Dispatch
-	// A request counts with its reply.
+	dispatch, peers := v.Entry.Dispatch, v.PeerRequests
+	// A request counts with its reply; a release has none.
 	const requestMessages = 2
+	claims := requestMessages*(peers[ccwire.MethodClaim]+peers[ccwire.MethodAwait]) + peers[ccwire.MethodRelease]
+	control := dispatch.Revokes + dispatch.Probes + peers[ccwire.MethodPulse] + peers[ccwire.MethodGather]
 	return ccload.Messages{
 		Dispatch: dispatch.Dispatches,
 		Report:   dispatch.Reports,
-		Claims:   v.Entry.Claims.Messages,
-		Control:  requestMessages * (dispatch.Revokes + dispatch.Probes),
+		Claims:   claims,
+		Control:  requestMessages * control,
 		Sent:     dispatch.TasksSent,
 	}
 }
