Measure what control costs as a fleet grows

Cause: the capacity page needs slopes, and nothing measured settings, store calls or control bytes beyond 11 agents. Change: the scale command runs idle fleets of several sizes in one process, changes settings with a sound and a failing store, takes the store down, restarts a quarter of the agents, and prints one column a size.

--- a/io/cccli/root.go
+++ b/io/cccli/root.go
@@ -73,6 +73,7 @@
 		domainCommand(streams),
 		submitCommand(streams),
 		loadCommand(streams),
+		scaleCommand(streams),
 		statusCommand(streams),
 		timelineCommand(streams),
 		explainCommand(streams),
--- a/io/ccfleet/faults.go
+++ b/io/ccfleet/faults.go
@@ -63,6 +63,16 @@
 	}
 }
 
+// SetStoreFailures makes a share of the store's calls fail with no effect.
+func (f *Fleet) SetStoreFailures(share float64) error {
+	faults := f.store.Faults()
+	faults.FailShare = share
+	if err := f.store.SetFaults(faults); err != nil {
+		return newError("store failures", KindProcess, err)
+	}
+	return nil
+}
+
 // SetStoreOutage makes the store refuse all calls, or ends that.
 func (f *Fleet) SetStoreOutage(out bool) error {
 	faults := f.store.Faults()
--- a/io/ccfleet/fleet.go
+++ b/io/ccfleet/fleet.go
@@ -50,6 +50,8 @@
 	Service func(*ccsettings.Service)
 	// Teams are the teams' settings. Teams that are not named have the defaults.
 	Teams map[string]ccsettings.Team
+	// Cells is the number of cells. Zero leaves the default.
+	Cells int
 	Log   logr.Logger
 	// RingSize is how many events each process keeps. Zero is 65,536.
 	RingSize int
--- a/io/ccfleet/settings.go
+++ b/io/ccfleet/settings.go
@@ -31,6 +31,7 @@
 	Services map[string]ccsettings.Service `yaml:"services"`
 	Domains  map[string]ccsettings.Domain  `yaml:"domains"`
 	Teams    map[string]ccsettings.Team    `yaml:"teams,omitempty"`
+	Fleet    ccsettings.Fleet              `yaml:"fleet"`
 }
 
 func (f *Fleet) initialSettings() initial {
@@ -42,7 +43,12 @@
 	for _, name := range f.cfg.Profile.Domains {
 		domains[name] = ccsettings.DefaultDomain()
 	}
+	fleet := ccsettings.DefaultFleet()
+	if f.cfg.Cells > 0 {
+		fleet.Cells = f.cfg.Cells
+	}
 	return initial{
+		Fleet:    fleet,
 		Services: map[string]ccsettings.Service{f.cfg.Profile.Service: service},
 		Domains:  domains,
 		Teams:    f.cfg.Teams,
@@ -57,6 +63,15 @@
 	return settingsio.NewReader(settingsio.ReaderConfig{Store: f.store, Log: f.cfg.Log})
 }
 
+// Version returns the newest accepted version of the settings.
+func (f *Fleet) Version(ctx context.Context) (uint64, error) {
+	present, err := f.writer().Load(ctx)
+	if err != nil {
+		return 0, newError("read version", KindSettings, err)
+	}
+	return present.Merged.Effective.Version, nil
+}
+
 // SetDomain takes a failure domain out, or brings it back. It returns when the
 // store has accepted the change.
 func (f *Fleet) SetDomain(ctx context.Context, name string, out bool) error {
