Record what led to a claim, outages, and answers of other entries

Claims named no cause, so the time line could not show which authority or agent let an entry drive a job; nothing was recorded when entries went on without the store; and an entry that passed on another's answer left its end out. Claims and recoveries now carry the newest event of whoever answered, an outage is recorded when only the peers' consent is left, and a fleet test holds the events of resubmissions at the driver and elsewhere.

--- a/core/ccevent/explain.go
+++ b/core/ccevent/explain.go
@@ -91,6 +91,9 @@
 		}
 		return fmt.Sprintf("%s got it too at %s and waited for %s.", node, at, orSomeone(step.Peer))
 	case KindRecovered:
+		if step.Peer == "" {
+			return fmt.Sprintf("%s took it over at %s, since its driver is gone%s.", node, at, reason(step))
+		}
 		return fmt.Sprintf("%s took it over from %s at %s%s.", node, orSomeone(step.Peer), at, reason(step))
 	default:
 		return ""
--- a/core/ccoutage/rule.go
+++ b/core/ccoutage/rule.go
@@ -185,6 +185,12 @@
 	return until
 }
 
+// OnConsent reports whether the entry goes on by the consent of its peers alone,
+// since its lease has ended.
+func (r *Rule) OnConsent(now time.Time) bool {
+	return !now.Before(r.leaseUntil) && now.Before(r.consentUntil())
+}
+
 // consentUntil returns until when a majority consents. The entry's own consent
 // doesn't end; that of the last peer which makes up the majority does.
 func (r *Rule) consentUntil() time.Time {
--- a/core/ccoutage/rule_test.go
+++ b/core/ccoutage/rule_test.go
@@ -60,6 +60,11 @@
 		f := newFleet("a", "b", "c")
 		f.ask(later, "b")
 		assertUntil(t, f["a"], later.Add(time.Second))
+		for at, want := range map[time.Time]bool{start: false, later: true, later.Add(time.Second): false} {
+			if got := f["a"].OnConsent(at); got != want {
+				t.Errorf("after %s: on consent alone is %t", at.Sub(start), got)
+			}
+		}
 	})
 	t.Run("the last consent of the majority counts", func(t *testing.T) {
 		f := newFleet("a", "b", "c", "d", "e")
--- a/io/ccentry/claim_seek.go
+++ b/io/ccentry/claim_seek.go
@@ -42,6 +42,7 @@
 			p.requester.ClaimFailed(now, action.Token)
 			return
 		}
+		p.entry.heard(message.JobID, action.To.Ref, reply.Cause)
 		p.requester.ClaimAnswered(now, action.Token, reply)
 	})
 }
@@ -84,6 +85,7 @@
 	}
 	if outcome.State == ccjob.StateComplete {
 		p.entry.answers.Put(now, job.digest, outcome)
+		p.entry.record(now, ccevent.KindCompleted, &job.spec, "the answer of another entry")
 	} else {
 		p.entry.record(now, ccevent.KindFailed, &job.spec, string(outcome.Kind)+": "+outcome.Reason)
 	}
--- a/io/ccentry/claim_serve.go
+++ b/io/ccentry/claim_serve.go
@@ -60,7 +60,7 @@
 	if reply.Claim != 0 && reply.Verdict != ccwire.ClaimAttach {
 		reply.Cause = p.entry.cfg.Ring.Record(now, ccevent.Event{
 			Kind: ccevent.KindGranted, Job: message.JobID, Index: ccevent.NoIndex, Claim: reply.Claim, Peer: message.Driver.ID,
-			Text: string(reply.Verdict), Cause: ccevent.Cause{Node: message.Driver.ID, Seq: message.Cause},
+			Text: string(reply.Verdict), Cause: ccevent.Cause{Node: message.Driver.ID, Incarnation: message.Driver.Incarnation, Seq: message.Cause},
 		})
 	}
 	return reply
--- a/io/ccentry/pending.go
+++ b/io/ccentry/pending.go
@@ -26,6 +26,7 @@
 	claim   uint64
 	driven  bool // The dispatcher has it.
 	waiters []chan<- ccjob.Outcome
+	cause   ccevent.Cause // What another process said last about the claim.
 }
 
 // submit takes a job on the control goroutine. The outcome goes to the waiter,
@@ -84,7 +85,7 @@
 // drive hands a claimed job to the dispatcher.
 func (e *Entry) drive(now time.Time, p *pendingJob, claim uint64, prior []ccdispatch.Prior) {
 	p.claim, p.driven = claim, true
-	e.record(now, ccevent.KindClaimed, &p.spec, "")
+	e.recordClaimed(now, p)
 	e.dispatcher.Submit(now, ccdispatch.Submission{Spec: p.spec, Claim: claim, Arrived: p.arrived, Prior: prior})
 }
 
--- a/io/ccentry/presence.go
+++ b/io/ccentry/presence.go
@@ -26,6 +26,7 @@
 	peers      map[ccnode.Ref]*peerLink
 	orders     chan storeOrder
 	valid      bool
+	outage     bool // The entry goes on by its peers' consent.
 	leaving    bool
 	left       chan struct{} // Closed when the entry is no longer a member.
 	asked      time.Time     // When peers were last asked for consent.
@@ -120,6 +121,7 @@
 func (p *presence) check(now time.Time) {
 	valid := now.Before(p.rule.ValidUntil())
 	p.entry.dispatcher.SetOpen(valid)
+	p.recordOutage(now)
 	if !valid {
 		p.entry.dispatcher.Doubt()
 	}
--- a/io/ccentry/recover_agents.go
+++ b/io/ccentry/recover_agents.go
@@ -42,6 +42,9 @@
 				return
 			}
 			p.entry.do(func(now time.Time) {
+				for i := range batch.message.Jobs {
+					p.entry.heard(batch.message.Jobs[i].ID, reply.Agent, reply.Cause)
+				}
 				for _, token := range batch.tokens {
 					p.requester.RecoverAnswered(now, token, reply)
 				}
@@ -68,6 +71,7 @@
 	}
 	p.entry.cfg.Ring.Record(now, ccevent.Event{
 		Kind: ccevent.KindRecovered, Job: action.JobID, Index: ccevent.NoIndex, Count: len(prior), Claim: action.Claim,
+		Team: job.spec.Team, Cause: job.cause,
 	})
 	p.entry.drive(now, job, action.Claim, prior)
 	for ref, tasks := range running {
--- a/io/ccfleet/events_test.go
+++ b/io/ccfleet/events_test.go
@@ -109,6 +109,26 @@
 		}
 		assertSentence(t, sentences, "answered it whole")
 	})
+	t.Run("shows resubmissions at the driver and elsewhere", func(t *testing.T) {
+		for _, entry := range fleet.EntryAddrs() {
+			assertCompleteAt(t, []netip.AddrPort{entry}, id, tasks)
+		}
+		timeline := readTimeline(t, addrs, id)
+		assertCauses(t, timeline)
+		count := make(map[ccevent.Kind]int)
+		for _, step := range (ccevent.Filter{Job: id}).Apply(timeline).Steps {
+			count[step.Kind]++
+			if step.Kind == ccevent.KindClaimed && step.Peer != "" && step.Cause.Node != step.Peer {
+				t.Errorf("the claim of %s has the cause %+v", step.Peer, step.Cause)
+			}
+		}
+		if count[ccevent.KindClaimed] != 1 || count[ccevent.KindAttached] != 2 || count[ccevent.KindStarted] != tasks {
+			t.Errorf("got %v", count)
+		}
+		sentences := ccevent.Explain(timeline, id)
+		assertSentence(t, sentences, "got it again at")
+		assertSentence(t, sentences, "got it too at", "and waited for entry-")
+	})
 	t.Run("tells of a dead agent from its peers' side", func(t *testing.T) {
 		apply(t, fleet, ccfault.Fault{Kind: ccfault.KindKillAgent})
 		timeline := readTimeline(t, addrs, id)
--- a/io/ccfleet/fleet_test.go
+++ b/io/ccfleet/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -36,7 +37,12 @@
 
 func assertComplete(t *testing.T, fleet *Fleet, id ccjob.ID, tasks int) {
 	t.Helper()
-	client := ccclient.New(ccclient.Config{Entries: fleet.EntryAddrs()})
+	assertCompleteAt(t, fleet.EntryAddrs(), id, tasks)
+}
+
+func assertCompleteAt(t *testing.T, entries []netip.AddrPort, id ccjob.ID, tasks int) {
+	t.Helper()
+	client := ccclient.New(ccclient.Config{Entries: entries})
 	defer client.Close()
 	arrival := ccload.Arrival{Service: "proof", Team: "t", Deadline: time.Minute}
 	for range tasks {
