Admit long jobs by the turns that others will take

Cause: under overload long jobs were admitted by what waits now. Jobs that came later took turns too, so the long ones met their deadline half done, and that work was lost. Change: a job is expected to get one turn in as many as jobs wait; the estimate is the greater of that and the earlier one.

--- a/core/ccdispatch/admit.go
+++ b/core/ccdispatch/admit.go
@@ -70,12 +70,13 @@
 
 // ahead is about how many tasks are served before the job's last one. A team is
 // served in turn with the others, so what others have waiting beyond the job's
-// own length doesn't delay it.
+// own length doesn't delay it. While jobs wait, others will come and take turns
+// too, so a long job gets no more than one turn in as many.
 func (d *Dispatcher) ahead(s *service, spec *ccjob.Spec) int {
 	own := s.queue.TeamLen(spec.Team) + len(spec.Payloads)
 	total := s.queue.Len() + len(spec.Payloads)
 	teams := max(len(s.teamTasks), 1)
-	return min(total, own*teams)
+	return max(min(total, own*teams), len(spec.Payloads)*s.queue.Jobs())
 }
 
 func (d *Dispatcher) team(name string) ccsettings.Team {
--- a/core/ccqueue/queue.go
+++ b/core/ccqueue/queue.go
@@ -29,6 +29,7 @@
 	teams  map[string]*team
 	order  turnHeap[*team]
 	length int
+	jobs   int
 }
 
 // New returns an empty queue.
@@ -39,6 +40,9 @@
 // Len returns how many tasks wait.
 func (q *Queue) Len() int { return q.length }
 
+// Jobs returns how many jobs have tasks waiting.
+func (q *Queue) Jobs() int { return q.jobs }
+
 // TeamLen returns how many tasks of the team wait.
 func (q *Queue) TeamLen(name string) int {
 	if t, ok := q.teams[name]; ok {
@@ -77,6 +81,7 @@
 	if len(j.indexes) == 0 {
 		heap.Pop(&t.order)
 		delete(t.jobs, j.id)
+		q.jobs--
 	} else {
 		heap.Fix(&t.order, 0)
 	}
@@ -102,6 +107,7 @@
 	q.count(t, -len(j.indexes))
 	heap.Remove(&t.order, j.place)
 	delete(t.jobs, jobID)
+	q.jobs--
 	if t.length == 0 {
 		heap.Remove(&q.order, t.place)
 		delete(q.teams, teamName)
@@ -134,6 +140,7 @@
 			j.turn = t.order[0].turn
 		}
 		t.jobs[jobID] = j
+		q.jobs++
 		heap.Push(&t.order, j)
 	}
 	return j
