Find each guard's failure by a schedule, and start another life when lost

Three guards had no schedule that needed them: chance rarely delays a dispatch past a takeover or a grant past a loss. The check of promises is covered twice, so it is switched off together with grant life. An entry that was removed from the roster now starts another life in its process instead of staying out.

--- a/core/ccclaim/seek.go
+++ b/core/ccclaim/seek.go
@@ -51,7 +51,8 @@
 // ClaimAnswered takes an authority's reply.
 func (r *Requester) ClaimAnswered(now time.Time, token Token, reply ccwire.ClaimReply) {
 	s, ok := r.seeks[token.JobID]
-	if !ok || s.token != token {
+	late := ok && s.token != token && r.cfg.Authority.cfg.Guards.GrantLife
+	if !ok || late {
 		r.giveBack(token.JobID, reply)
 		return
 	}
--- a/core/ccproof/entry_test.go
+++ b/core/ccproof/entry_test.go
@@ -29,6 +29,7 @@
 	rule       *ccoutage.Rule
 	roster     *ccroster.Roster
 	membership *ccoutage.Membership
+	born       time.Time
 	listed     time.Time // When the agents' list was last read.
 	rounds     time.Time // When the store was last called.
 	asked      time.Time // When peers were last asked.
@@ -57,7 +58,7 @@
 	e.requester = ccclaim.NewRequester(ccclaim.RequesterConfig{
 		Self: e.ref, Authority: e.authority, GrantLife: ccclaim.DefaultGrantLife, Retention: retention,
 		ValidUntil: e.rule.ValidUntil,
-		Lives:      func(since time.Time) ([]ccclaim.Life, bool) { return e.w.lives, e.listed.After(since) },
+		Lives:      e.lives,
 	})
 	e.dispatcher = ccdispatch.New(ccdispatch.Config{Entry: e.ref, Domain: "north", Seed: 1})
 	settings := &ccsettings.Effective{Version: 1, Services: map[string]ccsettings.Service{service: ccsettings.DefaultService()}}
@@ -68,16 +69,28 @@
 	e.waiters = map[ccjob.ID][]func(uint64, ccjob.Outcome){}
 	e.specs, e.arrived = map[ccjob.ID]ccjob.Spec{}, map[ccjob.ID]time.Time{}
 	e.sessions = map[ccnode.ID]uint64{}
-	for _, a := range e.w.agents {
-		e.connect(a.id)
-	}
+	e.born = e.w.now
 }
 
+func (e *entry) running() bool { return e.ref.Incarnation != 0 }
+
 func (e *entry) member() bool { return e.roster.Has(e.ref) }
 
+// lives lists the agents' lives, once the store has shown them after since.
+func (e *entry) lives(since time.Time) ([]ccclaim.Life, bool) {
+	if !e.listed.After(since) {
+		storeCall(e, "list of agents", func() bool { return true }, func(sent time.Time, _ bool) { e.listed = sent })
+		return nil, false
+	}
+	return e.w.lives, true
+}
+
 // step runs one command as the control goroutine does: first it looks at the
 // lease, and afterwards it carries out what was decided.
 func (e *entry) step(command func()) {
+	if !e.running() {
+		return
+	}
 	e.checkLease()
 	command()
 	e.checkLease()
@@ -108,6 +121,7 @@
 func (e *entry) tick() {
 	e.step(func() {
 		now := e.clock()
+		e.meetAgents()
 		e.gather(e.authority.Tick(now))
 		e.requester.Tick(now)
 		e.dispatcher.Tick(now)
@@ -266,6 +280,17 @@
 	}, func(reply ccwire.RevokeReply) { e.dispatcher.Revoked(e.clock(), reply) })
 }
 
+// meetAgents connects to the agents some time after the start, when the list of
+// them would have been read.
+func (e *entry) meetAgents() {
+	if len(e.sessions) > 0 || e.w.now.Sub(e.born) < meetAfter {
+		return
+	}
+	for _, a := range e.w.agents {
+		e.connect(a.id)
+	}
+}
+
 // connect breaks the connection to an agent and makes a new one.
 func (e *entry) connect(id ccnode.ID) {
 	a := e.w.agentAt(id)
--- a/core/ccproof/member_test.go
+++ b/core/ccproof/member_test.go
@@ -13,6 +13,7 @@
 const (
 	roundEvery = 500 * time.Millisecond
 	pulseEvery = 200 * time.Millisecond
+	meetAfter  = 100 * time.Millisecond
 )
 
 // storeRound renews the lease and looks at the roster.
--- a/core/ccproof/proof_test.go
+++ b/core/ccproof/proof_test.go
@@ -34,15 +34,24 @@
 	focus focus
 	finds string
 }{
-	{"claims", func(g *guards) { g.claims = false }, nil, "started twice"},
-	{"vouching", func(g *guards) { g.vouching = false }, nil, "started twice"},
-	{"leases", func(g *guards) { g.leases = false }, focus{
+	{"claims", func(g *guards) { g.claims = false }, focus{}, "started"},
+	{"vouching", func(g *guards) { g.vouching = false }, focus{}, "started"},
+	{"promises and grantLife", func(g *guards) { g.promises, g.grantLife = false, false }, focus{opening: handedOn, late: true, shares: map[string]int{
+		"resubmit": 4, "deliver one": 2, "deliver many": 6, "advance": 2, "finish": 1,
+	}}, "started twice"},
+	{"leases", func(g *guards) { g.leases = false }, focus{shares: map[string]int{
 		"submit": 2, "resubmit": 4, "deliver many": 6, "advance": 2, "pass": 4, "pause entry": 3, "finish": 1, "restart agent": 1, "reconnect": 2,
-	}, "started"},
-	{"incarnation", func(g *guards) { g.incarnation = false }, nil, "started twice"},
-	{"tombstone", func(g *guards) { g.tombstone = false }, focus{
+	}}, "started"},
+	{"grantLife", func(g *guards) { g.grantLife = false }, focus{opening: lateGrant, shares: map[string]int{
+		"resubmit": 1, "deliver one": 4, "deliver many": 4, "advance": 3, "pass": 1, "restart agent": 3, "reconnect": 4,
+	}}, "started"},
+	{"incarnation", func(g *guards) { g.incarnation = false }, focus{}, "started twice"},
+	{"tombstone", func(g *guards) { g.tombstone = false }, focus{shares: map[string]int{
 		"submit": 3, "resubmit": 1, "deliver one": 5, "deliver many": 6, "double": 8, "delay": 2, "advance": 2, "finish": 6,
-	}, "started twice"},
+	}}, "started twice"},
+	{"fence", func(g *guards) { g.fence = false }, focus{opening: orphanInFlight, shares: map[string]int{
+		"deliver one": 1, "deliver many": 6, "advance a little": 4, "finish": 1,
+	}}, "started twice"},
 }
 
 // setFlags fixes rapid's settings until the test ends.
@@ -80,7 +89,7 @@
 		tries = fixedChecks
 	}
 	setFlags(t, *firstSeed, tries)
-	done := assertHolds(t, allGuards(), nil)
+	done := assertHolds(t, allGuards(), focus{})
 	t.Logf("%d jobs were answered whole", done)
 	if *checks == 0 && done < fixedChecks/4 {
 		t.Errorf("only %d jobs were answered whole, so the schedules show little", done)
--- a/core/ccproof/schedule_test.go
+++ b/core/ccproof/schedule_test.go
@@ -42,6 +42,7 @@
 	{"delay", 3, delay},
 	{"drop", 1, drop},
 	{"advance", 10, advance},
+	{"advance a little", 2, func(w *world, _ *rapid.T) { w.advance(30 * time.Millisecond) }},
 	{"pass", 2, pass},
 	{"finish", 4, finish},
 	{"pause entry", 1, func(w *world, t *rapid.T) {
@@ -83,18 +84,17 @@
 		ID: jobAt(w.now.Add(ahead), len(w.jobs)), Service: service, Team: "t", Payloads: payloads,
 		Deadline: rapid.SampledFrom([]time.Duration{time.Second, 8 * time.Second, 30 * time.Second}).Draw(t, "deadline"),
 	})
-	submitTo(w, t, w.jobs[len(w.jobs)-1])
+	w.submitTo(pick(t, w.entries), w.jobs[len(w.jobs)-1])
 }
 
 func resubmit(w *world, t *rapid.T) {
 	if len(w.jobs) > 0 {
-		submitTo(w, t, pick(t, w.jobs))
+		w.submitTo(pick(t, w.entries), pick(t, w.jobs))
 	}
 }
 
-func submitTo(w *world, t *rapid.T, spec ccjob.Spec) {
-	e := pick(t, w.entries)
-	if e.paused {
+func (w *world) submitTo(e *entry, spec ccjob.Spec) {
+	if w.paused(string(e.id)) {
 		return
 	}
 	w.note("client submits %s with %d tasks to %s", spec.ID, len(spec.Payloads), e.ref)
@@ -150,16 +150,22 @@
 	}
 }
 
-// focus replaces the shares of actions, so that one kind of trouble is likely. An
-// action that isn't named doesn't happen. Nil draws the shares.
-type focus map[string]int
+// focus makes one kind of trouble likely. The zero value favors none.
+type focus struct {
+	// opening comes before what is left to chance. It needs three entries, the
+	// last of which may not have joined.
+	opening opening
+	late    bool
+	// shares replaces the shares of actions. One that isn't named doesn't happen.
+	shares map[string]int
+}
 
 // weigh lists each action as often as its share says.
 func weigh(t *rapid.T, f focus) []int {
 	var weighted []int
 	for i, action := range actions {
-		share := f[action.name]
-		if f == nil {
+		share := f.shares[action.name]
+		if f.shares == nil {
 			// Schedules differ in what happens often, so that some are long in one kind
 			// of trouble and free of others.
 			share = action.share * rapid.IntRange(0, 3).Draw(t, "share")
@@ -174,8 +180,14 @@
 // play runs one schedule to its end, or to the first step after which something
 // doesn't hold.
 func play(t *rapid.T, g guards, f focus) *world {
-	w := newWorld(g, rapid.IntRange(2, 3).Draw(t, "entries"), 2)
 	weighted := weigh(t, f)
+	var w *world
+	if f.opening == nil {
+		w = newWorld(g, rapid.IntRange(2, 3).Draw(t, "entries"), 2, rapid.Bool().Draw(t, "late"))
+	} else {
+		w = newWorld(g, 3, 2, f.late)
+		f.opening(w)
+	}
 	for range steps {
 		if len(weighted) == 0 || w.broken != "" {
 			break
--- a/core/ccproof/world_test.go
+++ b/core/ccproof/world_test.go
@@ -66,7 +66,7 @@
 	until  time.Time
 }
 
-func newWorld(g guards, entries, agents int) *world {
+func newWorld(g guards, entries, agents int, late bool) *world {
 	w := &world{
 		now: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC), guards: g,
 		starts: map[string]int{}, open: map[ccjob.ID]int{}, banned: map[string]bool{},
@@ -79,6 +79,9 @@
 	for i := range entries {
 		e := &entry{w: w, id: ccnode.ID(fmt.Sprintf("entry%d", i)), skew: time.Duration(i-1) * margin / 2}
 		w.entries = append(w.entries, e)
+		if i == 2 && late {
+			continue // It joins when it is restarted.
+		}
 		e.start()
 		for !e.member() {
 			w.settle(20)
@@ -144,7 +147,7 @@
 func (w *world) paused(to string) bool {
 	for _, e := range w.entries {
 		if string(e.id) == to {
-			return e.paused
+			return e.paused || !e.running()
 		}
 	}
 	for _, a := range w.agents {
@@ -164,7 +167,7 @@
 		}
 	}
 	for _, e := range w.entries {
-		if !e.paused {
+		if !e.paused && e.running() {
 			e.tick()
 		}
 	}
--- a/io/cccli/entry.go
+++ b/io/cccli/entry.go
@@ -44,7 +44,32 @@
 	if err != nil {
 		return err
 	}
-	return runApp(ctx, streams, cfg, fx.Options(fx.Provide(newEntry), fx.Invoke(runEntryHooks)))
+	for {
+		again, err := runLife(ctx, streams, cfg)
+		if !again || err != nil || ctx.Err() != nil {
+			return err
+		}
+	}
+}
+
+// runLife runs one life of an entry. It reports whether another should follow,
+// since this one's place in the fleet was taken while it was cut off or paused.
+func runLife(ctx context.Context, streams Streams, cfg *ccconfig.Config) (bool, error) {
+	life, end := context.WithCancel(ctx)
+	defer end()
+	lost := false
+	watch := func(entry *ccentry.Entry) {
+		go func() {
+			select {
+			case <-entry.Lost():
+				lost = true
+				end()
+			case <-life.Done():
+			}
+		}()
+	}
+	err := runApp(life, streams, cfg, fx.Options(fx.Provide(newEntry), fx.Invoke(runEntryHooks, watch)))
+	return lost, err
 }
 
 func newEntry(cfg *ccconfig.Config, self ccnode.Ref, ring *ccevent.Ring, store ccstore.Store, log *cclog.Log) *ccentry.Entry {
