--- a/core/ccagent/config.go
+++ b/core/ccagent/config.go
@@ -43,11 +43,13 @@
 	// settings is known to be new, so that the first dispatch after a quiet time is
 	// not sent back.
 	idleEchoLimit = 30 * time.Second
-	// confirmLimit is how long ago the view must have been known to be new.
-	confirmLimit = 2 * time.Second
+	// confirmLimit is how long ago the lead must have vouched for the view, which
+	// it does on what it knew 1.3 s before at the most. With startLimit that makes
+	// three seconds from a change of the settings to the last start before it.
+	confirmLimit = 1200 * time.Millisecond
 	// startLimit is how long after the decision a task may still be given to the
 	// target.
-	startLimit = time.Second
+	startLimit = 500 * time.Millisecond
 	// offerHold is how long a slot is kept free for the entry that it was offered to.
 	offerHold = 50 * time.Millisecond
 	// pauseLimit is the gap between two calls that counts as a pause.
--- a/core/ccagent/table_test.go
+++ b/core/ccagent/table_test.go
@@ -480,11 +480,11 @@
 		return b, msg
 	}
 	t.Run("starts while the view is known to be new", func(t *testing.T) {
-		b, msg := idle(t, 10*time.Second, 2*time.Second)
+		b, msg := idle(t, 10*time.Second, confirmLimit)
 		b.assertStarts(b.table.Dispatch(b.now, entryA, msg), 0)
 	})
 	t.Run("goes back when the view may be old", func(t *testing.T) {
-		b, msg := idle(t, 10*time.Second, 2001*time.Millisecond)
+		b, msg := idle(t, 10*time.Second, confirmLimit+time.Millisecond)
 		b.assertBounce(b.table.Dispatch(b.now, entryA, msg), ccwire.CodeStale)
 	})
 	t.Run("goes back when it is too old for any view", func(t *testing.T) {
--- a/core/cccell/fleet_test.go
+++ b/core/cccell/fleet_test.go
@@ -31,6 +31,7 @@
 	nodes  []*node
 	store  *fakeStore
 	events []event
+	blind  bool // The watch of the settings fails at leads.
 	// Bytes of jsonrpc2 messages, by where they went.
 	toLead, toMember int
 }
@@ -113,6 +114,9 @@
 			if n.dead || n.paused {
 				continue
 			}
+			if n.Leading() && !f.blind {
+				n.Vouch(f.now)
+			}
 			for _, action := range n.Next(f.now) {
 				f.act(n, action)
 			}
@@ -125,7 +129,11 @@
 	case OpJoin:
 		f.call(n, action.Addr, ccwire.MethodJoin, action.Join, func(lead *node) any { return lead.Join(f.now, action.Join) })
 	case OpBeat:
-		f.call(n, action.Addr, ccwire.MethodHeartbeat, action.Beat, func(lead *node) any { return lead.Heartbeat(f.now, action.Beat) })
+		f.call(n, action.Addr, ccwire.MethodHeartbeat, action.Beat, func(lead *node) any {
+			msg := action.Beat
+			msg.Cell, msg.Node = n.Cell(), n.ref // As the connection tells.
+			return lead.Heartbeat(f.now, msg)
+		})
 	case OpLeave:
 		f.call(n, action.Addr, ccwire.MethodLeave, action.Leave, func(lead *node) any { return lead.MemberLeft(f.now, action.Leave) })
 	case OpAnnounce:
--- a/core/cccell/machine_test.go
+++ b/core/cccell/machine_test.go
@@ -243,6 +243,19 @@
 			}
 		}
 	})
+	eachSeed(t, "a lead vouches for what it knows to be new and no longer", 4, func(t *testing.T, f *fleet) {
+		lead := f.settle(5 * time.Second)
+		member := f.nodes[(lead+1)%4]
+		f.run(2 * time.Second)
+		if age := f.now.Sub(member.Confirmed()); age > beatInterval*5/4 {
+			t.Errorf("the view was confirmed %s ago", age)
+		}
+		f.blind = true
+		f.run(10 * time.Second)
+		if age := f.now.Sub(member.Confirmed()); age < 10*time.Second-currentLimit {
+			t.Errorf("the view was confirmed %s ago, without the lead knowing", age)
+		}
+	})
 	eachSeed(t, "a member that hears of a newer one asks at once", 4, func(t *testing.T, f *fleet) {
 		lead := f.settle(5 * time.Second)
 		f.run(beatInterval * 2)
--- a/core/cccell/serve.go
+++ b/core/cccell/serve.go
@@ -10,29 +10,28 @@
 // answers that it doesn't know the member, who then looks at the store.
 func (m *Machine) Join(now time.Time, msg ccwire.Join) ccwire.JoinReply {
 	if !m.serves(msg.Cell) || !m.lead.put(now, msg.Member) {
-		return ccwire.JoinReply{Term: m.term}
+		return ccwire.JoinReply{Term: m.term, Unknown: true}
 	}
-	return ccwire.JoinReply{Term: m.term, Known: true, Version: m.Version(), View: m.view, Members: len(m.lead.members)}
+	return ccwire.JoinReply{Term: m.term, Version: m.Version(), View: m.view, Members: len(m.lead.members)}
 }
 
 // Heartbeat answers a member's sign of life. The view goes along only when the
 // member's version is lower. An agent of another cell gets it too, and learns from it
 // how many cells there are.
 func (m *Machine) Heartbeat(now time.Time, msg ccwire.Heartbeat) ccwire.HeartbeatReply {
-	reply := ccwire.HeartbeatReply{Term: m.term}
 	if m.lead == nil {
-		return reply
+		return ccwire.HeartbeatReply{Term: m.term, Unknown: true}
 	}
-	reply.Version = m.Version()
-	reply.Current = m.lead.until.Sub(now) >= LeaseTTL-currentLimit
-	if msg.Version < reply.Version {
-		reply.View = m.view
+	reply := ccwire.HeartbeatReply{Current: m.vouches(now)}
+	if msg.Version < m.Version() {
+		reply.Version, reply.View = m.Version(), m.view
 	}
 	known, ok := m.lead.members[msg.Node.ID]
 	if m.serves(msg.Cell) && ok && known.Node == msg.Node {
 		known.heard = now
-		reply.Known = true
+		return reply
 	}
+	reply.Term, reply.Unknown = m.term, true
 	return reply
 }
 
--- a/io/ccentry/claim_seek.go
+++ b/io/ccentry/claim_seek.go
@@ -42,6 +42,7 @@
 			p.requester.ClaimFailed(now, action.Token)
 			return
 		}
+		p.entry.heard(message.JobID, action.To.Ref, reply.Cause)
 		p.requester.ClaimAnswered(now, action.Token, reply)
 	})
 }
@@ -69,12 +70,22 @@
 		return
 	}
 	if action.Fates == nil {
-		p.entry.drive(now, job, action.Claim, nil)
+		p.driveNew(now, job, action)
 		return
 	}
 	p.driveRecovered(now, job, action)
 }
 
+// driveNew drives a job that has not run, or refuses it and gives the claim back.
+func (p *presence) driveNew(now time.Time, job *pendingJob, action *ccclaim.Drive) {
+	if refusal, ok := p.entry.admit(&job.spec); !ok {
+		p.requester.Ended(action.JobID, action.Claim, true)
+		p.entry.refuse(now, job, refusal)
+		return
+	}
+	p.entry.drive(now, job, action.Claim, nil)
+}
+
 // finish ends a job that this entry does not drive. A whole answer is kept; a
 // failure may be this entry's alone and is not.
 func (p *presence) finish(now time.Time, outcome ccjob.Outcome) {
@@ -84,6 +95,7 @@
 	}
 	if outcome.State == ccjob.StateComplete {
 		p.entry.answers.Put(now, job.digest, outcome)
+		p.entry.record(now, ccevent.KindCompleted, &job.spec, "the answer of another entry")
 	} else {
 		p.entry.record(now, ccevent.KindFailed, &job.spec, string(outcome.Kind)+": "+outcome.Reason)
 	}
--- a/io/ccentry/pending.go
+++ b/io/ccentry/pending.go
@@ -26,6 +26,7 @@
 	claim   uint64
 	driven  bool // The dispatcher has it.
 	waiters []chan<- ccjob.Outcome
+	cause   ccevent.Cause // What another process said last about the claim.
 }
 
 // submit takes a job on the control goroutine. The outcome goes to the waiter,
@@ -46,9 +47,8 @@
 		p.waiters = append(p.waiters, waiter)
 		return
 	}
-	if refusal, ok := e.admit(spec); !ok {
-		e.record(now, ccevent.KindRefused, spec, string(refusal.Kind)+": "+refusal.Reason)
-		e.metrics.Map("refusals").Add(string(refusal.Kind), 1)
+	if refusal, ok := e.check(spec); !ok {
+		e.noteRefusal(now, spec, &refusal)
 		waiter <- refusal
 		return
 	}
@@ -58,16 +58,41 @@
 	e.claims.claim(e, now, p)
 }
 
-func (e *Entry) admit(spec *ccjob.Spec) (ccjob.Outcome, bool) {
+// check turns away what needs no claim: what can never run, and what this entry
+// can say nothing of.
+func (e *Entry) check(spec *ccjob.Spec) (ccjob.Outcome, bool) {
 	switch {
-	case e.draining:
-		return ccjob.Refuse(spec.ID, ccjob.KindDraining, "this entry is stopping"), false
+	case e.version == 0 || !e.claims.ready():
+		return ccjob.Fail(spec.ID, ccjob.KindUnavailable, false, "this entry is cut off and can't say whether the job has run"), false
 	case len(e.pending) >= maxPending:
-		return ccjob.Refuse(spec.ID, ccjob.KindOverload, "too many jobs are in flight"), false
+		return ccjob.Fail(spec.ID, ccjob.KindOverload, false, "too many jobs are in flight to say whether this one has run"), false
+	}
+	return e.dispatcher.Check(spec)
+}
+
+// admit turns away a job whose claim is new, which proves that it has not run.
+func (e *Entry) admit(spec *ccjob.Spec) (ccjob.Outcome, bool) {
+	if e.draining {
+		return ccjob.Refuse(spec.ID, ccjob.KindDraining, "this entry is stopping"), false
 	}
 	return e.dispatcher.Admit(spec)
 }
 
+// refuse answers all who wait for a job that was claimed and not admitted.
+func (e *Entry) refuse(now time.Time, p *pendingJob, refusal ccjob.Outcome) {
+	e.noteRefusal(now, &p.spec, &refusal)
+	e.finish(p, refusal)
+}
+
+func (e *Entry) noteRefusal(now time.Time, spec *ccjob.Spec, refusal *ccjob.Outcome) {
+	kind := ccevent.KindRefused
+	if !refusal.NotRun {
+		kind = ccevent.KindFailed
+	}
+	e.record(now, kind, spec, string(refusal.Kind)+": "+refusal.Reason)
+	e.metrics.Map("refusals").Add(string(refusal.Kind), 1)
+}
+
 func matching(outcome *ccjob.Outcome, same bool) ccjob.Outcome {
 	if same {
 		return *outcome
@@ -84,7 +109,7 @@
 // drive hands a claimed job to the dispatcher.
 func (e *Entry) drive(now time.Time, p *pendingJob, claim uint64, prior []ccdispatch.Prior) {
 	p.claim, p.driven = claim, true
-	e.record(now, ccevent.KindClaimed, &p.spec, "")
+	e.recordClaimed(now, p)
 	e.dispatcher.Submit(now, ccdispatch.Submission{Spec: p.spec, Claim: claim, Arrived: p.arrived, Prior: prior})
 }
 
