--- a/core/ccproof/opening_test.go
+++ b/core/ccproof/opening_test.go
@@ -13,13 +13,13 @@
 // schedule goes on by chance.
 type opening func(w *world)
 
-// jobOf makes a job whose authority is the given entry under the roster that
+// jobOf makes a job of one task whose authority is the given entry under the roster that
 // another one uses.
-func (w *world) jobOf(authority, user *entry, tasks int) ccjob.Spec {
+func (w *world) jobOf(authority, user *entry) ccjob.Spec {
 	for n := range 0x1000 {
 		id := jobAt(w.now, n)
 		if owner, _ := user.roster.Authority(ccroster.SlotOf(id)); owner.Ref == authority.ref {
-			spec := ccjob.Spec{ID: id, Service: service, Team: "t", Deadline: 8 * time.Second, Payloads: make([]string, tasks)}
+			spec := ccjob.Spec{ID: id, Service: service, Team: "t", Deadline: 8 * time.Second, Payloads: make([]string, 1)}
 			w.jobs = append(w.jobs, spec)
 			return spec
 		}
@@ -65,7 +65,7 @@
 // session.
 func orphanInFlight(w *world) {
 	w.freshen()
-	spec := w.jobOf(w.entries[1], w.entries[1], 1)
+	spec := w.jobOf(w.entries[1], w.entries[1])
 	w.submitTo(w.entries[0], spec)
 	for len(w.flights) > 0 && w.entries[0].claims[spec.ID] == 0 {
 		w.settle(1)
@@ -92,21 +92,21 @@
 		}
 		w.wait(1)
 	}
-	spec := w.jobOf(w.entries[2], w.entries[2], 1)
+	spec := w.jobOf(w.entries[2], w.entries[2])
 	for {
 		if owner, _ := w.entries[0].roster.Authority(ccroster.SlotOf(spec.ID)); owner.Ref == w.entries[0].ref {
 			return
 		}
 		w.now = w.now.Add(time.Millisecond)
 		w.jobs = nil
-		spec = w.jobOf(w.entries[2], w.entries[2], 1)
+		spec = w.jobOf(w.entries[2], w.entries[2])
 	}
 }
 
 // lateGrant: entry0 granted a claim to entry1, and the answer is still on its
 // way; entry0 is lost, and its successor has had the job recovered.
 func lateGrant(w *world) {
-	spec := w.jobOf(w.entries[0], w.entries[1], 1)
+	spec := w.jobOf(w.entries[0], w.entries[1])
 	w.submitTo(w.entries[1], spec)
 	for len(w.flights) > 0 && !w.underWay("claim answered by entry0") {
 		w.settle(1)
