Count what claims cost in messages

Cause: the load tool reads the entries' claim messages, and no entry told any, so the messages a task left the claims out. Change: entries count claim, await and release messages, replies included, and tell the state of their claims.

--- a/io/ccentry/claim_peers.go
+++ b/io/ccentry/claim_peers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"camphorcroft/core/ccroster"
+	"camphorcroft/core/ccwire"
 	"camphorcroft/io/ccrpc"
 )
 
@@ -47,11 +48,25 @@
 	}
 }
 
+// requestMessages is how many messages a request is, with its reply.
+const requestMessages = 2
+
+// countMessages counts what goes to peers, and apart from it what goes for the
+// sake of single jobs, the replies included.
+func (p *presence) countMessages(method string, messages uint64) {
+	p.entry.metrics.Map("peerRequests").Add(method, 1)
+	switch method {
+	case ccwire.MethodClaim, ccwire.MethodAwait, ccwire.MethodRelease:
+		p.jobMessages += messages
+	default:
+	}
+}
+
 // callPeer sends a request to another entry and hands the reply, or the error,
 // to the control goroutine.
 func callPeer[R any](p *presence, to ccroster.Member, method string, params any, timeout time.Duration, done func(now time.Time, reply R, err error)) {
 	l := p.peer(to)
-	p.entry.metrics.Map("peerRequests").Add(method, 1)
+	p.countMessages(method, requestMessages)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
@@ -67,7 +82,7 @@
 // notifyPeer sends a notification to another entry. It may be lost.
 func (p *presence) notifyPeer(to ccroster.Member, method string, params any) {
 	l := p.peer(to)
-	p.entry.metrics.Map("peerRequests").Add(method, 1)
+	p.countMessages(method, 1)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), pulseTimeout)
 		defer cancel()
--- a/io/ccentry/presence.go
+++ b/io/ccentry/presence.go
@@ -17,20 +17,21 @@
 // that it is authority of, and the claims that it seeks. The control goroutine
 // owns it; what it asks of the store and of peers comes back as commands.
 type presence struct {
-	entry      *Entry
-	rule       *ccoutage.Rule
-	membership *ccoutage.Membership
-	authority  *ccclaim.Authority
-	requester  *ccclaim.Requester
-	roster     *ccroster.Roster
-	peers      map[ccnode.Ref]*peerLink
-	orders     chan storeOrder
-	valid      bool
-	outage     bool // The entry goes on by its peers' consent.
-	leaving    bool
-	left       chan struct{} // Closed when the entry is no longer a member.
-	asked      time.Time     // When peers were last asked for consent.
-	handover   map[int]bool  // Slots that successors are not yet known to have.
+	entry       *Entry
+	rule        *ccoutage.Rule
+	membership  *ccoutage.Membership
+	authority   *ccclaim.Authority
+	requester   *ccclaim.Requester
+	roster      *ccroster.Roster
+	peers       map[ccnode.Ref]*peerLink
+	orders      chan storeOrder
+	valid       bool
+	outage      bool // The entry goes on by its peers' consent.
+	leaving     bool
+	left        chan struct{} // Closed when the entry is no longer a member.
+	asked       time.Time     // When peers were last asked for consent.
+	jobMessages uint64        // Messages between entries for the sake of single jobs.
+	handover    map[int]bool  // Slots that successors are not yet known to have.
 
 	cells       map[int]*ccwire.CellRecord
 	cellsListed time.Time // When the newest whole list of cells was asked for.
--- a/io/ccentry/vars.go
+++ b/io/ccentry/vars.go
@@ -19,10 +19,32 @@
 	Answers           int                         `json:"keptAnswers"`
 	AnswerBytes       int                         `json:"keptAnswerBytes"`
 	Dispatch          ccdispatch.Counts           `json:"dispatch"`
+	Claims            claimsState                 `json:"claims"`
 	Services          []ccdispatch.ServiceFigures `json:"services"`
 	Agents            []ccdispatch.AgentFigures   `json:"agents"`
 }
 
+// claimsState is what an entry tells of the claims.
+type claimsState struct {
+	// MessagesSent counts messages between entries for the sake of single jobs,
+	// with the replies.
+	MessagesSent uint64 `json:"messagesSent"`
+	Known        int    `json:"known"`      // Claims in the authority's table.
+	ReadySlots   int    `json:"readySlots"` // Hash slots in which this entry may grant.
+	Epoch        uint64 `json:"epoch"`      // Of the roster.
+}
+
+// claimsState is empty where another claimer stands in for the claims.
+func (e *Entry) claimsState() claimsState {
+	p, ok := e.claims.(*presence)
+	if !ok {
+		return claimsState{}
+	}
+	return claimsState{
+		MessagesSent: p.jobMessages, Known: p.authority.Len(), ReadySlots: p.authority.Ready(), Epoch: p.authority.Epoch(),
+	}
+}
+
 func (e *Entry) newMetrics() *ccmetric.Set {
 	set := ccmetric.NewSet(string(e.self.ID))
 	set.Func("domain", func() any { return e.cfg.Domain })
@@ -55,6 +77,7 @@
 		Answers:           e.answers.Len(),
 		AnswerBytes:       e.answers.Bytes(),
 		Dispatch:          e.dispatcher.Counts(),
+		Claims:            e.claimsState(),
 		Services:          e.dispatcher.Services(),
 		Agents:            e.dispatcher.Agents(now),
 	}
