Explain take-overs and changes of settings in fewer words

The history of a recovered job repeated a sentence for each grant and one for each process that a settings version reached, and could not name the driver that was gone though the agents' events did. Cells' records have a kind of their own, so that they don't fill the history of jobs. Seen with a job of the demo whose entry was ended.

--- a/core/ccevent/event.go
+++ b/core/ccevent/event.go
@@ -90,5 +90,6 @@
 	KindVersion    Kind = "version" // A settings version came into force here.
 	KindLeaseTaken Kind = "leaseTaken"
 	KindLeaseLost  Kind = "leaseLost"
-	KindRoster     Kind = "roster" // A new roster or cell record was seen.
+	KindRoster     Kind = "roster" // A new roster of entries was seen.
+	KindCell       Kind = "cell"   // A new record of a cell was seen.
 )
--- a/core/ccevent/explain.go
+++ b/core/ccevent/explain.go
@@ -1,6 +1,7 @@
 package ccevent
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -8,6 +9,7 @@
 
 	"camphorcroft/core/ccjob"
 	"camphorcroft/core/ccnode"
+	"camphorcroft/core/ccwire"
 )
 
 const secondLayout = "15:04:05.000"
@@ -67,15 +69,36 @@
 // beginning tells who got the job, and who may drive it.
 func (h *history) beginning() []string {
 	var sentences []string
-	for _, step := range h.steps {
-		if text := beginningText(step); text != "" {
+	for i, step := range h.steps {
+		text := beginningText(step, h.driverBefore(i))
+		if text != "" && (len(sentences) == 0 || sentences[len(sentences)-1] != text) {
 			sentences = append(sentences, text)
 		}
 	}
 	return sentences
 }
 
-func beginningText(step *Step) string {
+// driverBefore returns who drove the job last before a step, when that was
+// another process, or nobody.
+func (h *history) driverBefore(index int) ccnode.ID {
+	own := h.steps[index].Node.ID
+	for _, step := range slices.Backward(h.steps[:index]) {
+		driver := ccnode.ID("")
+		switch step.Kind {
+		case KindClaimed, KindSent:
+			driver = step.Node.ID
+		case KindGranted, KindStarted:
+			driver = step.Peer
+		default:
+		}
+		if driver != "" && driver != own {
+			return driver
+		}
+	}
+	return ""
+}
+
+func beginningText(step *Step, before ccnode.ID) string {
 	node, at := step.Node.ID, step.When.UTC().Format(secondLayout)
 	switch step.Kind {
 	case KindAccepted:
@@ -84,6 +107,9 @@
 		if step.Peer == "" || step.Peer == node {
 			return ""
 		}
+		if step.Text == string(ccwire.ClaimRecover) {
+			return fmt.Sprintf("%s let %s take it over.", node, step.Peer)
+		}
 		return fmt.Sprintf("%s let %s drive it.", node, step.Peer)
 	case KindAttached:
 		if step.Peer == node {
@@ -91,10 +117,7 @@
 		}
 		return fmt.Sprintf("%s got it too at %s and waited for %s.", node, at, orSomeone(step.Peer))
 	case KindRecovered:
-		if step.Peer == "" {
-			return fmt.Sprintf("%s took it over at %s, since its driver is gone%s.", node, at, reason(step))
-		}
-		return fmt.Sprintf("%s took it over from %s at %s%s.", node, orSomeone(step.Peer), at, reason(step))
+		return fmt.Sprintf("%s took it over from %s at %s%s.", node, orSomeone(cmp.Or(step.Peer, before)), at, reason(step))
 	default:
 		return ""
 	}
--- a/core/ccevent/explain_end.go
+++ b/core/ccevent/explain_end.go
@@ -9,8 +9,18 @@
 // meanwhile tells what befell the processes while they had a part in the job.
 func (h *history) meanwhile() []string {
 	var sentences []string
+	versions := make(map[int]int) // The sentence of each version.
+	reached := make(map[int]int)  // How many processes it reached.
 	for _, step := range h.around {
-		if text := meanwhileText(step); text != "" {
+		text := meanwhileText(step)
+		if step.Kind == KindVersion {
+			if reached[step.Count]++; reached[step.Count] > 1 {
+				sentences[versions[step.Count]] = fmt.Sprintf("Meanwhile settings version %d came into force at %d processes.", step.Count, reached[step.Count])
+				continue
+			}
+			versions[step.Count] = len(sentences)
+		}
+		if text != "" {
 			sentences = append(sentences, fmt.Sprintf("At %s %s.", step.When.UTC().Format(secondLayout), text))
 		}
 	}
--- a/core/ccevent/history_test.go
+++ b/core/ccevent/history_test.go
@@ -193,3 +193,34 @@
 		t.Errorf("got %s", text)
 	}
 }
+
+func TestExplainNamesTheDriverBefore(t *testing.T) {
+	one, two, agent := newFakeNode("one", 0, 10), newFakeNode("two", 0, 10), newFakeNode("agent", 0, 10)
+	agent.at(1, Event{Kind: KindStarted, Job: soldJob, Index: 0, Peer: "gone"})
+	two.at(2, Event{Kind: KindAccepted, Job: soldJob, Index: NoIndex})
+	one.at(3, Event{Kind: KindGranted, Job: soldJob, Index: NoIndex, Peer: "two", Text: "recover"}, two)
+	one.at(4, Event{Kind: KindGranted, Job: soldJob, Index: NoIndex, Peer: "two", Text: "recover"}, two)
+	for _, node := range []*fakeNode{one, two, agent} {
+		node.at(5, Event{Kind: KindVersion, Index: NoIndex, Count: 7})
+	}
+	two.at(6, Event{Kind: KindRecovered, Job: soldJob, Index: NoIndex}, agent)
+	text := strings.Join(Explain(Merge(gather(one, two, agent)), soldJob), "\n")
+	for _, want := range []string{
+		"one let two take it over.\ntwo took it over from gone at 12:00:00.006.",
+		"Meanwhile settings version 7 came into force at 3 processes.",
+	} {
+		if !strings.Contains(text, want) {
+			t.Errorf("%q is missing in:\n%s", want, text)
+		}
+	}
+}
+
+func TestMarksDiffer(t *testing.T) {
+	kinds := make(map[mark]Kind)
+	for kind, m := range marks {
+		if other, known := kinds[m]; known {
+			t.Errorf("%s and %s look the same", kind, other)
+		}
+		kinds[m] = kind
+	}
+}
--- a/core/ccevent/mark.go
+++ b/core/ccevent/mark.go
@@ -18,7 +18,7 @@
 // Colors of marks. Each stands for one concern.
 const (
 	colorJob     = "#1f5fbf" // A job comes and goes.
-	colorClaim   = "#7a3fb0" // Who may drive a job, and leases.
+	colorClaim   = "#7a3fb0" // Who may drive a job, leases and cells.
 	colorTask    = "#1b8a4b" // Tasks are sent, run and answered.
 	colorBack    = "#c77700" // Tasks that come back or may not start.
 	colorTrouble = "#c4232b" // Failures of jobs and processes.
@@ -73,6 +73,7 @@
 	KindDown:       {shapeCross, colorFleet},
 	KindDraining:   {shapeDown, colorFleet},
 	KindVersion:    {shapeDiamond, colorFleet},
+	KindCell:       {shapeDown, colorClaim},
 	KindRoster:     {shapeRing, colorFleet},
 }
 
--- a/core/ccevent/text.go
+++ b/core/ccevent/text.go
@@ -109,7 +109,7 @@
 	switch step.Kind {
 	case KindVersion:
 		return "version"
-	case KindRoster:
+	case KindRoster, KindCell:
 		return "members"
 	default:
 		return "count"
--- a/io/ccentry/record.go
+++ b/io/ccentry/record.go
@@ -20,7 +20,7 @@
 func (e *Entry) recordClaimed(now time.Time, p *pendingJob) {
 	e.cfg.Ring.Record(now, ccevent.Event{
 		Kind: ccevent.KindClaimed, Job: p.spec.ID, Index: ccevent.NoIndex, Count: len(p.spec.Payloads), Claim: p.claim,
-		Team: p.spec.Team, Peer: p.cause.Node, Cause: p.cause,
+		Team: p.spec.Team, Cause: p.cause,
 	})
 }
 
