--- a/cmd/camphorcroft/fleet_test.go
+++ b/cmd/camphorcroft/fleet_test.go
@@ -365,9 +365,13 @@
 	return jobs
 }
 
+// freeAddr returns an address that nobody listens on. It is on a loopback host
+// of this test process alone, so that no other program's connection takes the
+// port before the process that it is meant for.
 func freeAddr(t *testing.T) netip.AddrPort {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	host := fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()>>8&0x7f, os.Getpid()&0xff)
+	listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 	if err != nil {
 		t.Fatal(err)
 	}
