--- a/core/ccevent/explain.go
+++ b/core/ccevent/explain.go
@@ -70,7 +70,10 @@
 func (h *history) beginning() []string {
 	var sentences []string
 	for i, step := range h.steps {
-		text := beginningText(step, h.driverBefore(i))
+		text := beginningText(step)
+		if step.Kind == KindRecovered {
+			text = h.recoveredText(i)
+		}
 		if text != "" && (len(sentences) == 0 || sentences[len(sentences)-1] != text) {
 			sentences = append(sentences, text)
 		}
@@ -98,7 +101,21 @@
 	return ""
 }
 
-func beginningText(step *Step, before ccnode.ID) string {
+// recoveredText tells of a take-over, and how long the agents were asked.
+func (h *history) recoveredText(index int) string {
+	step := h.steps[index]
+	from := cmp.Or(step.Peer, h.driverBefore(index), "an entry that is gone")
+	text := fmt.Sprintf("%s took it over from %s at %s", step.Node.ID, from, step.When.UTC().Format(secondLayout))
+	for _, granted := range slices.Backward(h.steps[:index]) {
+		if granted.Kind == KindGranted && granted.Peer == step.Node.ID {
+			text += ", having asked the agents for " + shortDuration(step.When.Sub(granted.When))
+			break
+		}
+	}
+	return text + reason(step) + "."
+}
+
+func beginningText(step *Step) string {
 	node, at := step.Node.ID, step.When.UTC().Format(secondLayout)
 	switch step.Kind {
 	case KindAccepted:
@@ -116,8 +133,6 @@
 			return fmt.Sprintf("%s got it again at %s.", node, at)
 		}
 		return fmt.Sprintf("%s got it too at %s and waited for %s.", node, at, orSomeone(step.Peer))
-	case KindRecovered:
-		return fmt.Sprintf("%s took it over from %s at %s%s.", node, orSomeone(cmp.Or(step.Peer, before)), at, reason(step))
 	default:
 		return ""
 	}
--- a/core/ccevent/history_test.go
+++ b/core/ccevent/history_test.go
@@ -206,7 +206,7 @@
 	two.at(6, Event{Kind: KindRecovered, Job: soldJob, Index: NoIndex}, agent)
 	text := strings.Join(Explain(Merge(gather(one, two, agent)), soldJob), "\n")
 	for _, want := range []string{
-		"one let two take it over.\ntwo took it over from gone at 12:00:00.006.",
+		"one let two take it over.\ntwo took it over from gone at 12:00:00.006, having asked the agents for 2ms.",
 		"Meanwhile settings version 7 came into force at 3 processes.",
 	} {
 		if !strings.Contains(text, want) {
--- a/io/cccli/explain.go
+++ b/io/cccli/explain.go
@@ -8,7 +8,6 @@
 
 	"camphorcroft/core/ccevent"
 	"camphorcroft/core/ccjob"
-	ioevent "camphorcroft/io/ccevent"
 
 	"github.com/juju/errors"
 	"github.com/peterbourgon/ff/v4"
@@ -30,11 +29,11 @@
 
 func explainJobCommand(streams Streams) *ff.Command {
 	flags := ff.NewFlagSet("job")
-	nodes := newNodeFlags(flags)
+	events := newEventFlags(flags)
 	output := outputFlag(flags)
 	return &ff.Command{
 		Name:      "job",
-		Usage:     "camphorcroft explain job [--store IP:PORT | --nodes IP:PORT,...] JOB",
+		Usage:     "camphorcroft explain job [--store IP:PORT | --nodes IP:PORT,... | --events FILE] JOB",
 		ShortHelp: "say what became of a job",
 		LongHelp: "Says when and where the job was accepted, how long it waited and for what, where its tasks ran,\n" +
 			"how it ended and why, and which processes might know more.",
@@ -47,33 +46,30 @@
 			if err != nil {
 				return &usageError{text: err.Error()}
 			}
-			return explainJob(ctx, streams, nodes, id, *output)
+			return explainJob(ctx, streams, events, id, *output)
 		},
 	}
 }
 
-func explainJob(ctx context.Context, streams Streams, nodes nodeFlags, id ccjob.ID, output string) error {
-	inventory, err := nodes.inventory(ctx)
+func explainJob(ctx context.Context, streams Streams, events eventFlags, id ccjob.ID, output string) error {
+	timeline, silent, err := events.timeline(ctx, id)
 	if err != nil {
 		return err
 	}
-	collector := ioevent.NewCollector(ioevent.CollectorConfig{})
-	defer collector.Close()
-	follower := ioevent.NewFollower(collector, id)
-	sentences := ccevent.Explain(follower.Read(ctx, addrsOf(inventory.Nodes)), id)
+	sentences := ccevent.Explain(timeline, id)
 	if output == outputJSON {
 		return writeJSON(streams, struct {
 			JobID     ccjob.ID `json:"jobID"`
 			Sentences []string `json:"sentences"`
 			Silent    []string `json:"silent,omitempty"`
-		}{id, sentences, silentAddrs(follower.Silent())})
+		}{id, sentences, silentAddrs(silent)})
 	}
 	for _, sentence := range sentences {
 		if _, err := fmt.Fprintln(streams.Out, sentence); err != nil {
 			return errors.Annotate(err, "write explanation")
 		}
 	}
-	warnSilent(streams, follower.Silent())
+	warnSilent(streams, silent)
 	return nil
 }
 
--- a/io/cccli/fleet_test.go
+++ b/io/cccli/fleet_test.go
@@ -158,6 +158,25 @@
 	})
 }
 
+func TestEventsInAFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "events.json")
+	ring := ccevent.NewRing(ccevent.RingConfig{Node: ccnode.Ref{ID: "entry-1", Incarnation: 1}, Size: 10})
+	ring.Record(testStart, ccevent.Event{Kind: ccevent.KindAccepted, Job: testJob, Index: ccevent.NoIndex, Count: 2})
+	if err := writeEvents(path, [][]ccevent.Event{ring.After(0), nil}); err != nil {
+		t.Fatal(err)
+	}
+	_, out, _ := run(t, "timeline", "--events", path)
+	assertHas(t, out, "entry-1  accepted    count=2")
+	_, out, _ = run(t, "explain", "job", "--events", path, testJob)
+	assertHas(t, out, "entry-1 accepted it at 12:00:00.000 with 2 tasks.")
+	if code, _, _ := run(t, "timeline", "--events", path+".missing"); code != ExitFailed {
+		t.Errorf("a missing file: got code %d", code)
+	}
+	if code, _, _ := run(t, "load", "--events", path, "--compare", "lateBinding,roundRobin"); code != ExitUsage {
+		t.Errorf("two policies: got code %d", code)
+	}
+}
+
 func TestNodesAreFoundThroughTheStore(t *testing.T) {
 	nodes := strings.Split(newFleet(t), ",")
 	store := ccstandin.NewStore(ccstandin.StoreConfig{Seed: 1})
--- a/io/cccli/load.go
+++ b/io/cccli/load.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"camphorcroft/core/ccevent"
 	"camphorcroft/core/ccfault"
 	"camphorcroft/core/ccload"
 	"camphorcroft/core/ccplacement"
@@ -52,6 +53,7 @@
 	traceOut   *string
 	entries    *string
 	entryCount *int
+	events     *string
 	output     *string
 }
 
@@ -77,6 +79,7 @@
 		traceOut:   flags.StringLong("trace-out", "", "file to record the plan in"),
 		entries:    flags.StringLong("entries", "", "IP:PORT,... of a fleet that runs elsewhere, in place of one in this process"),
 		entryCount: flags.IntLong("entry-count", defaultEntries, "entries of the fleet in this process"),
+		events:     flags.StringLong("events", "", "file for the events of all processes, for timeline and explain; for one policy alone"),
 		output:     outputFlag(flags),
 	}
 	return &ff.Command{
@@ -101,6 +104,9 @@
 			return err
 		}
 	}
+	if *f.events != "" && (len(cfg.Policies) > 1 || *f.entries != "") {
+		return &usageError{text: "--events takes one policy and a fleet in this process"}
+	}
 	reports, err := ccexperiment.Run(ctx, *cfg)
 	if err != nil {
 		return errors.Trace(err)
@@ -146,6 +152,7 @@
 		Warm: min(*f.warm, plan.Duration/2), MaxTasks: *f.maxTasks, Except: floodTeam,
 		Log:      cclog.New(cclog.Config{Out: streams.Err, Level: "error"}).Logger,
 		Progress: func(name string, p ccgenerator.Progress) { writeProgress(streams, name, p) },
+		Events:   f.keepEvents,
 		Happened: func(fault ccfault.Fault, err error) { writeFault(streams, fault, err) },
 	}
 	if *f.entries != "" {
@@ -154,6 +161,14 @@
 	return cfg, err
 }
 
+// keepEvents writes the events of a run, if they are wanted.
+func (f *loadFlags) keepEvents(events [][]ccevent.Event) error {
+	if *f.events == "" {
+		return nil
+	}
+	return writeEvents(*f.events, events)
+}
+
 func (f *loadFlags) policyNames() ([]string, error) {
 	if *f.compare == "" {
 		return []string{*f.policy}, nil
--- a/io/cccli/timeline.go
+++ b/io/cccli/timeline.go
@@ -26,7 +26,7 @@
 
 // timelineFlags say which events to show and how.
 type timelineFlags struct {
-	nodes  nodeFlags
+	events eventFlags
 	job    *string
 	task   *string
 	node   *string
@@ -42,7 +42,7 @@
 func timelineCommand(streams Streams) *ff.Command {
 	flags := ff.NewFlagSet("timeline")
 	f := timelineFlags{
-		nodes:  newNodeFlags(flags),
+		events: newEventFlags(flags),
 		job:    flags.StringLong("job", "", "events of this job, and what befell its processes meanwhile"),
 		task:   flags.StringLong("task", "", "events of this task of the job, by its index"),
 		node:   flags.StringLong("node", "", "events of this node, and of others about it"),
@@ -56,7 +56,7 @@
 	}
 	return &ff.Command{
 		Name:      "timeline",
-		Usage:     "camphorcroft timeline [--store IP:PORT | --nodes IP:PORT,...] [FLAGS]",
+		Usage:     "camphorcroft timeline [--store IP:PORT | --nodes IP:PORT,... | --events FILE] [FLAGS]",
 		ShortHelp: "show the events of all processes in one order",
 		LongHelp: "Reads the events that each process keeps and puts causes before effects, also when clocks differ.\n" +
 			"Processes that don't answer are listed as silent, with what others tell of them.",
@@ -75,22 +75,28 @@
 	if err != nil {
 		return err
 	}
-	if *f.follow && (*f.output != outputText || *f.out != "") {
-		return &usageError{text: "--follow writes text to the standard output"}
+	if *f.follow {
+		return f.runFollow(ctx, streams, filter)
 	}
-	inventory, err := f.nodes.inventory(ctx)
+	timeline, silent, err := f.events.timeline(ctx, filter.Job)
+	if err != nil {
+		return err
+	}
+	warnSilent(streams, silent)
+	return f.write(streams, filter.Apply(timeline))
+}
+
+func (f *timelineFlags) runFollow(ctx context.Context, streams Streams, filter ccevent.Filter) error {
+	if *f.output != outputText || *f.out != "" || *f.events.file != "" {
+		return &usageError{text: "--follow reads processes and writes text to the standard output"}
+	}
+	inventory, err := f.events.nodes.inventory(ctx)
 	if err != nil {
 		return err
 	}
 	collector := ioevent.NewCollector(ioevent.CollectorConfig{})
 	defer collector.Close()
-	follower := ioevent.NewFollower(collector, filter.Job)
-	if *f.follow {
-		return followEvents(ctx, streams, follower, filter, addrsOf(inventory.Nodes))
-	}
-	timeline := follower.Read(ctx, addrsOf(inventory.Nodes))
-	warnSilent(streams, follower.Silent())
-	return f.write(streams, filter.Apply(timeline))
+	return followEvents(ctx, streams, ioevent.NewFollower(collector, filter.Job), filter, addrsOf(inventory.Nodes))
 }
 
 // filter reads the flags.
--- a/io/ccexperiment/experiment.go
+++ b/io/ccexperiment/experiment.go
@@ -14,6 +14,7 @@
 	"net/netip"
 	"time"
 
+	"camphorcroft/core/ccevent"
 	"camphorcroft/core/ccfault"
 	"camphorcroft/core/ccload"
 	"camphorcroft/core/ccsettings"
@@ -46,6 +47,9 @@
 	Progress func(name string, progress ccgenerator.Progress)
 	// Happened is told of each fault. It is not called with an outside fleet.
 	Happened func(fault ccfault.Fault, err error)
+	// Events takes what the processes of each fleet recorded, those that have ended
+	// included. It is not called with an outside fleet. Nil keeps none.
+	Events func(events [][]ccevent.Event) error
 }
 
 // Run runs the experiment and returns one report for each run.
@@ -89,6 +93,11 @@
 	if ctx.Err() != nil {
 		return nil, errors.Trace(ctx.Err())
 	}
+	if cfg.Events != nil {
+		if err := cfg.Events(fleet.Events()); err != nil {
+			return nil, errors.Trace(err)
+		}
+	}
 	report := summarize(cfg, policy, run, ccload.Observed{
 		Starts: fleet.Starts(), From: run.From, Messages: fleet.Messages(ctx).Minus(before),
 	})
