Put a target of one slot on trial after an ejection too

Cause: Allowed ended the trial as soon as the trial reached the slots, so a target with one slot, or one whose slots were zero for a moment, was trusted whole at once. It never had a longer second ejection and needed three failing jobs again. Change: a trial ends only when a success has raised it.

--- a/core/cctarget/health.go
+++ b/core/cctarget/health.go
@@ -14,6 +14,9 @@
 	minFailures = 3
 	// maxEjectFactor bounds how much longer repeated ejections last.
 	maxEjectFactor = 8
+	// endedTrial is the least trial that can end one: it takes a success, also
+	// at a target with a single slot or with none for a moment.
+	endedTrial = 2
 )
 
 // HealthConfig says when a target is ejected, and for how long.
@@ -85,8 +88,8 @@
 	if now.Before(h.ejected) {
 		return 0
 	}
-	if h.trial > 0 && h.trial < slots {
-		return h.trial
+	if h.trial > 0 && h.trial < max(slots, endedTrial) {
+		return min(h.trial, slots)
 	}
 	if h.trial > 0 {
 		h.trial, h.factor = 0, 1
--- /dev/null
+++ b/core/cctarget/speed_test.go
@@ -0,0 +1,61 @@
+package cctarget_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"camphorcroft/core/cctarget"
+)
+
+func assertBetween(t *testing.T, got, low, high time.Duration) {
+	t.Helper()
+	if got < low || got > high {
+		t.Errorf("it is %v, want %v to %v", got, low, high)
+	}
+}
+
+func TestSpeed(t *testing.T) {
+	t.Run("nothingKnown", func(t *testing.T) {
+		var speed cctarget.Speed
+		assertBetween(t, speed.Typical(), 0, 0)
+		assertBetween(t, speed.Mean(), 0, 0)
+		if speed.Known() || speed.Samples() != 0 {
+			t.Error("it knows something")
+		}
+	})
+	t.Run("oneTaskIsTaken", func(t *testing.T) {
+		var speed cctarget.Speed
+		speed.Observe(80 * time.Millisecond)
+		assertBetween(t, speed.Typical(), 79*time.Millisecond, 81*time.Millisecond)
+		assertBetween(t, speed.Mean(), 79*time.Millisecond, 81*time.Millisecond)
+	})
+	t.Run("heavyTailHardlyMovesTypical", func(t *testing.T) {
+		var speed cctarget.Speed
+		random := rand.New(rand.NewPCG(1, 1))
+		for range 600 {
+			run := 100 * time.Millisecond
+			if random.IntN(50) == 0 {
+				run *= 50
+			}
+			speed.Observe(run)
+		}
+		assertBetween(t, speed.Typical(), 95*time.Millisecond, 150*time.Millisecond)
+		assertBetween(t, speed.Mean(), speed.Typical(), 5*time.Second)
+	})
+	t.Run("newSpeedIsLearned", func(t *testing.T) {
+		var speed cctarget.Speed
+		for range 1000 {
+			speed.Observe(100 * time.Millisecond)
+		}
+		for range 300 {
+			speed.Observe(400 * time.Millisecond)
+		}
+		assertBetween(t, speed.Typical(), 390*time.Millisecond, 400*time.Millisecond)
+	})
+	t.Run("noTimeAtAllStaysFinite", func(t *testing.T) {
+		var speed cctarget.Speed
+		speed.Observe(0)
+		assertBetween(t, speed.Typical(), 1, time.Millisecond)
+	})
+}
