--- a/core/ccjob/id.go
+++ b/core/ccjob/id.go
@@ -9,7 +9,7 @@
 //
 //	spec := ccjob.Spec{ID: id, Service: "proof", Payloads: payloads}
 //	if err := spec.Validate(limits); err != nil {
-//		return ccjob.Refuse(spec.ID, err)
+//		return ccjob.Refuse(spec.ID, ccjob.KindInvalid, err.Error())
 //	}
 package ccjob
 
--- /dev/null
+++ b/core/ccplacement/bounds_test.go
@@ -0,0 +1,48 @@
+package ccplacement
+
+import (
+	"math/rand/v2"
+	"testing"
+)
+
+// assertPicksFree places tasks until the policy wants to wait, and checks that
+// each one had a free slot.
+func assertPicksFree(t *testing.T, name string, seed uint64) {
+	t.Helper()
+	random := rand.New(rand.NewPCG(seed, 0))
+	candidates := make([]Candidate, 1+random.IntN(6))
+	for i := range candidates {
+		candidates[i] = Candidate{Free: random.IntN(6) - 3, InFlight: random.IntN(4), Typical: 100 * ms, Weight: 1}
+	}
+	policy := New(name, seed)
+	policy.Rank(candidates)
+	for tasks := 20; tasks > 0; tasks-- {
+		i := policy.Pick(candidates, tasks)
+		if i == None {
+			break
+		}
+		if candidates[i].Free <= 0 {
+			t.Fatalf("seed %d: target %d with %d free slots was picked", seed, i, candidates[i].Free)
+		}
+		candidates[i].Free--
+		candidates[i].InFlight++
+	}
+	for i, c := range candidates {
+		if c.Free > 0 {
+			t.Fatalf("seed %d: target %d keeps %d free slots of equal speed", seed, i, c.Free)
+		}
+	}
+}
+
+func TestBounds(t *testing.T) {
+	for _, name := range []string{LateBinding, TwoChoices, RoundRobin, "unknownName"} {
+		t.Run(name+"TakesFreeSlotsOnly", func(t *testing.T) {
+			for seed := range uint64(200) {
+				assertPicksFree(t, name, seed)
+			}
+		})
+		t.Run(name+"WaitsWithoutCandidates", func(t *testing.T) {
+			assertPicks(t, picks(New(name, 1), nil, 3))
+		})
+	}
+}
--- /dev/null
+++ b/core/ccqueue/return_test.go
@@ -0,0 +1,113 @@
+package ccqueue_test
+
+import (
+	"slices"
+	"testing"
+
+	"camphorcroft/core/ccjob"
+	"camphorcroft/core/ccqueue"
+)
+
+func assertJobs(t *testing.T, got []ccjob.ID, want ...ccjob.ID) {
+	t.Helper()
+	if !slices.Equal(got, want) {
+		t.Errorf("the jobs are %v, want %v", got, want)
+	}
+}
+
+func assertItem(t *testing.T, queue *ccqueue.Queue, want ccqueue.Item) {
+	t.Helper()
+	if got, ok := queue.Pop(); !ok || got != want {
+		t.Errorf("the next is %v (%t), want %v", got, ok, want)
+	}
+}
+
+func assertEmpty(t *testing.T, queue *ccqueue.Queue) {
+	t.Helper()
+	if got, ok := queue.Pop(); ok || queue.Len() != 0 || queue.Jobs() != 0 {
+		t.Errorf("%v is left of %d tasks, want nothing", got, queue.Len())
+	}
+}
+
+// countOf returns how many of the jobs are the wanted one.
+func countOf(jobs []ccjob.ID, want ccjob.ID) int {
+	count := 0
+	for _, id := range jobs {
+		if id == want {
+			count++
+		}
+	}
+	return count
+}
+
+func TestTeamThatComesBack(t *testing.T) {
+	queue := ccqueue.New()
+	push(queue, "a", 1, "a", 100)
+	push(queue, "b", 1, "b", 1)
+	popJobs(queue, 60)
+	if queue.TeamLen("b") != 0 {
+		t.Fatal("the team still waits")
+	}
+	push(queue, "b", 1, "b", 20)
+	got := popJobs(queue, 20)
+	t.Run("doesNotCatchUp", func(t *testing.T) {
+		if count := countOf(got, "b"); count > 10 {
+			t.Errorf("it got %d of 20 turns, want 10", count)
+		}
+	})
+	t.Run("doesNotWait", func(t *testing.T) {
+		if count := countOf(got, "b"); count < 10 || !slices.Contains(got[:2], "b") {
+			t.Errorf("it got %d of 20 turns, want 10 from the start: %v", count, got)
+		}
+	})
+}
+
+func TestPushFront(t *testing.T) {
+	t.Run("comesBeforeItsJobsOthers", func(t *testing.T) {
+		queue := ccqueue.New()
+		push(queue, "a", 1, "a", 3)
+		assertItem(t, queue, ccqueue.Item{Job: "a", Index: 0})
+		queue.PushFront("a", 1, "a", 0)
+		for index := range 3 {
+			assertItem(t, queue, ccqueue.Item{Job: "a", Index: index})
+		}
+		assertEmpty(t, queue)
+	})
+	t.Run("ofAJobThatHadNoneLeft", func(t *testing.T) {
+		queue := ccqueue.New()
+		push(queue, "a", 1, "a", 1)
+		popJobs(queue, 1)
+		queue.PushFront("a", 1, "a", 0)
+		assertItem(t, queue, ccqueue.Item{Job: "a", Index: 0})
+		assertEmpty(t, queue)
+	})
+}
+
+func TestDrop(t *testing.T) {
+	t.Run("leavesTheOthersInTurn", func(t *testing.T) {
+		queue := ccqueue.New()
+		push(queue, "a", 1, "first", 2)
+		push(queue, "a", 1, "second", 2)
+		push(queue, "a", 1, "third", 2)
+		queue.Drop("a", "second")
+		got := popJobs(queue, 4)
+		assertJobs(t, got[:2], "first", "third")
+		if countOf(got, "first") != 2 || countOf(got, "third") != 2 {
+			t.Errorf("the jobs are %v, want two of each that is left", got)
+		}
+		assertEmpty(t, queue)
+	})
+	t.Run("ofWhatIsNotThere", func(t *testing.T) {
+		queue := ccqueue.New()
+		push(queue, "a", 1, "first", 1)
+		queue.Drop("a", "second")
+		queue.Drop("b", "first")
+		assertJobs(t, popJobs(queue, 2), "first")
+	})
+	t.Run("ofTheLastEmptiesTheTeam", func(t *testing.T) {
+		queue := ccqueue.New()
+		push(queue, "a", 1, "first", 3)
+		queue.Drop("a", "first")
+		assertEmpty(t, queue)
+	})
+}
