Bound the targets that one entry uses

Cause: the setting subsetTargets was accepted and did nothing; at 4,200 workers each entry would hold a connection to each agent. Change: each agent is used by the same number of entries, those with the greatest hashes of agent and entry, and at least two; an entry connects to the others only to ask what a lost driver left there, for 10 s. A link that follows an agent to a new address no longer marks it down afterwards.

--- a/core/ccdispatch/dispatcher.go
+++ b/core/ccdispatch/dispatcher.go
@@ -56,6 +56,7 @@
 	settings *ccsettings.Effective
 	open     bool // Whether the entry may send tasks at all.
 	agents   map[ccnode.ID]*agent
+	guests   map[ccnode.ID]struct{}
 	ordered  []*agent // By ID, so that the same input gives the same actions.
 	services map[string]*service
 	jobs     map[ccjob.ID]*job
@@ -93,6 +94,7 @@
 		settings: &ccsettings.Effective{},
 		open:     true,
 		agents:   make(map[ccnode.ID]*agent),
+		guests:   make(map[ccnode.ID]struct{}),
 		services: make(map[string]*service),
 		jobs:     make(map[ccjob.ID]*job),
 		domainIn: make(map[string]time.Time),
--- a/core/ccdispatch/place.go
+++ b/core/ccdispatch/place.go
@@ -121,6 +121,9 @@
 
 func (d *Dispatcher) usable(now time.Time, a *agent) bool {
 	domain := d.settings.Domains[a.domain]
+	if d.Guest(a.ref.ID) {
+		return false
+	}
 	return a.up && !a.leaving && !a.silent(now) && !domain.Out &&
 		a.version <= d.settings.Version && !now.Before(a.heldTill)
 }
--- /dev/null
+++ b/core/ccroster/subset.go
@@ -0,0 +1,31 @@
+package ccroster
+
+import (
+	"camphorcroft/core/ccnode"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Uses reports whether an entry is one of the given number of entries that use
+// an agent: those with the greatest hashes of agent and entry. So each agent is
+// used by exactly that many entries, and an entry that joins or leaves moves only
+// its own share of the agents.
+func (r *Roster) Uses(entry, agent ccnode.ID, entries int) bool {
+	own := weighAgent(agent, entry)
+	known, above := false, 0
+	for i := range r.Entries {
+		other := r.Entries[i].Ref.ID
+		switch {
+		case r.Entries[i].Leaving:
+		case other == entry:
+			known = true
+		case weighAgent(agent, other) > own:
+			above++
+		}
+	}
+	return known && above < entries
+}
+
+func weighAgent(agent, entry ccnode.ID) uint64 {
+	return xxhash.Sum64String(string(agent) + "/" + string(entry))
+}
--- a/io/ccentry/claim_seek.go
+++ b/io/ccentry/claim_seek.go
@@ -31,7 +31,7 @@
 			p.finish(now, action.Outcome)
 		}
 	}
-	p.sendRecovers()
+	p.sendRecovers(now)
 }
 
 func (p *presence) sendClaim(action *ccclaim.SendClaim) {
--- a/io/ccentry/follow.go
+++ b/io/ccentry/follow.go
@@ -67,14 +67,14 @@
 	members := make(map[ccnode.ID]ccnode.Ref, len(record.Members))
 	for i := range record.Members {
 		members[record.Members[i].Node.ID] = record.Members[i].Node
-		e.connect(&record.Members[i])
 	}
 	for _, departure := range record.Departed {
 		if _, back := members[departure.Node.ID]; !back {
-			e.disconnect(departure.Node.ID)
+			e.disconnect(now, departure.Node.ID)
 		}
 		e.dispatcher.AgentGone(now, departure.Node)
 	}
+	e.chooseAgents(now)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/io/ccentry/links.go
+++ b/io/ccentry/links.go
@@ -31,6 +31,7 @@
 	addr   netip.AddrPort
 	queue  chan outgoing
 	cancel context.CancelFunc
+	asked  time.Time // When an agent outside the subset was last asked something.
 }
 
 // outgoing is one message for an agent. With a reply set it is a request.
@@ -42,30 +43,34 @@
 }
 
 // connect starts a link to an agent, or follows the agent to a new address.
-func (e *Entry) connect(member *ccwire.Member) {
+func (e *Entry) connect(now time.Time, member *ccwire.Member) *link {
 	if l, ok := e.links[member.Node.ID]; ok {
 		if l.addr == member.Addr {
 			l.node = member.Node
-			return
+			return l
 		}
-		l.cancel()
+		e.disconnect(now, member.Node.ID)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &link{entry: e, node: member.Node, addr: member.Addr, queue: make(chan outgoing, linkQueue), cancel: cancel}
 	e.links[member.Node.ID] = l
 	e.goBackground(func() { l.run(ctx) })
+	return l
 }
 
-func (e *Entry) disconnect(id ccnode.ID) {
+// disconnect ends a link. The dispatcher is told here, since the link's own word
+// could come after that of the link which takes its place.
+func (e *Entry) disconnect(now time.Time, id ccnode.ID) {
 	if l, ok := e.links[id]; ok {
 		l.cancel()
 		delete(e.links, id)
+		e.dispatcher.AgentDown(now, id)
 	}
 }
 
 func (e *Entry) closeLinks() {
 	for id := range e.links {
-		e.disconnect(id)
+		e.disconnect(time.Now(), id)
 	}
 }
 
@@ -108,7 +113,11 @@
 		}
 	})
 	l.pump(ctx, peer, hello.Session, closed)
-	l.entry.do(func(now time.Time) { l.entry.dispatcher.AgentDown(now, reply.Agent.ID) })
+	l.entry.do(func(now time.Time) {
+		if l.entry.links[reply.Agent.ID] == l {
+			l.entry.dispatcher.AgentDown(now, reply.Agent.ID)
+		}
+	})
 	return true
 }
 
@@ -145,8 +154,9 @@
 	default:
 		e.log.Info("Agent takes no messages; connecting again.", "agent", id)
 		member := ccwire.Member{Node: l.node, Addr: l.addr}
-		e.disconnect(id)
-		e.connect(&member)
+		now := time.Now()
+		e.disconnect(now, id)
+		e.connect(now, &member)
 	}
 }
 
--- a/io/ccentry/recover_agents.go
+++ b/io/ccentry/recover_agents.go
@@ -30,10 +30,11 @@
 }
 
 // sendRecovers asks the agents. An agent that doesn't answer is asked again.
-func (p *presence) sendRecovers() {
+func (p *presence) sendRecovers(now time.Time) {
 	for id, batch := range p.recovers {
 		delete(p.recovers, id)
 		batch.message.Cause = p.entry.cfg.Ring.Newest()
+		p.entry.visit(now, id)
 		p.entry.push(id, outgoing{reply: func(peer *ccrpc.Peer, ctx context.Context) {
 			ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 			defer cancel()
--- a/io/ccentry/settings.go
+++ b/io/ccentry/settings.go
@@ -31,6 +31,7 @@
 	e.version, e.versionSince = settings.Version, now
 	e.dispatcher.SetSettings(now, settings)
 	e.claims.configure(settings)
+	e.chooseAgents(now)
 	e.cfg.Ring.Record(now, ccevent.Event{Kind: ccevent.KindVersion, Index: ccevent.NoIndex, Count: int(settings.Version)})
 	e.log.Info("Settings are in force.", "version", settings.Version)
 	if e.cfg.SetLogLevel != nil {
--- a/io/ccfleet/fleet.go
+++ b/io/ccfleet/fleet.go
@@ -124,6 +124,9 @@
 // notReady says what is missing, or nothing.
 func (f *Fleet) notReady(ctx context.Context) string {
 	running := f.runningAgents()
+	if f.serviceSettings().SubsetTargets > 0 {
+		running = 1 // An entry's share of the agents is not told here.
+	}
 	for _, addr := range f.EntryAddrs() {
 		vars, err := readEntryVars(ctx, addr)
 		switch {
--- a/io/ccfleet/settings.go
+++ b/io/ccfleet/settings.go
@@ -35,10 +35,6 @@
 }
 
 func (f *Fleet) initialSettings() initial {
-	service := ccsettings.DefaultService()
-	if f.cfg.Service != nil {
-		f.cfg.Service(&service)
-	}
 	domains := make(map[string]ccsettings.Domain, len(f.cfg.Profile.Domains))
 	for _, name := range f.cfg.Profile.Domains {
 		domains[name] = ccsettings.DefaultDomain()
@@ -49,12 +45,20 @@
 	}
 	return initial{
 		Fleet:    fleet,
-		Services: map[string]ccsettings.Service{f.cfg.Profile.Service: service},
+		Services: map[string]ccsettings.Service{f.cfg.Profile.Service: f.serviceSettings()},
 		Domains:  domains,
 		Teams:    f.cfg.Teams,
 	}
 }
 
+func (f *Fleet) serviceSettings() ccsettings.Service {
+	service := ccsettings.DefaultService()
+	if f.cfg.Service != nil {
+		f.cfg.Service(&service)
+	}
+	return service
+}
+
 func (f *Fleet) writer() *settingsio.Writer {
 	return settingsio.NewWriter(settingsio.WriterConfig{Store: f.store, Log: f.cfg.Log})
 }
