Wait for the last progress report, and lock the error stream

Cause: the generator returned while its progress reporter could still write, and the load command's progress, faults and logs wrote to one stream unlocked; the race detector saw it in two of three runs of the new test. Change: the generator waits for its reporter; the command locks the stream.

--- a/io/cccli/load.go
+++ b/io/cccli/load.go
@@ -92,6 +92,8 @@
 }
 
 func (f *loadFlags) run(ctx context.Context, streams Streams) error {
+	// The progress, the faults and the logs come from goroutines of their own.
+	streams.Err = &lockedWriter{out: streams.Err}
 	cfg, err := f.experiment(streams)
 	if err != nil {
 		return err
--- a/io/cccli/output.go
+++ b/io/cccli/output.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/netip"
+	"sync"
 
 	"github.com/juju/errors"
 	"github.com/peterbourgon/ff/v4"
@@ -37,3 +39,16 @@
 	}
 	return addrs, nil
 }
+
+// lockedWriter lets several goroutines write to one writer.
+type lockedWriter struct {
+	mu  sync.Mutex
+	out io.Writer
+}
+
+// Write writes all bytes before those of another call.
+func (w *lockedWriter) Write(data []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.out.Write(data)
+}
--- a/io/ccgenerator/generator.go
+++ b/io/ccgenerator/generator.go
@@ -208,14 +208,16 @@
 	}
 }
 
-// startProgress reports until the returned function is called.
+// startProgress reports until the returned function is called, which waits for
+// the last report.
 func (g *Generator) startProgress(from time.Time) func() {
 	if g.cfg.Progress == nil {
 		return func() {}
 	}
 	done := make(chan struct{})
 	ticker := time.NewTicker(progressInterval)
-	go func() {
+	var reporter sync.WaitGroup
+	reporter.Go(func() {
 		defer ticker.Stop()
 		for {
 			select {
@@ -225,8 +227,11 @@
 				g.cfg.Progress(g.progress(now.Sub(from)))
 			}
 		}
-	}()
-	return func() { close(done) }
+	})
+	return func() {
+		close(done)
+		reporter.Wait()
+	}
 }
 
 func (g *Generator) progress(elapsed time.Duration) Progress {
