--- a/io/ccentry/fleet_test.go
+++ b/io/ccentry/fleet_test.go
@@ -269,3 +269,27 @@
 		t.Errorf("%d of %d submissions are complete", got, len(all))
 	}
 }
+
+// TestEntryKilledInOutage ends an entry while the store is away. It stays in the
+// roster, so the jobs of its slots, and those that it drove, fail at their
+// deadline; none may start twice, and what is refused must not have run.
+func TestEntryKilledInOutage(t *testing.T) {
+	fleet := newFleet(t)
+	addrs := fleet.EntryAddrs()
+	if err := fleet.SetStoreOutage(true); err != nil {
+		t.Fatal(err)
+	}
+	var specs []ccjob.Spec
+	for range 40 {
+		spec := newSpec(t, 2, 100*time.Millisecond)
+		spec.Deadline = 2 * time.Second
+		specs = append(specs, spec)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	first := submitAll(ctx, addrs[0], specs)
+	awaitStarts(t, fleet, 10)
+	apply(t, fleet, ccfault.Fault{Kind: ccfault.KindKillEntry, Number: 0})
+	cancel()
+	<-first
+	assertOnce(t, fleet, specs, <-submitAll(t.Context(), addrs[1], specs))
+}
