--- a/io/ccentry/subset_test.go
+++ b/io/ccentry/subset_test.go
@@ -50,8 +50,8 @@
 	awaitStarts(t, fleet, 20)
 	apply(t, fleet, ccfault.Fault{Kind: ccfault.KindKillEntry, Number: 0})
 	<-first
-	again := <-submitAll(t.Context(), addrs[2], specs[:15])
-	outcomes := append(again, <-other...)
+	outcomes := <-submitAll(t.Context(), addrs[2], specs[:15])
+	outcomes = append(outcomes, <-other...)
 	assertOnce(t, fleet, specs, outcomes)
 	if got := countComplete(outcomes); got != len(specs) {
 		t.Errorf("%d of %d jobs are complete: %+v", got, len(specs), outcomes)
