--- a/io/cccli/load.go
+++ b/io/cccli/load.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"fmt"
-	"os"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -183,102 +180,3 @@
 	}
 	return names, nil
 }
-
-func (f *loadFlags) plan(profile ccload.Profile) (*ccload.Plan, error) {
-	if *f.traceIn != "" {
-		file, err := os.Open(*f.traceIn)
-		if err != nil {
-			return nil, errors.Annotate(err, "read trace")
-		}
-		defer func() { _ = file.Close() }()
-		plan, err := ccload.ReadTrace(file)
-		return plan, errors.Trace(err)
-	}
-	cfg := ccload.PlanConfig{
-		Profile: profile, Load: *f.load, Duration: *f.duration, Seed: *f.seed, Shape: ccload.Shape(*f.shape),
-		Flood: ccload.Flood{Team: floodTeam, Load: *f.flood}, LeaveShare: *f.leave,
-	}
-	for _, text := range *f.bursts {
-		burst, err := parseBurst(text)
-		if err != nil {
-			return nil, err
-		}
-		cfg.Bursts = append(cfg.Bursts, burst)
-	}
-	for _, text := range *f.waves {
-		wave, err := parseWave(text)
-		if err != nil {
-			return nil, err
-		}
-		cfg.Waves = append(cfg.Waves, wave)
-	}
-	plan, err := ccload.NewPlan(cfg)
-	if err != nil {
-		return nil, &usageError{text: err.Error()}
-	}
-	return plan, nil
-}
-
-func (f *loadFlags) faultPlan(plan *ccload.Plan, profile ccload.Profile) ([]ccfault.Fault, error) {
-	if slices.Contains(ccfault.Names, *f.faults) {
-		faults, err := ccfault.Named(*f.faults, plan.Duration, profile.Domains[0])
-		return faults, errors.Trace(err)
-	}
-	data, err := os.ReadFile(*f.faults)
-	if err != nil {
-		return nil, &usageError{text: "--faults takes a file or one of " + strings.Join(ccfault.Names, ", ") + ": " + err.Error()}
-	}
-	faults, err := ccfault.Parse(data)
-	return faults, errors.Annotate(err, *f.faults)
-}
-
-func parseBurst(text string) (ccload.Burst, error) {
-	wrong := &usageError{text: "--burst takes AT,FOR,FACTOR such as 10s,2s,3, not " + text}
-	parts := strings.Split(text, ",")
-	if len(parts) != 3 {
-		return ccload.Burst{}, wrong
-	}
-	at, atErr := time.ParseDuration(parts[0])
-	length, lengthErr := time.ParseDuration(parts[1])
-	factor, factorErr := strconv.ParseFloat(parts[2], 64)
-	if atErr != nil || lengthErr != nil || factorErr != nil {
-		return ccload.Burst{}, wrong
-	}
-	return ccload.Burst{At: at, For: length, Factor: factor}, nil
-}
-
-func parseWave(text string) (ccload.Wave, error) {
-	wrong := &usageError{text: "--cancel takes AT,SHARE such as 10s,0.5, not " + text}
-	first, second, _ := strings.Cut(text, ",")
-	at, atErr := time.ParseDuration(first)
-	share, shareErr := strconv.ParseFloat(second, 64)
-	if atErr != nil || shareErr != nil {
-		return ccload.Wave{}, wrong
-	}
-	return ccload.Wave{At: at, Share: share}, nil
-}
-
-func writeTrace(path string, plan *ccload.Plan) error {
-	file, err := os.Create(path)
-	if err != nil {
-		return errors.Annotate(err, "write trace")
-	}
-	if err := plan.WriteTrace(file); err != nil {
-		_ = file.Close()
-		return errors.Trace(err)
-	}
-	return errors.Annotate(file.Close(), "write trace")
-}
-
-func writeProgress(streams Streams, name string, p ccgenerator.Progress) {
-	_, _ = fmt.Fprintf(streams.Err, "%s %4.0fs: %d of %d jobs submitted, %d in flight, %d complete, %d refused, %d failed\n",
-		name, p.Elapsed.Seconds(), p.Submitted, p.Planned, p.InFlight, p.Complete, p.Refused, p.Failed)
-}
-
-func writeFault(streams Streams, fault ccfault.Fault, err error) {
-	if err != nil {
-		_, _ = fmt.Fprintf(streams.Err, "%s failed: %v\n", fault, err)
-		return
-	}
-	_, _ = fmt.Fprintf(streams.Err, "%s\n", fault)
-}
--- a/io/ccgenerator/generator.go
+++ b/io/ccgenerator/generator.go
@@ -43,17 +43,6 @@
 	Progress func(Progress)
 }
 
-// Progress is how far a run is.
-type Progress struct {
-	Elapsed   time.Duration
-	Planned   int
-	Submitted int64
-	InFlight  int64
-	Complete  int64
-	Refused   int64
-	Failed    int64
-}
-
 // Run is a finished run.
 type Run struct {
 	From    time.Time // Planned times count from here.
@@ -196,52 +185,6 @@
 	return false
 }
 
-func (g *Generator) count(result *ccload.Result) {
-	g.ended.Add(1)
-	switch result.State {
-	case ccjob.StateComplete:
-		g.complete.Add(1)
-	case ccjob.StateRefused:
-		g.refused.Add(1)
-	default:
-		g.failed.Add(1)
-	}
-}
-
-// startProgress reports until the returned function is called, which waits for
-// the last report.
-func (g *Generator) startProgress(from time.Time) func() {
-	if g.cfg.Progress == nil {
-		return func() {}
-	}
-	done := make(chan struct{})
-	ticker := time.NewTicker(progressInterval)
-	var reporter sync.WaitGroup
-	reporter.Go(func() {
-		defer ticker.Stop()
-		for {
-			select {
-			case <-done:
-				return
-			case now := <-ticker.C:
-				g.cfg.Progress(g.progress(now.Sub(from)))
-			}
-		}
-	})
-	return func() {
-		close(done)
-		reporter.Wait()
-	}
-}
-
-func (g *Generator) progress(elapsed time.Duration) Progress {
-	ended, submitted := g.ended.Load(), g.submitted.Load()
-	return Progress{
-		Elapsed: elapsed, Planned: len(g.cfg.Plan.Arrivals), Submitted: submitted, InFlight: submitted - ended,
-		Complete: g.complete.Load(), Refused: g.refused.Load(), Failed: g.failed.Load(),
-	}
-}
-
 // sleepUntil reports whether the time came before the context ended.
 func sleepUntil(ctx context.Context, at time.Time) bool {
 	timer := time.NewTimer(time.Until(at))
