--- a/core/ccclaim/authority.go
+++ b/core/ccclaim/authority.go
@@ -14,7 +14,7 @@
 // # Usage
 //
 //	authority := ccclaim.NewAuthority(ccclaim.Config{...})
-//	for _, request := range authority.RosterChanged(now, roster, requester.Held()) {
+//	for _, request := range authority.RosterChanged(now, roster, requester.Held) {
 //		// Send request.Message to request.To; hand the reply to GatherAnswered.
 //	}
 //	reply := authority.Claim(now, message, leaseValidUntil)
@@ -80,9 +80,10 @@
 }
 
 // RosterChanged takes a newer roster and returns the messages by which the entry
-// learns of the slots that it gains. Driven are the claims that the entry itself
-// has taken up. An older roster changes nothing.
-func (a *Authority) RosterChanged(now time.Time, roster *ccroster.Roster, driven []ccwire.GatherClaim) []GatherRequest {
+// learns of the slots that it gains. Driven lists the claims that the entry itself
+// has taken up in given slots; nil is an entry that never drives. An older roster
+// changes nothing.
+func (a *Authority) RosterChanged(now time.Time, roster *ccroster.Roster, driven func(slots []int) []ccwire.GatherClaim) []GatherRequest {
 	if roster.Epoch <= a.roster.Epoch {
 		return nil
 	}
@@ -91,8 +92,8 @@
 	for i := range a.slots {
 		a.turnOver(now, i, followed)
 	}
-	for _, claim := range driven {
-		if s := &a.slots[ccroster.SlotOf(claim.JobID)]; s.owned && !s.ready {
+	if gained := a.unready(); driven != nil && len(gained) > 0 {
+		for _, claim := range driven(gained) {
 			a.merge(claim)
 		}
 	}
@@ -103,6 +104,17 @@
 	return a.requests()
 }
 
+// unready lists the slots that are this entry's and can't be granted in yet.
+func (a *Authority) unready() []int {
+	var slots []int
+	for i := range a.slots {
+		if a.slots[i].owned && !a.slots[i].ready {
+			slots = append(slots, i)
+		}
+	}
+	return slots
+}
+
 // turnOver moves one slot to the roster that was just set.
 func (a *Authority) turnOver(now time.Time, index int, followed bool) {
 	s := &a.slots[index]
--- a/core/ccclaim/authority_test.go
+++ b/core/ccclaim/authority_test.go
@@ -225,7 +225,7 @@
 		job := jobOf(roster, "a", start)
 		driven := ccwire.GatherClaim{JobID: job, Digest: 1, Claim: 7, Driver: ref("b"), Granted: start.UnixMilli()}
 		roster = roster.Without(ref("a")).With(entry("c"))
-		b.RosterChanged(start, roster.Without(ref("c")), []ccwire.GatherClaim{driven})
+		b.RosterChanged(start, roster.Without(ref("c")), func([]int) []ccwire.GatherClaim { return []ccwire.GatherClaim{driven} })
 		later := start.Add(time.Second)
 		b.Tick(later)
 		other := claimOf(b, "b", job)
--- a/core/ccclaim/requester.go
+++ b/core/ccclaim/requester.go
@@ -110,10 +110,20 @@
 	}
 }
 
-// Held lists the claims that were taken up, for authorities that gather.
-func (r *Requester) Held() []ccwire.GatherClaim {
-	claims := make([]ccwire.GatherClaim, 0, len(r.held))
+// Held lists the claims that were taken up in the slots, for authorities that
+// gather.
+func (r *Requester) Held(slots []int) []ccwire.GatherClaim {
+	var wanted [ccroster.Slots]bool
+	for _, slot := range slots {
+		if slot >= 0 && slot < ccroster.Slots {
+			wanted[slot] = true
+		}
+	}
+	var claims []ccwire.GatherClaim
 	for _, held := range r.held {
+		if !wanted[ccroster.SlotOf(held.id)] {
+			continue
+		}
 		claims = append(claims, ccwire.GatherClaim{
 			JobID: held.id, Digest: held.digest, Claim: held.claim, Driver: r.cfg.Self,
 			Granted: held.at.UnixMilli(), Released: held.released,
--- a/io/ccentry/claim_serve.go
+++ b/io/ccentry/claim_serve.go
@@ -20,7 +20,7 @@
 		serve(p, params, reply, p.serveClaim)
 	case ccwire.MethodGather:
 		serve(p, params, reply, func(_ time.Time, message ccwire.Gather) any {
-			return p.authority.Gather(message, p.requester.Held())
+			return p.authority.Gather(message, p.requester.Held(message.Slots))
 		})
 	case ccwire.MethodPulse:
 		serve(p, params, reply, func(now time.Time, message ccwire.Pulse) any { return p.rule.Pulse(now, message) })
--- a/io/ccentry/roster_member.go
+++ b/io/ccentry/roster_member.go
@@ -46,7 +46,7 @@
 	p.handover = nil
 	p.rule.RosterChanged(roster)
 	p.dropPeers()
-	p.gather(p.authority.RosterChanged(now, roster, p.requester.Held()))
+	p.gather(p.authority.RosterChanged(now, roster, p.requester.Held))
 	p.ask(now, nil)
 	p.entry.cfg.Ring.Record(now, ccevent.Event{Kind: ccevent.KindRoster, Index: ccevent.NoIndex, Count: len(roster.Entries), Peer: roster.By.ID})
 	p.entry.log.Info("Roster is in use.", "epoch", roster.Epoch, "entries", len(roster.Entries), "by", roster.By.String())
