--- a/core/ccfault/fault.go
+++ b/core/ccfault/fault.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	plan, err := ccfault.Parse(data)
-//	plan, err := ccfault.Named("domain", 20*time.Second)
+//	plan, err := ccfault.Named("domain", 20*time.Second, "north")
 package ccfault
 
 import (
