Count an entry's calls to the store by kind

An agent served its calls to the store and an entry did not, though entries make most of them. The counts are those of the store's client.

--- a/io/ccentry/vars.go
+++ b/io/ccentry/vars.go
@@ -8,6 +8,7 @@
 	"camphorcroft/core/ccdispatch"
 	"camphorcroft/core/ccjob"
 	"camphorcroft/io/ccmetric"
+	"camphorcroft/io/ccstore"
 )
 
 // varsState is what the control goroutine tells of itself.
@@ -51,6 +52,9 @@
 	set.Map("refusals")
 	set.Map("peerRequests")
 	set.Map("outcomes")
+	if store, counts := e.cfg.Store.(storeCounter); counts {
+		set.Func("storeCallsByKind", func() any { return store.Counts() })
+	}
 	set.Func("entry", func() any {
 		var state varsState
 		e.ask(func(now time.Time) { state = e.varsState(now) })
@@ -59,6 +63,11 @@
 	return set
 }
 
+// storeCounter is a store that counts the calls to it.
+type storeCounter interface {
+	Counts() ccstore.Counts
+}
+
 // countOutcome counts a job's end by its kind, or as complete.
 func (e *Entry) countOutcome(outcome *ccjob.Outcome) {
 	name := string(outcome.Kind)
--- a/io/ccfleet/events_test.go
+++ b/io/ccfleet/events_test.go
@@ -165,7 +165,7 @@
 }
 
 // byKind are the maps whose keys are kinds or codes.
-var byKind = []string{"refusals", "outcomes", "tasksBounced", "tasksFinished"}
+var byKind = []string{"refusals", "outcomes", "tasksBounced", "tasksFinished", "storeCallsByKind"}
 
 func assertNamed(t *testing.T, page string, value any) {
 	t.Helper()
