Enroll with one call to the store

Cause: a restarting agent read the leads, then its own cell's lead and record again; a failure domain of 700 agents would read 2,100 times in a second. Change: enrollment hands the lead that it saw to the cell. The scale command counts from the moment of the restart and makes an even number of changes.

--- a/core/cccell/follower.go
+++ b/core/cccell/follower.go
@@ -147,6 +147,13 @@
 	}
 }
 
+// Found takes the lead that was seen in the store just now, in place of the first
+// look.
+func (m *Machine) Found(now time.Time, lead LeadRecord) {
+	m.follow.lookAt = time.Time{}
+	m.followLead(now, lead)
+}
+
 // tookEffect reports whether a swap of the lead's key that was not answered did
 // take effect.
 func tookEffect(pending Stand, look Look, self ccnode.Ref) bool {
--- a/io/ccagent/cell.go
+++ b/io/ccagent/cell.go
@@ -31,31 +31,36 @@
 	own     *cellio.Runner
 	old     *cellio.Runner // A cell that is being given up, or nil.
 	oldEnds time.Time
-	watch   context.CancelFunc // Ends the watch of the settings. Nil while not leading.
-	told    chan struct{}      // Closed when the cell knows of the leave.
+	watch   context.CancelFunc        // Ends the watch of the settings. Nil while not leading.
+	leads   map[int]cccell.LeadRecord // As seen when the agent enrolled; used once.
+	told    chan struct{}             // Closed when the cell knows of the leave.
 }
 
 // enroll learns the settings from a lead or, without one, from the store, and
 // then joins the cell.
 func (a *Agent) enroll() {
 	for delay := enrollDelay; a.ctx.Err() == nil; delay = min(2*delay, maxEnrollDelay) {
-		if view, err := a.firstView(); err == nil {
-			a.post(func(now time.Time) { a.setView(now, view) })
+		if first, err := a.firstView(); err == nil {
+			a.post(func(now time.Time) {
+				a.cells.leads = first.Leads
+				a.setView(now, first.View)
+			})
 			return
 		}
 		a.sleep(delay/2 + rand.N(delay))
 	}
 }
 
-func (a *Agent) firstView() (*ccsettings.AgentView, error) {
+func (a *Agent) firstView() (cellio.Enrollment, error) {
 	ctx, cancel := context.WithTimeout(a.ctx, callTimeout)
 	defer cancel()
-	view, err := cellio.Enroll(ctx, a.cfg.Store, a.cfg.Node, a.stats.storeCalls)
+	enrolled, err := cellio.Enroll(ctx, a.cfg.Store, a.cfg.Node, a.stats.storeCalls)
 	if err == nil {
-		return view, nil
+		return enrolled, nil
 	}
 	a.log.V(1).Info("No lead gave the settings.", "reason", err.Error())
-	return a.readSettings(ctx)
+	view, err := a.readSettings(ctx)
+	return cellio.Enrollment{View: view}, err
 }
 
 // setView puts a settings version into force, unless a newer one is.
@@ -91,8 +96,13 @@
 		before.Close()
 	}
 	member := a.member(a.table.Leaving())
+	var lead *cccell.LeadRecord
+	if known, ok := a.cells.leads[cell]; ok {
+		lead = &known
+	}
+	a.cells.leads = nil
 	a.cells.own = cellio.NewRunner(cellio.Config{
-		Cell: cell, Self: member, View: view, Store: a.cfg.Store, Log: a.cfg.Log, Ring: a.ring,
+		Cell: cell, Self: member, View: view, Lead: lead, Store: a.cfg.Store, Log: a.cfg.Log, Ring: a.ring,
 		Context: a.ctx, Post: a.post, Go: a.goRun, OnView: a.setView,
 		BytesIn: a.stats.controlBytesIn, BytesOut: a.stats.controlBytesOut, StoreCalls: a.stats.storeCalls,
 	}, now)
--- a/io/cccell/enroll.go
+++ b/io/cccell/enroll.go
@@ -4,14 +4,19 @@
 	"context"
 	"encoding/json"
 	"expvar"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
 
 	"camphorcroft/core/cccell"
 	"camphorcroft/core/ccnode"
 	"camphorcroft/core/ccsettings"
 	"camphorcroft/core/ccwire"
 	"camphorcroft/io/ccrpc"
+	"camphorcroft/io/ccstore"
 )
 
 // enrollTries is how many leads a new agent asks before it gives up.
@@ -20,27 +25,47 @@
 // leadsPrefix is the prefix of all leads' keys.
 const leadsPrefix = "leads/"
 
+// Enrollment is what a new agent starts with.
+type Enrollment struct {
+	View *ccsettings.AgentView
+	// Leads are the leads that the store named, by cell. They may have ended since.
+	Leads map[int]cccell.LeadRecord
+}
+
 // Enroll gives a new agent the settings view of a lead, of any cell, so that it
-// learns how many cells there are. That costs one call to the store, however
-// many sections the settings have. The error is an *Error of KindNoLead when
-// there is no lead to ask.
-func Enroll(ctx context.Context, store Store, self ccnode.Ref, storeCalls *expvar.Int) (*ccsettings.AgentView, error) {
+// learns how many cells there are, and who leads its own. That costs one call to
+// the store, so that a failure domain that restarts costs one for each agent. The
+// error is an *Error of KindNoLead when there is no lead to ask.
+func Enroll(ctx context.Context, store Store, self ccnode.Ref, storeCalls *expvar.Int) (Enrollment, error) {
 	storeCalls.Add(1)
 	items, _, err := store.List(ctx, leadsPrefix)
 	if err != nil {
-		return nil, err
+		return Enrollment{}, err
 	}
-	rand.Shuffle(len(items), func(i, j int) { items[i], items[j] = items[j], items[i] })
-	for _, item := range items[:min(len(items), enrollTries)] {
-		var lead cccell.LeadRecord
-		if err := json.Unmarshal(item.Value, &lead); err != nil || lead.Node.ID == self.ID {
-			continue
+	leads := readLeads(items)
+	cells := slices.Collect(maps.Keys(leads))
+	rand.Shuffle(len(cells), func(i, j int) { cells[i], cells[j] = cells[j], cells[i] })
+	for _, cell := range cells[:min(len(cells), enrollTries)] {
+		if lead := leads[cell]; lead.Node.ID != self.ID {
+			if view := askView(ctx, lead.Addr, self); view != nil {
+				return Enrollment{View: view, Leads: leads}, nil
+			}
 		}
-		if view := askView(ctx, lead.Addr, self); view != nil {
-			return view, nil
+	}
+	return Enrollment{}, &Error{Op: "enroll", Kind: KindNoLead}
+}
+
+// readLeads leaves out what can't be read.
+func readLeads(items []ccstore.Item) map[int]cccell.LeadRecord {
+	leads := make(map[int]cccell.LeadRecord, len(items))
+	for _, item := range items {
+		var lead cccell.LeadRecord
+		cell, err := strconv.Atoi(strings.TrimPrefix(item.Key, leadsPrefix))
+		if err == nil && json.Unmarshal(item.Value, &lead) == nil {
+			leads[cell] = lead
 		}
 	}
-	return nil, &Error{Op: "enroll", Kind: KindNoLead}
+	return leads
 }
 
 // askView sends a heartbeat with version zero, which any lead answers with its
--- a/io/cccell/runner.go
+++ b/io/cccell/runner.go
@@ -54,9 +54,12 @@
 
 // Config says which cell a runner works for and what it works with.
 type Config struct {
-	Cell  int
-	Self  ccwire.Member
-	View  *ccsettings.AgentView // What the agent knows already. May be nil.
+	Cell int
+	Self ccwire.Member
+	View *ccsettings.AgentView // What the agent knows already. May be nil.
+	// Lead is who led the cell when the agent enrolled. Nil has the runner look at
+	// the store.
+	Lead  *cccell.LeadRecord
 	Store Store
 	Log   logr.Logger
 	Ring  *ccevent.Ring
@@ -97,6 +100,9 @@
 		Retention: ccsettings.DefaultFleet().Retention.Std(),
 	}, now)}
 	r.machine.SetView(cfg.View)
+	if cfg.Lead != nil && cfg.Lead.Node.ID != cfg.Self.Node.ID {
+		r.machine.Found(now, *cfg.Lead)
+	}
 	return r
 }
 
--- a/io/ccscale/run.go
+++ b/io/ccscale/run.go
@@ -15,6 +15,7 @@
 
 // Run starts a fleet, measures it, and ends it.
 func Run(ctx context.Context, cfg Config) (Result, error) {
+	cfg.Changes += cfg.Changes % 2 // Each takes the spare domain out or in, and the next round begins with it in.
 	result := Result{Agents: cfg.Agents, Entries: cfg.Entries, Cells: cfg.Cells}
 	before := memory()
 	fleet := ccfleet.New(ccfleet.Config{
@@ -129,6 +130,7 @@
 func measureRestart(ctx context.Context, cfg *Config, fleet *ccfleet.Fleet, result *Result) error {
 	count := cfg.Agents / restartPart
 	cfg.say("%d agents restart at once", count)
+	start, calls := time.Now(), fleet.StoreCounts()
 	for number := range count {
 		if err := fleet.KillAgent(number); err != nil {
 			return err
@@ -139,7 +141,6 @@
 			return err
 		}
 	}
-	start, calls := time.Now(), fleet.StoreCounts()
 	whole := make(chan time.Duration, 1)
 	go func() {
 		if fleet.WaitReady(ctx) == nil {
