--- a/core/ccagent/dispatch.go
+++ b/core/ccagent/dispatch.go
@@ -24,7 +24,7 @@
 	if !newest && !t.cfg.Guards.SkipSession {
 		return Result{Ignored: true}
 	}
-	t.saw(s, msg.Version)
+	t.noteVersion(s, msg.Version)
 	s.seen = max(s.seen, msg.Seq)
 	if s.want == 0 && msg.Want > 0 {
 		s.served = t.leastServed()
--- a/core/ccagent/hello.go
+++ b/core/ccagent/hello.go
@@ -23,7 +23,7 @@
 	}
 	known.reset()
 	known.entry, known.number, known.connected = msg.Entry, msg.Session, true
-	t.saw(known, msg.Version)
+	t.noteVersion(known, msg.Version)
 	return ccwire.HelloReply{
 		Agent: t.cfg.Self, Domain: t.cfg.Domain, Service: t.cfg.Service, Slots: t.Slots(),
 		Since: t.cfg.Since.UnixMilli(), Clock: t.Clock(now).Milliseconds(),
@@ -66,8 +66,8 @@
 	return false
 }
 
-// saw notes the settings version that an entry named.
-func (t *Table) saw(s *session, version uint64) {
+// noteVersion notes the settings version that an entry named.
+func (t *Table) noteVersion(s *session, version uint64) {
 	s.version = max(s.version, version)
 	t.newest = max(t.newest, version)
 }
--- a/io/ccfleet/fleet.go
+++ b/io/ccfleet/fleet.go
@@ -132,8 +132,8 @@
 		switch {
 		case err != nil:
 			return err.Error()
-		case vars.up() < running:
-			return fmt.Sprintf("entry at %s is connected to %d of %d agents", addr, vars.up(), running)
+		case vars.connectedAgents() < running:
+			return fmt.Sprintf("entry at %s is connected to %d of %d agents", addr, vars.connectedAgents(), running)
 		}
 		if err := checkReady(ctx, addr); err != nil {
 			return err.Error()
--- a/io/ccfleet/vars.go
+++ b/io/ccfleet/vars.go
@@ -33,8 +33,8 @@
 	} `json:"entry"`
 }
 
-// up is the number of agents that the entry is connected to.
-func (v *entryVars) up() int {
+// connectedAgents is the number of agents that the entry is connected to.
+func (v *entryVars) connectedAgents() int {
 	up := 0
 	for _, agent := range v.Entry.Agents {
 		if agent.Up {
--- a/io/ccstandin/target_http.go
+++ b/io/ccstandin/target_http.go
@@ -47,13 +47,13 @@
 		t.overruns++
 	}
 	if key != "" {
-		t.log(key)
+		t.recordStart(key)
 	}
 	return t.faults.Speed, t.faults.Failing, t.resumed
 }
 
-// log keeps the start, and forgets the oldest quarter at the bound.
-func (t *Target) log(key string) {
+// recordStart keeps the start, and forgets the oldest quarter at the bound.
+func (t *Target) recordStart(key string) {
 	if t.seen[key] > 0 {
 		t.doubles++
 	}
