Group imports as standard library, third party, own packages

Cause: some files had own packages before third-party ones, some after, and the formatter keeps whichever groups it finds. Change: the groups are moved and nothing else.

--- a/core/ccagent/walk_test.go
+++ b/core/ccagent/walk_test.go
@@ -8,12 +8,12 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"camphorcroft/core/ccjob"
 	"camphorcroft/core/ccnode"
 	"camphorcroft/core/ccsettings"
 	"camphorcroft/core/ccwire"
-
-	"pgregory.net/rapid"
 )
 
 // init fixes rapid's seed. The flag on the command line goes first.
--- a/core/cccell/cell.go
+++ b/core/cccell/cell.go
@@ -43,10 +43,10 @@
 	"net/netip"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"camphorcroft/core/ccnode"
 	"camphorcroft/core/ccwire"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // LeaseTTL is the time to live of a lead's lease.
--- a/core/cccell/fleet_test.go
+++ b/core/cccell/fleet_test.go
@@ -8,11 +8,11 @@
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/jsonrpc2"
+
 	"camphorcroft/core/ccnode"
 	"camphorcroft/core/ccsettings"
 	"camphorcroft/core/ccwire"
-
-	"github.com/sourcegraph/jsonrpc2"
 )
 
 const (
--- a/core/cccell/follower.go
+++ b/core/cccell/follower.go
@@ -6,10 +6,10 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"camphorcroft/core/ccnode"
 	"camphorcroft/core/ccwire"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // follower is the state of a member that doesn't lead.
--- a/core/ccclaim/authority_test.go
+++ b/core/ccclaim/authority_test.go
@@ -6,13 +6,13 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
+
 	"camphorcroft/core/ccclaim"
 	"camphorcroft/core/ccjob"
 	"camphorcroft/core/ccnode"
 	"camphorcroft/core/ccroster"
 	"camphorcroft/core/ccwire"
-
-	"github.com/google/uuid"
 )
 
 const (
--- a/core/ccconfig/config.go
+++ b/core/ccconfig/config.go
@@ -15,10 +15,10 @@
 	"io"
 	"net/netip"
 
-	"camphorcroft/core/ccnode"
-
 	"github.com/go-playground/validator/v10"
 	"go.yaml.in/yaml/v3"
+
+	"camphorcroft/core/ccnode"
 )
 
 // Config is the file of an entry or an agent.
--- a/core/ccload/report_test.go
+++ b/core/ccload/report_test.go
@@ -6,9 +6,9 @@
 	"testing"
 	"time"
 
-	"camphorcroft/core/ccjob"
-
 	"github.com/sebdah/goldie/v2"
+
+	"camphorcroft/core/ccjob"
 )
 
 var runStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/core/ccroster/slot.go
+++ b/core/ccroster/slot.go
@@ -3,9 +3,9 @@
 import (
 	"encoding/binary"
 
-	"camphorcroft/core/ccjob"
-
 	"github.com/cespare/xxhash/v2"
+
+	"camphorcroft/core/ccjob"
 )
 
 // Slots is how many parts the space of job IDs has.
--- a/core/ccroster/subset.go
+++ b/core/ccroster/subset.go
@@ -1,9 +1,9 @@
 package ccroster
 
 import (
-	"camphorcroft/core/ccnode"
-
 	"github.com/cespare/xxhash/v2"
+
+	"camphorcroft/core/ccnode"
 )
 
 // Uses reports whether an entry is one of the given number of entries that use
--- a/core/ccsettings/committee_test.go
+++ b/core/ccsettings/committee_test.go
@@ -6,9 +6,9 @@
 	"testing"
 	"time"
 
-	"camphorcroft/core/ccsettings"
-
 	"pgregory.net/rapid"
+
+	"camphorcroft/core/ccsettings"
 )
 
 // drawText draws a section over few keys, so that teams often disagree.
--- a/core/ccsettings/settings_test.go
+++ b/core/ccsettings/settings_test.go
@@ -7,9 +7,9 @@
 	"testing"
 	"time"
 
-	"camphorcroft/core/ccsettings"
-
 	"github.com/sebdah/goldie/v2"
+
+	"camphorcroft/core/ccsettings"
 )
 
 func parse(t *testing.T, name, text string) *ccsettings.Section {
--- a/io/ccagent/agent.go
+++ b/io/ccagent/agent.go
@@ -8,15 +8,15 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+
 	"camphorcroft/core/ccagent"
 	"camphorcroft/core/ccevent"
 	"camphorcroft/core/ccnode"
 	"camphorcroft/core/ccwire"
 	"camphorcroft/io/ccrpc"
 	settingsio "camphorcroft/io/ccsettings"
-
-	"github.com/go-logr/logr"
-	"github.com/juju/errors"
 )
 
 // Agent is one agent process, or one of several in a process.
--- a/io/ccagent/agent_test.go
+++ b/io/ccagent/agent_test.go
@@ -7,13 +7,13 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"camphorcroft/core/ccnode"
 	"camphorcroft/core/ccwire"
 	"camphorcroft/io/ccrpc"
 	"camphorcroft/io/ccstandin"
 	"camphorcroft/io/ccstore"
-
-	"github.com/go-logr/logr"
 )
 
 var loopback = netip.MustParseAddrPort("127.0.0.1:0")
--- a/io/ccagent/config.go
+++ b/io/ccagent/config.go
@@ -22,13 +22,13 @@
 	"net/netip"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"camphorcroft/core/ccagent"
 	"camphorcroft/core/ccevent"
 	"camphorcroft/core/ccnode"
 	"camphorcroft/core/ccsettings"
 	"camphorcroft/io/ccstore"
-
-	"github.com/go-logr/logr"
 )
 
 const (
--- a/io/ccagent/handler.go
+++ b/io/ccagent/handler.go
@@ -4,11 +4,11 @@
 	"encoding/json"
 	"time"
 
+	"github.com/juju/errors"
+
 	"camphorcroft/core/ccevent"
 	"camphorcroft/core/ccwire"
 	"camphorcroft/io/ccrpc"
-
-	"github.com/juju/errors"
 )
 
 // handler decodes messages in the connection's own goroutine and hands them to
--- a/io/ccagent/web.go
+++ b/io/ccagent/web.go
@@ -6,10 +6,10 @@
 	"net/http"
 	"time"
 
-	ioevent "camphorcroft/io/ccevent"
-
 	"github.com/gin-gonic/gin"
 	"github.com/juju/errors"
+
+	ioevent "camphorcroft/io/ccevent"
 )
 
 const headerTimeout = 5 * time.Second
--- a/io/cccell/runner.go
+++ b/io/cccell/runner.go
@@ -18,6 +18,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"camphorcroft/core/cccell"
 	"camphorcroft/core/ccevent"
 	"camphorcroft/core/ccnode"
@@ -25,8 +27,6 @@
 	"camphorcroft/core/ccwire"
 	"camphorcroft/io/ccrpc"
 	"camphorcroft/io/ccstore"
-
-	"github.com/go-logr/logr"
 )
 
 const (
--- a/io/cccli/agent.go
+++ b/io/cccli/agent.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 
+	"github.com/peterbourgon/ff/v4"
+	"go.uber.org/fx"
+
 	"camphorcroft/core/ccconfig"
 	"camphorcroft/core/ccevent"
 	"camphorcroft/core/ccnode"
@@ -10,9 +13,6 @@
 	"camphorcroft/io/ccagent"
 	"camphorcroft/io/cclog"
 	"camphorcroft/io/ccstore"
-
-	"github.com/peterbourgon/ff/v4"
-	"go.uber.org/fx"
 )
 
 // agentCommand runs an agent until it is interrupted, and then stops it
--- a/io/cccli/demo.go
+++ b/io/cccli/demo.go
@@ -4,11 +4,11 @@
 	"context"
 	"fmt"
 
-	"camphorcroft/io/ccdemo"
-	"camphorcroft/io/cclog"
-
 	"github.com/juju/errors"
 	"github.com/peterbourgon/ff/v4"
+
+	"camphorcroft/io/ccdemo"
+	"camphorcroft/io/cclog"
 )
 
 func demoCommand(streams Streams) *ff.Command {
--- a/io/cccli/domain.go
+++ b/io/cccli/domain.go
@@ -8,11 +8,11 @@
 	"strings"
 	"text/tabwriter"
 
-	"camphorcroft/core/ccsettings"
-	iosettings "camphorcroft/io/ccsettings"
-
 	"github.com/juju/errors"
 	"github.com/peterbourgon/ff/v4"
+
+	"camphorcroft/core/ccsettings"
+	iosettings "camphorcroft/io/ccsettings"
 )
 
 // domainCommand groups the operators' commands on failure domains.
--- a/io/cccli/events.go
+++ b/io/cccli/events.go
@@ -7,12 +7,12 @@
 	"os"
 	"slices"
 
+	"github.com/juju/errors"
+	"github.com/peterbourgon/ff/v4"
+
 	"camphorcroft/core/ccevent"
 	"camphorcroft/core/ccjob"
 	ioevent "camphorcroft/io/ccevent"
-
-	"github.com/juju/errors"
-	"github.com/peterbourgon/ff/v4"
 )
 
 // eventFlags say where a command reads events from.
--- a/io/cccli/explain.go
+++ b/io/cccli/explain.go
@@ -6,11 +6,11 @@
 	"net/netip"
 	"slices"
 
-	"camphorcroft/core/ccevent"
-	"camphorcroft/core/ccjob"
-
 	"github.com/juju/errors"
 	"github.com/peterbourgon/ff/v4"
+
+	"camphorcroft/core/ccevent"
+	"camphorcroft/core/ccjob"
 )
 
 // explainCommand groups the commands that say in words why something is so.
--- a/io/cccli/load.go
+++ b/io/cccli/load.go
@@ -6,6 +6,9 @@
 	"strings"
 	"time"
 
+	"github.com/juju/errors"
+	"github.com/peterbourgon/ff/v4"
+
 	"camphorcroft/core/ccevent"
 	"camphorcroft/core/ccfault"
 	"camphorcroft/core/ccload"
@@ -13,9 +16,6 @@
 	"camphorcroft/io/ccexperiment"
 	"camphorcroft/io/ccgenerator"
 	"camphorcroft/io/cclog"
-
-	"github.com/juju/errors"
-	"github.com/peterbourgon/ff/v4"
 )
 
 const (
--- a/io/cccli/load_output.go
+++ b/io/cccli/load_output.go
@@ -4,11 +4,11 @@
 	"fmt"
 	"os"
 
+	"github.com/juju/errors"
+
 	"camphorcroft/core/ccfault"
 	"camphorcroft/core/ccload"
 	"camphorcroft/io/ccgenerator"
-
-	"github.com/juju/errors"
 )
 
 func writeTrace(path string, plan *ccload.Plan) error {
--- a/io/cccli/load_plan.go
+++ b/io/cccli/load_plan.go
@@ -7,10 +7,10 @@
 	"strings"
 	"time"
 
+	"github.com/juju/errors"
+
 	"camphorcroft/core/ccfault"
 	"camphorcroft/core/ccload"
-
-	"github.com/juju/errors"
 )
 
 // plan reads the recorded trace, or plans the load that the flags ask for.
--- a/io/cccli/nodes.go
+++ b/io/cccli/nodes.go
@@ -6,11 +6,11 @@
 	"strings"
 	"time"
 
-	"camphorcroft/io/ccinventory"
-	"camphorcroft/io/ccstore"
-
 	"github.com/juju/errors"
 	"github.com/peterbourgon/ff/v4"
+
+	"camphorcroft/io/ccinventory"
+	"camphorcroft/io/ccstore"
 )
 
 // inventoryTimeout bounds the calls to the store that find the nodes.
--- a/io/cccli/settings.go
+++ b/io/cccli/settings.go
@@ -10,13 +10,13 @@
 	"strings"
 	"time"
 
-	"camphorcroft/core/ccsettings"
-	iosettings "camphorcroft/io/ccsettings"
-	"camphorcroft/io/ccstore"
-
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 	"github.com/peterbourgon/ff/v4"
+
+	"camphorcroft/core/ccsettings"
+	iosettings "camphorcroft/io/ccsettings"
+	"camphorcroft/io/ccstore"
 )
 
 const (
--- a/io/cccli/settings_check.go
+++ b/io/cccli/settings_check.go
@@ -6,11 +6,11 @@
 	"path/filepath"
 	"strings"
 
-	"camphorcroft/core/ccsettings"
-	iosettings "camphorcroft/io/ccsettings"
-
 	"github.com/juju/errors"
 	"github.com/peterbourgon/ff/v4"
+
+	"camphorcroft/core/ccsettings"
+	iosettings "camphorcroft/io/ccsettings"
 )
 
 // checkReport is the outcome of a check.
--- a/io/cccli/settings_explain.go
+++ b/io/cccli/settings_explain.go
@@ -5,11 +5,11 @@
 	"fmt"
 	"strings"
 
-	"camphorcroft/core/ccsettings"
-	iosettings "camphorcroft/io/ccsettings"
-
 	"github.com/juju/errors"
 	"github.com/peterbourgon/ff/v4"
+
+	"camphorcroft/core/ccsettings"
+	iosettings "camphorcroft/io/ccsettings"
 )
 
 func settingsExplainCommand(streams Streams) *ff.Command {
--- a/io/cccli/settings_history.go
+++ b/io/cccli/settings_history.go
@@ -6,10 +6,10 @@
 	"strings"
 	"time"
 
+	"github.com/peterbourgon/ff/v4"
+
 	"camphorcroft/core/ccsettings"
 	iosettings "camphorcroft/io/ccsettings"
-
-	"github.com/peterbourgon/ff/v4"
 )
 
 const defaultHistory = 20
--- a/io/cccli/settings_propose.go
+++ b/io/cccli/settings_propose.go
@@ -4,11 +4,11 @@
 	"context"
 	"fmt"
 
-	"camphorcroft/core/ccsettings"
-	iosettings "camphorcroft/io/ccsettings"
-
 	"github.com/juju/errors"
 	"github.com/peterbourgon/ff/v4"
+
+	"camphorcroft/core/ccsettings"
+	iosettings "camphorcroft/io/ccsettings"
 )
 
 // refusalReport is a change that was not accepted, or of which that isn't known.
--- a/io/cccli/settings_show.go
+++ b/io/cccli/settings_show.go
@@ -7,12 +7,12 @@
 	"slices"
 	"strings"
 
-	"camphorcroft/core/ccsettings"
-	iosettings "camphorcroft/io/ccsettings"
-
 	"github.com/juju/errors"
 	"github.com/peterbourgon/ff/v4"
 	"go.yaml.in/yaml/v3"
+
+	"camphorcroft/core/ccsettings"
+	iosettings "camphorcroft/io/ccsettings"
 )
 
 // showReport is the version in force.
--- a/io/cccli/settings_test.go
+++ b/io/cccli/settings_test.go
@@ -9,9 +9,9 @@
 	"strings"
 	"testing"
 
-	"camphorcroft/io/ccstandin"
-
 	"github.com/sebdah/goldie/v2"
+
+	"camphorcroft/io/ccstandin"
 )
 
 const exampleDir = "../../examples/settings/"
--- a/io/cccli/standin_store.go
+++ b/io/cccli/standin_store.go
@@ -5,9 +5,9 @@
 	"fmt"
 	"net/netip"
 
-	"camphorcroft/io/ccstandin"
-
 	"github.com/peterbourgon/ff/v4"
+
+	"camphorcroft/io/ccstandin"
 )
 
 // standinStoreCommand runs the store's stand-in until it is interrupted.
--- a/io/cccli/status.go
+++ b/io/cccli/status.go
@@ -7,10 +7,10 @@
 	"text/tabwriter"
 	"time"
 
-	"camphorcroft/io/ccinventory"
-
 	"github.com/juju/errors"
 	"github.com/peterbourgon/ff/v4"
+
+	"camphorcroft/io/ccinventory"
 )
 
 // statusReport is the fleet as its processes and the store tell of it.
--- a/io/cccli/submit.go
+++ b/io/cccli/submit.go
@@ -7,12 +7,12 @@
 	"strings"
 	"time"
 
-	"camphorcroft/core/ccjob"
-	"camphorcroft/io/ccclient"
-
 	"github.com/google/uuid"
 	"github.com/juju/errors"
 	"github.com/peterbourgon/ff/v4"
+
+	"camphorcroft/core/ccjob"
+	"camphorcroft/io/ccclient"
 )
 
 const (
--- a/io/cccli/timeline.go
+++ b/io/cccli/timeline.go
@@ -10,13 +10,13 @@
 	"strconv"
 	"time"
 
+	"github.com/juju/errors"
+	"github.com/peterbourgon/ff/v4"
+
 	"camphorcroft/core/ccevent"
 	"camphorcroft/core/ccjob"
 	"camphorcroft/core/ccnode"
 	ioevent "camphorcroft/io/ccevent"
-
-	"github.com/juju/errors"
-	"github.com/peterbourgon/ff/v4"
 )
 
 const (
--- a/io/ccdemo/demo.go
+++ b/io/ccdemo/demo.go
@@ -15,14 +15,14 @@
 	"io"
 	"time"
 
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+
 	"camphorcroft/core/ccfault"
 	"camphorcroft/core/ccload"
 	"camphorcroft/core/ccsettings"
 	"camphorcroft/io/ccfleet"
 	"camphorcroft/io/ccgenerator"
-
-	"github.com/go-logr/logr"
-	"github.com/juju/errors"
 )
 
 const (
--- a/io/ccdemo/report.go
+++ b/io/ccdemo/report.go
@@ -6,13 +6,13 @@
 	"io"
 	"text/tabwriter"
 
+	"github.com/juju/errors"
+
 	"camphorcroft/core/ccjob"
 	"camphorcroft/core/ccload"
 	"camphorcroft/core/ccsettings"
 	"camphorcroft/io/ccfleet"
 	"camphorcroft/io/ccgenerator"
-
-	"github.com/juju/errors"
 )
 
 // Check is one promise with the count of what broke it.
--- a/io/ccdemo/report_test.go
+++ b/io/ccdemo/report_test.go
@@ -5,12 +5,12 @@
 	"testing"
 	"time"
 
+	"github.com/sebdah/goldie/v2"
+
 	"camphorcroft/core/ccjob"
 	"camphorcroft/core/ccload"
 	"camphorcroft/core/ccsettings"
 	"camphorcroft/io/ccgenerator"
-
-	"github.com/sebdah/goldie/v2"
 )
 
 func TestReport(t *testing.T) {
--- a/io/ccdemo/twice.go
+++ b/io/ccdemo/twice.go
@@ -6,12 +6,12 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+
 	"camphorcroft/core/ccjob"
 	"camphorcroft/core/ccload"
 	"camphorcroft/io/ccclient"
-
-	"github.com/google/uuid"
-	"github.com/juju/errors"
 )
 
 // twice is what became of one job that was submitted at two entries at once,
--- a/io/ccentry/events_bench_test.go
+++ b/io/ccentry/events_bench_test.go
@@ -5,11 +5,11 @@
 	"net/http"
 	"testing"
 
+	"github.com/go-logr/logr"
+
 	"camphorcroft/core/ccevent"
 	"camphorcroft/core/ccnode"
 	"camphorcroft/io/ccentry"
-
-	"github.com/go-logr/logr"
 )
 
 // BenchmarkEvents counts task starts per second of processor time with the ring
--- a/io/ccexperiment/experiment.go
+++ b/io/ccexperiment/experiment.go
@@ -14,15 +14,15 @@
 	"net/netip"
 	"time"
 
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+
 	"camphorcroft/core/ccevent"
 	"camphorcroft/core/ccfault"
 	"camphorcroft/core/ccload"
 	"camphorcroft/core/ccsettings"
 	"camphorcroft/io/ccfleet"
 	"camphorcroft/io/ccgenerator"
-
-	"github.com/go-logr/logr"
-	"github.com/juju/errors"
 )
 
 // Config says what to run.
--- a/io/ccexperiment/experiment_test.go
+++ b/io/ccexperiment/experiment_test.go
@@ -5,12 +5,12 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"camphorcroft/core/ccfault"
 	"camphorcroft/core/ccload"
 	"camphorcroft/core/ccsettings"
 	"camphorcroft/io/ccgenerator"
-
-	"github.com/go-logr/logr"
 )
 
 func TestRun(t *testing.T) {
--- a/io/ccfleet/fleet.go
+++ b/io/ccfleet/fleet.go
@@ -22,12 +22,12 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"camphorcroft/core/ccevent"
 	"camphorcroft/core/ccload"
 	"camphorcroft/core/ccsettings"
 	"camphorcroft/io/ccstandin"
-
-	"github.com/go-logr/logr"
 )
 
 const (
--- a/io/ccfleet/fleet_test.go
+++ b/io/ccfleet/fleet_test.go
@@ -7,14 +7,14 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
+	"github.com/google/uuid"
+
 	"camphorcroft/core/ccevent"
 	"camphorcroft/core/ccfault"
 	"camphorcroft/core/ccjob"
 	"camphorcroft/core/ccload"
 	"camphorcroft/io/ccclient"
-
-	"github.com/go-logr/logr"
-	"github.com/google/uuid"
 )
 
 func newTestFleet(t *testing.T) *Fleet {
--- a/io/ccfleet/settings.go
+++ b/io/ccfleet/settings.go
@@ -4,10 +4,10 @@
 	"context"
 	"fmt"
 
+	"go.yaml.in/yaml/v3"
+
 	"camphorcroft/core/ccsettings"
 	settingsio "camphorcroft/io/ccsettings"
-
-	"go.yaml.in/yaml/v3"
 )
 
 // operator is who changes the settings, for the history.
--- a/io/ccgenerator/generator.go
+++ b/io/ccgenerator/generator.go
@@ -17,11 +17,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
+
 	"camphorcroft/core/ccjob"
 	"camphorcroft/core/ccload"
 	"camphorcroft/io/ccclient"
-
-	"github.com/google/uuid"
 )
 
 const (
--- a/io/ccinventory/status.go
+++ b/io/ccinventory/status.go
@@ -10,9 +10,9 @@
 	"sync"
 	"time"
 
-	"camphorcroft/core/ccnode"
-
 	"github.com/juju/errors"
+
+	"camphorcroft/core/ccnode"
 )
 
 const (
--- a/io/ccsettings/reader.go
+++ b/io/ccsettings/reader.go
@@ -5,10 +5,10 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"camphorcroft/core/ccsettings"
 	"camphorcroft/io/ccstore"
-
-	"github.com/go-logr/logr"
 )
 
 // defaultWait keeps a watch short, so that its end proves often that the store
--- a/io/ccsettings/reader_test.go
+++ b/io/ccsettings/reader_test.go
@@ -8,12 +8,12 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	core "camphorcroft/core/ccsettings"
 	"camphorcroft/io/ccsettings"
 	"camphorcroft/io/ccstandin"
 	"camphorcroft/io/ccstore"
-
-	"github.com/go-logr/logr"
 )
 
 // putVersion writes a version straight into the store.
--- a/io/ccsettings/writer.go
+++ b/io/ccsettings/writer.go
@@ -5,11 +5,11 @@
 	"encoding/json"
 	"time"
 
-	"camphorcroft/core/ccsettings"
-	"camphorcroft/io/ccstore"
-
 	"github.com/go-logr/logr"
 	"github.com/google/uuid"
+
+	"camphorcroft/core/ccsettings"
+	"camphorcroft/io/ccstore"
 )
 
 // editTries is how often an edit is made again after it lost to another change.
--- a/io/ccsettings/writer_test.go
+++ b/io/ccsettings/writer_test.go
@@ -10,12 +10,12 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	core "camphorcroft/core/ccsettings"
 	"camphorcroft/io/ccsettings"
 	"camphorcroft/io/ccstandin"
 	"camphorcroft/io/ccstore"
-
-	"github.com/go-logr/logr"
 )
 
 func newWriter(store ccsettings.WriterStore) *ccsettings.Writer {
--- a/io/ccstandin/store.go
+++ b/io/ccstandin/store.go
@@ -7,9 +7,9 @@
 	"sync"
 	"time"
 
-	"camphorcroft/io/ccstore"
-
 	"golang.org/x/time/rate"
+
+	"camphorcroft/io/ccstore"
 )
 
 const (
--- a/io/ccstandin/store_admit.go
+++ b/io/ccstandin/store_admit.go
@@ -5,9 +5,9 @@
 	"errors"
 	"time"
 
-	"camphorcroft/io/ccstore"
-
 	"golang.org/x/time/rate"
+
+	"camphorcroft/io/ccstore"
 )
 
 var (
--- a/io/ccstandin/store_http.go
+++ b/io/ccstandin/store_http.go
@@ -10,9 +10,9 @@
 	"strconv"
 	"time"
 
-	"camphorcroft/io/ccstore"
-
 	"github.com/gin-gonic/gin"
+
+	"camphorcroft/io/ccstore"
 )
 
 const (
