Let the job with the fewest waiting tasks go first in its team

Cause: jobs of a team took turns task by task, so under overload all large ones advanced together and many met their deadline half done. Change: within a team the job with the fewest tasks waiting goes first, between equals the one that came first. A test that held turns between jobs now holds the exact order of all four tasks, since turns are no longer the contract.

--- a/core/ccqueue/queue.go
+++ b/core/ccqueue/queue.go
@@ -1,8 +1,9 @@
 // Package ccqueue orders the tasks that wait at an entry.
 //
 // Teams take turns in proportion to their shares; a team with nothing waiting
-// lends its turns to the others. Within a team jobs take turns task by task, so
-// that a large job never keeps a small one waiting for long.
+// lends its turns to the others. Within a team the job with the fewest tasks
+// waiting goes first, so that a large job never keeps a small one waiting, and
+// large jobs end one after the other instead of all late.
 //
 // # Usage
 //
@@ -30,6 +31,7 @@
 	order  turnHeap[*team]
 	length int
 	jobs   int
+	came   uint64 // Numbers teams and jobs as they come.
 }
 
 // New returns an empty queue.
@@ -55,6 +57,7 @@
 func (q *Queue) Push(teamName string, share float64, jobID ccjob.ID, index int) {
 	j := q.job(teamName, share, jobID)
 	j.indexes = append(j.indexes, index)
+	heap.Fix(&j.team.order, j.place)
 	q.count(j.team, 1)
 }
 
@@ -62,6 +65,7 @@
 func (q *Queue) PushFront(teamName string, share float64, jobID ccjob.ID, index int) {
 	j := q.job(teamName, share, jobID)
 	j.indexes = append([]int{index}, j.indexes...)
+	heap.Fix(&j.team.order, j.place)
 	q.count(j.team, 1)
 }
 
@@ -76,7 +80,6 @@
 	j.indexes = j.indexes[1:]
 	q.count(t, -1)
 
-	j.turn++
 	t.turn += 1 / t.share
 	if len(j.indexes) == 0 {
 		heap.Pop(&t.order)
@@ -119,13 +122,18 @@
 	t.length += n
 }
 
+func (q *Queue) next() uint64 {
+	q.came++
+	return q.came
+}
+
 // job finds or makes the job's line. What is new starts at the turn of the
 // first in its line: it neither catches up on turns it did not need nor waits
 // for others to do so.
 func (q *Queue) job(teamName string, share float64, jobID ccjob.ID) *job {
 	t, ok := q.teams[teamName]
 	if !ok {
-		t = &team{name: teamName, jobs: make(map[ccjob.ID]*job)}
+		t = &team{name: teamName, came: q.next(), jobs: make(map[ccjob.ID]*job)}
 		if len(q.order) > 0 {
 			t.turn = q.order[0].turn
 		}
@@ -135,10 +143,7 @@
 	t.share = max(share, minShare)
 	j, ok := t.jobs[jobID]
 	if !ok {
-		j = &job{id: jobID, team: t}
-		if len(t.order) > 0 {
-			j.turn = t.order[0].turn
-		}
+		j = &job{id: jobID, team: t, came: q.next()}
 		t.jobs[jobID] = j
 		q.jobs++
 		heap.Push(&t.order, j)
--- a/core/ccqueue/queue_test.go
+++ b/core/ccqueue/queue_test.go
@@ -40,12 +40,31 @@
 			t.Errorf("the shares are %v, want 6 and 3", counts)
 		}
 	})
-	t.Run("jobsOfATeamTaskByTask", func(t *testing.T) {
+	t.Run("smallJobOfATeamFirst", func(t *testing.T) {
 		queue := ccqueue.New()
 		push(queue, "a", 1, "large", 9)
 		push(queue, "a", 1, "small", 1)
-		if at := slices.Index(popJobs(queue, 10), "small"); at > 1 {
-			t.Errorf("the small job has turn %d, want one of the first two", at)
+		if got := popJobs(queue, 1); got[0] != "small" {
+			t.Errorf("the first turn has the job %s, want the small one", got[0])
+		}
+	})
+	t.Run("jobThatIsNearestItsEndFirst", func(t *testing.T) {
+		queue := ccqueue.New()
+		push(queue, "a", 1, "first", 4)
+		popJobs(queue, 2)
+		push(queue, "a", 1, "second", 3)
+		got := popJobs(queue, 5)
+		if want := []ccjob.ID{"first", "first", "second", "second", "second"}; !slices.Equal(got, want) {
+			t.Errorf("the turns are %v, want %v", got, want)
+		}
+	})
+	t.Run("whatComesBackGoesFirstAgain", func(t *testing.T) {
+		queue := ccqueue.New()
+		push(queue, "a", 1, "j", 3)
+		item, _ := queue.Pop()
+		queue.PushFront("a", 1, "j", item.Index)
+		if again, _ := queue.Pop(); again != item {
+			t.Errorf("the next turn has %v, want %v", again, item)
 		}
 	})
 }
--- a/core/ccqueue/return_test.go
+++ b/core/ccqueue/return_test.go
@@ -84,17 +84,13 @@
 }
 
 func TestDrop(t *testing.T) {
-	t.Run("leavesTheOthersInTurn", func(t *testing.T) {
+	t.Run("leavesTheOthersInOrder", func(t *testing.T) {
 		queue := ccqueue.New()
 		push(queue, "a", 1, "first", 2)
 		push(queue, "a", 1, "second", 2)
 		push(queue, "a", 1, "third", 2)
 		queue.Drop("a", "second")
-		got := popJobs(queue, 4)
-		assertJobs(t, got[:2], "first", "third")
-		if countOf(got, "first") != 2 || countOf(got, "third") != 2 {
-			t.Errorf("the jobs are %v, want two of each that is left", got)
-		}
+		assertJobs(t, popJobs(queue, 4), "first", "first", "third", "third")
 		assertEmpty(t, queue)
 	})
 	t.Run("ofWhatIsNotThere", func(t *testing.T) {
--- a/core/ccqueue/turn.go
+++ b/core/ccqueue/turn.go
@@ -10,6 +10,7 @@
 	name   string
 	share  float64
 	turn   float64 // Grows by 1/share with each task taken.
+	came   uint64
 	length int
 	jobs   map[ccjob.ID]*job
 	order  turnHeap[*job]
@@ -20,14 +21,16 @@
 type job struct {
 	id      ccjob.ID
 	team    *team
-	turn    float64 // Grows by 1 with each task taken.
+	came    uint64
 	indexes []int
 	place   int
 }
 
 func (t *team) at() float64    { return t.turn }
+func (t *team) since() uint64  { return t.came }
+func (j *job) since() uint64   { return j.came }
 func (t *team) setPlace(i int) { t.place = i }
-func (j *job) at() float64     { return j.turn }
+func (j *job) at() float64     { return float64(len(j.indexes)) }
 func (j *job) setPlace(i int)  { j.place = i }
 func (h turnHeap[T]) Len() int { return len(h) }
 func (h *turnHeap[T]) Push(x any) {
@@ -42,6 +45,7 @@
 // turner is what a turnHeap orders.
 type turner interface {
 	at() float64
+	since() uint64 // Decides between equals: who came first.
 	setPlace(i int)
 }
 
@@ -49,7 +53,12 @@
 type turnHeap[T turner] []T
 
 // Less orders by turn.
-func (h turnHeap[T]) Less(i, j int) bool { return h[i].at() < h[j].at() }
+func (h turnHeap[T]) Less(i, j int) bool {
+	if h[i].at() != h[j].at() {
+		return h[i].at() < h[j].at()
+	}
+	return h[i].since() < h[j].since()
+}
 
 // Swap exchanges two and tells them their places.
 func (h turnHeap[T]) Swap(i, j int) {
