Take a refused connection for a death only where the entry was heard

A wrong address in an entry's file made its peers take it for dead and remove it while its lease held, so two entries could grant in one slot. A refusal now proves a death only at an address where that life was heard before, or once its lease has ended; a test of the rule holds both.

--- a/core/ccoutage/membership.go
+++ b/core/ccoutage/membership.go
@@ -74,6 +74,7 @@
 	if view.Roster == nil {
 		return m.found(view)
 	}
+	m.rule.lapsed(view.Live)
 	member, is := view.Roster.Find(m.self.Ref)
 	switch {
 	case !is && m.joined:
--- a/core/ccoutage/rule.go
+++ b/core/ccoutage/rule.go
@@ -21,6 +21,7 @@
 	withheld   map[ccnode.Ref]uint64    // Lives to be removed, with the epoch of the wish.
 	applied    map[ccnode.Ref]uint64    // The newest epoch that each member has told of.
 	dead       map[ccnode.Ref]struct{}  // Members whose process has ended.
+	refused    map[ccnode.Ref]struct{}  // Members never heard, whose hosts refuse connections.
 }
 
 // NewRule returns a rule that has seen nothing and lets the entry do nothing.
@@ -32,6 +33,7 @@
 		withheld: map[ccnode.Ref]uint64{},
 		applied:  map[ccnode.Ref]uint64{},
 		dead:     map[ccnode.Ref]struct{}{},
+		refused:  map[ccnode.Ref]struct{}{},
 	}
 }
 
@@ -69,6 +71,7 @@
 	}
 	forgetStrangers(r.applied, roster)
 	forgetStrangers(r.dead, roster)
+	forgetStrangers(r.refused, roster)
 	r.Heard(r.cfg.Self, roster.Epoch)
 }
 
@@ -90,14 +93,30 @@
 	}
 	if r.roster.Has(ref) {
 		r.applied[ref] = max(r.applied[ref], epoch)
+		delete(r.refused, ref)
 	}
 }
 
-// Dead notes that a member's process has ended: its host refuses connections at
-// its address.
-func (r *Rule) Dead(ref ccnode.Ref) {
-	if r.roster.Has(ref) {
+// Refused notes that a member's host refuses connections at its address. That
+// proves that its process has ended if it was heard there before. Otherwise the
+// address may be wrong, so it counts only once the member's lease has ended too.
+func (r *Rule) Refused(ref ccnode.Ref) {
+	switch {
+	case !r.roster.Has(ref):
+	case r.applied[ref] > 0:
 		r.dead[ref] = struct{}{}
+	default:
+		r.refused[ref] = struct{}{}
+	}
+}
+
+// lapsed notes which members' keys are there, and that those which are not and
+// whose hosts refuse connections are dead.
+func (r *Rule) lapsed(live map[ccnode.ID]ccnode.Ref) {
+	for ref := range r.refused {
+		if live[ref.ID] != ref {
+			r.dead[ref] = struct{}{}
+		}
 	}
 }
 
--- a/core/ccoutage/rule_test.go
+++ b/core/ccoutage/rule_test.go
@@ -131,13 +131,28 @@
 	t.Run("a dead target needs no wait", func(t *testing.T) {
 		f := newFleet("a", "b", "c")
 		removal := f.removal(later)
-		f["b"].Dead(ref("a"))
+		f["b"].Refused(ref("a"))
 		assertMay(t, removal, later, true)
 	})
+	t.Run("a refusal by somebody never heard counts once its lease has ended", func(t *testing.T) {
+		roster := ccroster.Genesis(ccroster.Member{Ref: ref("a")}).With(ccroster.Member{Ref: ref("b")})
+		rule := ccoutage.NewRule(ccoutage.Config{Self: ref("b"), SightLife: time.Second, ConsentLife: time.Second})
+		membership := ccoutage.NewMembership(rule, ccroster.Member{Ref: ref("b")})
+		rule.RosterChanged(roster)
+		rule.Refused(ref("a"))
+		view := ccoutage.View{Roster: roster, Holds: true, Live: map[ccnode.ID]ccnode.Ref{"a": ref("a"), "b": ref("b")}}
+		if decision := membership.Looked(later, view); decision.Swap != nil {
+			t.Error("removes an entry whose lease holds")
+		}
+		delete(view.Live, "a")
+		if decision := membership.Looked(later, view); decision.Swap == nil || decision.Swap.Has(ref("a")) {
+			t.Errorf("keeps a dead entry: %+v", decision)
+		}
+	})
 	t.Run("the dead deny", func(t *testing.T) {
 		f := newFleet("a", "b", "c")
 		removal := f.removal(later)
-		f["b"].Dead(ref("c"))
+		f["b"].Refused(ref("c"))
 		assertMay(t, removal, later, false)
 		assertMay(t, removal, after, true)
 	})
--- a/io/ccentry/outage_pulse.go
+++ b/io/ccentry/outage_pulse.go
@@ -44,11 +44,10 @@
 	}
 }
 
-// unreachable judges a call that failed. A host that refuses connections at a
-// member's address has no such process any more.
+// unreachable judges a call that failed.
 func (p *presence) unreachable(to ccroster.Member, err error) {
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		p.rule.Dead(to.Ref)
+		p.rule.Refused(to.Ref)
 		p.order(storeOrder{})
 	}
 }
