Judge a promise by the time at which it was given

Change: where only one of two submissions was promised that the job has not run, no start may come before that answer; where both were, none at all.

--- a/core/ccload/report_test.go
+++ b/core/ccload/report_test.go
@@ -55,6 +55,22 @@
 		}
 		golden.Assert(t, "report", data)
 	})
+	t.Run("promiseOfOneSubmissionHoldsUntilItWasMade", func(t *testing.T) {
+		for name, c := range map[string]struct {
+			start time.Duration
+			want  int
+		}{"startedBefore": {-ms, 1}, "startedAfter": {ms, 0}} {
+			summary := NewSummary(SummaryConfig{
+				Plan:    &Plan{Duration: time.Second, Arrivals: []Arrival{{Tasks: []time.Duration{ms}}}},
+				Profile: Profile{Targets: twoTargets},
+			})
+			summary.Add(Result{JobID: "j", Answered: true, State: ccjob.StateRefused, NotRunUntil: runStart})
+			got := summary.Report(Observed{From: runStart, Starts: []Start{{JobID: "j", At: runStart.Add(c.start)}}})
+			if got.FalseNotRun != c.want {
+				t.Errorf("%s: %d promises are false, want %d", name, got.FalseNotRun, c.want)
+			}
+		}
+	})
 	t.Run("whatIsOutDoesNotCount", func(t *testing.T) {
 		profile := Profile{Targets: twoTargets}
 		plan := &Plan{Duration: time.Second, Arrivals: []Arrival{{Tasks: []time.Duration{500 * ms}}}}
--- a/core/ccload/result.go
+++ b/core/ccload/result.go
@@ -23,8 +23,12 @@
 	Left  bool
 	State ccjob.State
 	Kind  ccjob.Kind
-	// NotRun is the promise that came with the answer.
+	// NotRun says that each submission of the job was answered with the promise
+	// that it has not run, so that it never may.
 	NotRun bool
+	// NotRunUntil is when the last such promise came, if another submission may
+	// have led to a later run. It is zero when there was none.
+	NotRunUntil time.Time
 	// Wrong is an answer that is not whole, not in order, or another job's.
 	Wrong bool
 }
--- a/core/ccload/summary.go
+++ b/core/ccload/summary.go
@@ -211,14 +211,16 @@
 		return
 	}
 	starts := make(map[taskKey]int)
-	jobs := make(map[ccjob.ID]bool)
+	first := make(map[ccjob.ID]time.Time) // The first start of each job.
 	for _, start := range observed.Starts {
 		if _, known := s.answers[start.JobID]; !known {
 			report.Unknown++
 			continue
 		}
 		starts[taskKey{start.JobID, start.Index}]++
-		jobs[start.JobID] = true
+		if at, ok := first[start.JobID]; !ok || start.At.Before(at) {
+			first[start.JobID] = start.At
+		}
 		report.Starts++
 	}
 	for _, count := range starts {
@@ -227,7 +229,7 @@
 		}
 	}
 	for id, result := range s.answers {
-		if result.NotRun && jobs[id] {
+		if at, ran := first[id]; ran && (result.NotRun || at.Before(result.NotRunUntil)) {
 			report.FalseNotRun++
 		}
 		if result.State == ccjob.StateComplete {
--- a/io/ccgenerator/generator.go
+++ b/io/ccgenerator/generator.go
@@ -132,30 +132,49 @@
 		Wrong:    isWrong(arrival, spec.ID, &outcome),
 	}
 	if second, ok := <-again; ok {
-		result.Wrong = result.Wrong || isWrong(arrival, spec.ID, &second)
-		result.NotRun = result.NotRun || second.NotRun
+		addSecond(arrival, &result, now, &second)
 	}
 	return result
 }
 
-// resubmit submits the job a second time, if the plan says so, and sends the
-// outcome, if there is one.
-func (g *Generator) resubmit(ctx context.Context, arrival *ccload.Arrival, spec *ccjob.Spec) <-chan ccjob.Outcome {
-	outcomes := make(chan ccjob.Outcome, 1)
+// answer is the end of one submission. The outcome is empty when there was none.
+type answer struct {
+	at      time.Time
+	outcome ccjob.Outcome
+}
+
+// addSecond takes what a second submission of the job was told.
+func addSecond(arrival *ccload.Arrival, result *ccload.Result, first time.Time, second *answer) {
+	result.Wrong = result.Wrong || isWrong(arrival, result.JobID, &second.outcome)
+	switch {
+	case result.NotRun && !second.outcome.NotRun:
+		result.NotRunUntil = first
+	case second.outcome.NotRun && !result.NotRun:
+		result.NotRunUntil = second.at
+	}
+	result.NotRun = result.NotRun && second.outcome.NotRun
+}
+
+// resubmit submits the job a second time, if the plan says so, and sends what it
+// was told.
+func (g *Generator) resubmit(ctx context.Context, arrival *ccload.Arrival, spec *ccjob.Spec) <-chan answer {
+	answers := make(chan answer, 1)
 	if arrival.ResubmitAfter == 0 {
-		close(outcomes)
-		return outcomes
+		close(answers)
+		return answers
 	}
 	go func() {
-		defer close(outcomes)
+		defer close(answers)
 		if !sleepUntil(ctx, time.Now().Add(arrival.ResubmitAfter)) {
 			return
 		}
-		if outcome, err := g.client.Submit(ctx, spec); err == nil {
-			outcomes <- outcome
+		outcome, err := g.client.Submit(ctx, spec)
+		if err != nil {
+			outcome = ccjob.Outcome{JobID: spec.ID}
 		}
+		answers <- answer{at: time.Now(), outcome: outcome}
 	}()
-	return outcomes
+	return answers
 }
 
 // cancel asks every entry, since the client doesn't know which one drives the
--- a/io/ccgenerator/generator_test.go
+++ b/io/ccgenerator/generator_test.go
@@ -119,3 +119,27 @@
 		}
 	})
 }
+
+func TestAddSecond(t *testing.T) {
+	first := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	later := first.Add(time.Second)
+	for name, c := range map[string]struct {
+		first, second bool // Whether the submission was answered as not run.
+		wantNotRun    bool
+		wantUntil     time.Time
+	}{
+		"bothPromise":       {true, true, true, time.Time{}},
+		"theFirstPromises":  {true, false, false, first},
+		"theSecondPromises": {false, true, false, later},
+		"nonePromises":      {false, false, false, time.Time{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			result := ccload.Result{JobID: "j", NotRun: c.first}
+			second := answer{at: later, outcome: ccjob.Outcome{JobID: "j", State: ccjob.StateRefused, NotRun: c.second}}
+			addSecond(&ccload.Arrival{}, &result, first, &second)
+			if result.NotRun != c.wantNotRun || !result.NotRunUntil.Equal(c.wantUntil) || result.Wrong {
+				t.Errorf("the result is %+v, want notRun %t until %s", result, c.wantNotRun, c.wantUntil)
+			}
+		})
+	}
+}
