Group the imports of the last fleet test like the others

Cause: io/ccfleet/events_test.go was being edited while the groups were moved. Change: its import groups are moved and nothing else. Conclusion: vet, linter and go test -race ./io/ccfleet pass.

--- a/io/ccfleet/events_test.go
+++ b/io/ccfleet/events_test.go
@@ -10,14 +10,14 @@
 	"strings"
 	"testing"
 
+	"github.com/go-logr/logr"
+
 	"camphorcroft/core/ccevent"
 	"camphorcroft/core/ccfault"
 	"camphorcroft/core/ccjob"
 	"camphorcroft/core/ccload"
 	"camphorcroft/core/ccnode"
 	ioevent "camphorcroft/io/ccevent"
-
-	"github.com/go-logr/logr"
 )
 
 func newEventsFleet(t *testing.T) *Fleet {
