Let a team's turn outlast its last waiting task

Cause: a team that never has more than one task waiting started anew at the first team's turn each time, and took half of the turns with a tenth of the share. Change: the queue remembers the turn that it has come to, and the turns of teams that took tasks ahead of it, at most 1,024 of them.

--- a/core/ccqueue/queue.go
+++ b/core/ccqueue/queue.go
@@ -14,6 +14,7 @@
 
 import (
 	"container/heap"
+	"maps"
 
 	"camphorcroft/core/ccjob"
 )
@@ -31,12 +32,20 @@
 	order  turnHeap[*team]
 	length int
 	jobs   int
-	came   uint64 // Numbers teams and jobs as they come.
+	came   uint64  // Numbers teams and jobs as they come.
+	turn   float64 // Of the last task taken; it never goes back.
+	// ahead has the turns of teams with nothing waiting that took tasks ahead of
+	// the others.
+	ahead map[string]float64
 }
 
+// maxAhead is how many such teams are kept before those whose turn has passed
+// are dropped.
+const maxAhead = 1024
+
 // New returns an empty queue.
 func New() *Queue {
-	return &Queue{teams: make(map[string]*team)}
+	return &Queue{teams: make(map[string]*team), ahead: make(map[string]float64)}
 }
 
 // Len returns how many tasks wait.
@@ -80,6 +89,7 @@
 	j.indexes = j.indexes[1:]
 	q.count(t, -1)
 
+	q.turn = max(q.turn, t.turn)
 	t.turn += 1 / t.share
 	if len(j.indexes) == 0 {
 		heap.Pop(&t.order)
@@ -90,7 +100,7 @@
 	}
 	if t.length == 0 {
 		heap.Pop(&q.order)
-		delete(q.teams, t.name)
+		q.forget(t)
 	} else {
 		heap.Fix(&q.order, 0)
 	}
@@ -113,7 +123,22 @@
 	q.jobs--
 	if t.length == 0 {
 		heap.Remove(&q.order, t.place)
-		delete(q.teams, teamName)
+		q.forget(t)
+	}
+}
+
+// forget drops a team with nothing waiting. Its turn is kept while it is ahead,
+// so that a team whose tasks come one by one takes no more than its share.
+func (q *Queue) forget(t *team) {
+	delete(q.teams, t.name)
+	if t.turn <= q.turn {
+		return
+	}
+	if len(q.ahead) >= maxAhead {
+		maps.DeleteFunc(q.ahead, func(_ string, turn float64) bool { return turn <= q.turn })
+	}
+	if len(q.ahead) < maxAhead {
+		q.ahead[t.name] = t.turn
 	}
 }
 
@@ -127,16 +152,15 @@
 	return q.came
 }
 
-// job finds or makes the job's line. What is new starts at the turn of the
-// first in its line: it neither catches up on turns it did not need nor waits
-// for others to do so.
+// job finds or makes the job's line. A team that is new or comes back starts at
+// the turn that the queue has come to: it doesn't catch up on turns that it did
+// not need. What it took ahead of the others before still counts.
 func (q *Queue) job(teamName string, share float64, jobID ccjob.ID) *job {
 	t, ok := q.teams[teamName]
 	if !ok {
 		t = &team{name: teamName, came: q.next(), jobs: make(map[ccjob.ID]*job)}
-		if len(q.order) > 0 {
-			t.turn = q.order[0].turn
-		}
+		t.turn = max(q.turn, q.ahead[teamName])
+		delete(q.ahead, teamName)
 		q.teams[teamName] = t
 		heap.Push(&q.order, t)
 	}
