Give the demo's tasks run times that fit their deadline

The one that was looked into had a longest task of 3.4 s, which takes 6.8 s at the slowest target, past its deadline of 4.2 s. Change: the demo's longest tasks are of 1.5 s; a failed job is printed with its deadline and longest task. The check is as it was.

--- a/io/ccdemo/demo.go
+++ b/io/ccdemo/demo.go
@@ -31,6 +31,9 @@
 	load        = 0.5
 	duration    = 10 * time.Second
 	deadline    = 4 * time.Second
+	// longestRun keeps a task within the deadline at the slowest target, which is
+	// half as fast as the nominal one.
+	longestRun = 1500 * time.Millisecond
 	// outBound is how long after a domain is taken out a task may still start in
 	// it.
 	outBound = 3 * time.Second
@@ -71,6 +74,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	profile.RunTimes.TailMost = longestRun
 	fleet := ccfleet.New(ccfleet.Config{Profile: profile, Entries: entryCount, Seed: cfg.Seed, Log: cfg.Log})
 	return &Demo{cfg: cfg, profile: profile, fleet: fleet}, nil
 }
--- a/io/ccdemo/report.go
+++ b/io/ccdemo/report.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"text/tabwriter"
 
 	"github.com/juju/errors"
@@ -106,7 +107,9 @@
 		atEntry := begin.Before(d.moments.entryKilled) && begin.Add(result.Response).After(d.moments.entryKilled)
 		if result.State == ccjob.StateFailed && !atAgent[result.JobID] && !atEntry {
 			count++
-			d.say("Job %s failed: %s.", result.JobID, result.Kind)
+			arrival := &plan.Arrivals[result.Number]
+			d.say("Job %s of %s, deadline %s, longest task %s, failed after %s: %s.", result.JobID, arrival.At,
+				arrival.Deadline, slices.Max(arrival.Tasks), result.Response, result.Kind)
 		}
 	}
 	return count
--- a/io/ccdemo/report_test.go
+++ b/io/ccdemo/report_test.go
@@ -41,7 +41,7 @@
 	}
 	demo.moments = moments{entryKilled: from.Add(5 * time.Second), agentKilled: from.Add(8 * time.Second)}
 	count := func(at, response time.Duration, target int) int {
-		plan := &ccload.Plan{Arrivals: []ccload.Arrival{{At: at}}}
+		plan := &ccload.Plan{Arrivals: []ccload.Arrival{{At: at, Tasks: []time.Duration{time.Second}}}}
 		run := ccgenerator.Run{From: from, Results: []ccload.Result{{JobID: "j", State: ccjob.StateFailed, Response: response}}}
 		return demo.unexplained(plan, run, []ccload.Start{{JobID: "j", Target: target, At: from.Add(at)}})
 	}
