Say why a fleet is not whole again

Cause: one run of 320 agents ended with no time for the fleet to be whole after a restart, and nothing told why. Change: the scale command prints what is missing. Conclusion: to be watched after an outage, where it was seen.

--- a/io/ccscale/run.go
+++ b/io/ccscale/run.go
@@ -143,7 +143,9 @@
 	}
 	whole := make(chan time.Duration, 1)
 	go func() {
-		if fleet.WaitReady(ctx) == nil {
+		if err := fleet.WaitReady(ctx); err != nil {
+			cfg.say("not whole again: %v", err)
+		} else {
 			whole <- time.Since(start)
 		}
 		close(whole)
