Stall an agent in an experiment

Cause: no experiment had an agent paused beside a killed entry, a domain out and a store outage. Change: the fault stallAgent keeps an agent's control from running, as a pause of its process would; the built-in plan together has all four.

--- a/core/ccfault/fault.go
+++ b/core/ccfault/fault.go
@@ -32,6 +32,9 @@
 	KindStopAgent Kind = "stopAgent"
 	// KindStartAgent starts an agent again, with an empty memory.
 	KindStartAgent Kind = "startAgent"
+	// KindStallAgent stops an agent's control for the time of For, as a pause of the
+	// whole process would. Its target goes on.
+	KindStallAgent Kind = "stallAgent"
 	// KindSlow divides a target's speed by Factor. A factor of 1 ends it.
 	KindSlow Kind = "slow"
 	// KindBlackHole makes a target fail all tasks at once, or ends it with Off.
@@ -55,6 +58,8 @@
 	Domain string  `json:"domain,omitempty"`
 	Factor float64 `json:"factor,omitempty"`
 	Off    bool    `json:"off,omitempty"`
+	// For is how long a stall lasts.
+	For ccsettings.Duration `json:"for,omitempty"`
 }
 
 // String says what happens, for a log.
@@ -99,6 +104,10 @@
 	switch f.Kind {
 	case KindKillEntry, KindStopEntry, KindStartEntry, KindKillAgent, KindStopAgent, KindStartAgent,
 		KindBlackHole, KindPause, KindStoreOutage:
+	case KindStallAgent:
+		if f.For <= 0 {
+			return "for is above zero"
+		}
 	case KindSlow:
 		if f.Factor <= 0 {
 			return "factor is above zero"
@@ -117,7 +126,7 @@
 }
 
 // Names lists the built-in plans.
-var Names = []string{"none", "badTargets", "agent", "entry", "domain", "store", "all"}
+var Names = []string{"none", "badTargets", "agent", "entry", "domain", "store", "all", "together"}
 
 // straggling is how much slower the built-in straggler gets.
 const straggling = 10
@@ -150,6 +159,15 @@
 		all := slices.Concat(badTargets, agent, entry, domains)
 		slices.SortStableFunc(all, func(a, b Fault) int { return int(a.At - b.At) })
 		return all, nil
+	case "together":
+		return []Fault{
+			{At: at(0.1), Kind: KindStoreOutage},
+			{At: at(0.25), Kind: KindStoreOutage, Off: true},
+			{At: at(0.3), Kind: KindStallAgent, Number: 6, For: at(0.15)},
+			{At: at(0.45), Kind: KindKillEntry, Number: 1},
+			{At: at(0.6), Kind: KindDomainOut, Domain: domain},
+			{At: at(0.8), Kind: KindDomainIn, Domain: domain},
+		}, nil
 	default:
 		return nil, &Error{Op: "name", Kind: KindName, Text: fmt.Sprintf("no plan is named %q", name)}
 	}
--- a/io/ccagent/agent.go
+++ b/io/ccagent/agent.go
@@ -128,6 +128,12 @@
 	a.close()
 }
 
+// Stall keeps the control goroutine from running for a time, as a pause of the
+// process would, for experiments and tests.
+func (a *Agent) Stall(d time.Duration) {
+	a.post(func(time.Time) { a.sleep(d) })
+}
+
 // close ends all goroutines and sockets. It may be called more than once.
 func (a *Agent) close() {
 	a.cancel()
--- a/io/ccfleet/agents.go
+++ b/io/ccfleet/agents.go
@@ -91,6 +91,21 @@
 	return nil
 }
 
+// StallAgent keeps an agent's control from running for a time, as a pause of its
+// process would. An agent that doesn't run is left alone.
+func (f *Fleet) StallAgent(number int, d time.Duration) error {
+	slot, err := f.agentSlot(number)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if slot.agent != nil {
+		slot.agent.Stall(d)
+	}
+	return nil
+}
+
 // takeAgent takes an agent out of its place. It returns nil when none runs.
 func (f *Fleet) takeAgent(number int) (*ccagent.Agent, error) {
 	slot, err := f.agentSlot(number)
--- a/io/ccfleet/faults.go
+++ b/io/ccfleet/faults.go
@@ -17,6 +17,8 @@
 		return f.StopEntry(ctx, fault.Number)
 	case ccfault.KindStartEntry:
 		return f.StartEntry(ctx, fault.Number)
+	case ccfault.KindStallAgent:
+		return f.StallAgent(fault.Number, fault.For.Std())
 	case ccfault.KindKillAgent:
 		return f.KillAgent(fault.Number)
 	case ccfault.KindStopAgent:
