Give test processes ports that no connection takes

Cause: TestLargeJob failed once: a port chosen for an entry was taken by an outgoing connection before the entry listened. Change: the harness counts ports up from 10,000, below the range that the system gives to connections, on a loopback host of its own. Conclusion: the fault was the harness's.

--- a/cmd/camphorcroft/fleet_test.go
+++ b/cmd/camphorcroft/fleet_test.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -365,18 +366,19 @@
 	return jobs
 }
 
-// freeAddr returns an address that nobody listens on. It is on a loopback host
-// of this test process alone, so that no other program's connection takes the
-// port before the process that it is meant for.
+// firstPort is below the ports that the system gives to connections, so that none
+// takes a port before the process that it is meant for.
+const firstPort = 10_000
+
+// nextPort counts the ports that were given out.
+var nextPort atomic.Uint32
+
+// freeAddr returns an address that nobody listens on, on a loopback host of this
+// test process alone.
 func freeAddr(t *testing.T) netip.AddrPort {
 	t.Helper()
 	host := fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()>>8&0x7f, os.Getpid()&0xff)
-	listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return netip.MustParseAddrPort(listener.Addr().String())
+	return netip.AddrPortFrom(netip.MustParseAddr(host), uint16(firstPort+nextPort.Add(1)))
 }
 
 func dials(addr netip.AddrPort) bool {
