--- a/core/ccplacement/policy.go
+++ b/core/ccplacement/policy.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	policy, err := ccplacement.New("lateBinding", seed)
+//	policy := ccplacement.New("lateBinding", seed)
 //	policy.Rank(candidates)
 //	index := policy.Pick(candidates, waiting)
 package ccplacement
