Measure the entry's latency against a direct call

Cause: the benchmark of added latency counted the client's own round trip in, and moved with how busy the machine was. Change: the same client at a server that answers at once, in the same run.

--- a/io/ccentry/bench_test.go
+++ b/io/ccentry/bench_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strconv"
 	"sync"
@@ -31,7 +32,11 @@
 }
 
 func post(client *http.Client, entry *ccentry.Entry, body []byte) (int, []byte, error) {
-	response, err := client.Post("http://"+entry.HTTPAddr().String()+"/v1/services/s/jobs", "application/json", bytes.NewReader(body))
+	return postURL(client, "http://"+entry.HTTPAddr().String()+"/v1/services/s/jobs", body)
+}
+
+func postURL(client *http.Client, url string, body []byte) (int, []byte, error) {
+	response, err := client.Post(url, "application/json", bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, err
 	}
@@ -103,17 +108,32 @@
 }
 
 // BenchmarkAddedLatency measures a job of one task whose target takes no time,
-// one at a time: all of it is added by the entry, the agent's connection and
-// the client's.
+// one at a time: all of it is the way through the entry, the agent's connection
+// and the client's. "direct" is the same client at a server that answers at once,
+// which is what a client without an entry would wait.
 func BenchmarkAddedLatency(b *testing.B) {
-	entry := startEntry(b, cellStore(b, startInstantAgents(b, elevenAgents(), 8)))
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
-	awaitReady(b, client, entry)
+	b.Run("direct", func(b *testing.B) {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(w, r.Body)
+		}))
+		defer server.Close()
+		benchmarkPosts(b, client, server.URL)
+	})
+	b.Run("entry", func(b *testing.B) {
+		entry := startEntry(b, cellStore(b, startInstantAgents(b, elevenAgents(), 8)))
+		awaitReady(b, client, entry)
+		benchmarkPosts(b, client, "http://"+entry.HTTPAddr().String()+"/v1/services/s/jobs")
+	})
+}
+
+// benchmarkPosts posts jobs of one task, one after the other.
+func benchmarkPosts(b *testing.B, client *http.Client, url string) {
 	var times []time.Duration
 	for b.Loop() {
 		body := jobBody(fmt.Sprint("job-", len(times)), 1)
 		start := time.Now()
-		if status, answer, err := post(client, entry, body); err != nil || status != http.StatusOK {
+		if status, answer, err := postURL(client, url, body); err != nil || status != http.StatusOK {
 			b.Fatalf("status %d, error %v: %s", status, err, answer)
 		}
 		times = append(times, time.Since(start))
