--- a/core/ccdispatch/ahead_test.go
+++ b/core/ccdispatch/ahead_test.go
@@ -32,3 +32,16 @@
 		})
 	}
 }
+
+// TestSendAheadWithoutSlots has an agent that comes back with no slots after its
+// speed was learned.
+func TestSendAheadWithoutSlots(t *testing.T) {
+	b := newBench(t, nil)
+	b.up("a", 1, "north", 8)
+	b.submit("first", 8)
+	b.report("a", ccwire.CodeDone, 8)
+	b.d.AgentDown(b.now, "a")
+	b.up("a", 1, "north", 0)
+	b.submit("j", 1)
+	b.assertCount("a", 0)
+}
--- a/core/ccdispatch/place.go
+++ b/core/ccdispatch/place.go
@@ -45,8 +45,9 @@
 		s.view[i].InFlight++
 	}
 	if s.queue.Len() > 0 {
-		d.placeAhead(now, s)
-		d.want(s)
+		fastest := s.fastestFirst()
+		d.placeAhead(now, s, fastest)
+		d.want(s, fastest)
 	}
 }
 
--- a/core/ccdispatch/want.go
+++ b/core/ccdispatch/want.go
@@ -25,16 +25,16 @@
 // beyond the task's own two messages, where a want costs two more. With a long
 // queue the offers ride on reports that go out anyway, so nothing is sent ahead:
 // a task that is held when its agent crashes is lost, although it never started.
-func (d *Dispatcher) placeAhead(now time.Time, s *service) {
+func (d *Dispatcher) placeAhead(now time.Time, s *service, fastest []*agent) {
 	if s.queue.Len() > aheadQueue {
 		return
 	}
-	for _, a := range s.fastestFirst() {
+	for _, a := range fastest {
 		if s.queue.Len() == 0 {
 			return
 		}
 		if a.free != 0 || now.Before(a.aheadAfter) || a.speed.Mean() <= 0 ||
-			a.speed.Mean()/time.Duration(a.slots) > aheadLimit || a.health.Allowed(now, a.slots) < a.slots {
+			a.speed.Mean() > aheadLimit*time.Duration(a.slots) || a.health.Allowed(now, a.slots) < a.slots {
 			continue
 		}
 		item, _ := s.queue.Pop()
@@ -44,7 +44,8 @@
 	}
 }
 
-// fastestFirst sorts the agents of the last view, the fastest first.
+// fastestFirst sorts the agents of the last view, the fastest first. The view's
+// candidates no longer go with them afterwards.
 func (s *service) fastestFirst() []*agent {
 	slices.SortStableFunc(s.ranked, func(a, b *agent) int { return cmp.Compare(a.speed.Typical(), b.speed.Typical()) })
 	return s.ranked
@@ -56,10 +57,10 @@
 //
 // The fastest are told first, and no more of them than are likely to be needed:
 // each offer that comes too late costs two messages.
-func (d *Dispatcher) want(s *service) {
+func (d *Dispatcher) want(s *service, fastest []*agent) {
 	tell := max(minWanted, (s.queue.Len()+wantShare-1)/wantShare)
 	each := (s.queue.Len() + tell - 1) / tell
-	for _, a := range s.fastestFirst() {
+	for _, a := range fastest {
 		if tell == 0 {
 			return
 		}
--- a/core/ccroster/subset.go
+++ b/core/ccroster/subset.go
@@ -6,6 +6,25 @@
 	"camphorcroft/core/ccnode"
 )
 
+// leastSharing is how many entries use each agent at least, so that no agent is
+// idle when one of them fails.
+const leastSharing = 2
+
+// Sharing returns how many entries use each agent, when each of them is to use
+// about subset of the agents.
+func (r *Roster) Sharing(subset, agents int) int {
+	if agents == 0 {
+		return 0
+	}
+	entries := 0
+	for i := range r.Entries {
+		if !r.Entries[i].Leaving {
+			entries++
+		}
+	}
+	return min(max(leastSharing, (subset*entries+agents-1)/agents), entries)
+}
+
 // Uses reports whether an entry is one of the given number of entries that use
 // an agent: those with the greatest hashes of agent and entry. So each agent is
 // used by exactly that many entries, and an entry that joins or leaves moves only
--- a/core/ccroster/subset_test.go
+++ b/core/ccroster/subset_test.go
@@ -77,3 +77,24 @@
 		}
 	})
 }
+
+func TestSharing(t *testing.T) {
+	roster := subsetRoster()
+	cases := map[string]struct {
+		roster                 *ccroster.Roster
+		subset, agents, shared int
+	}{
+		"rounds up":                    {roster, 525, subsetAgents, 3},
+		"at least two":                 {roster, 10, subsetAgents, 2},
+		"an entry that leaves is none": {roster.WithLeaving(member("e5", 1).Ref), 525, 525, 23},
+		"a small fleet is used by all": {roster, 525, 11, 24},
+		"no agents are used by nobody": {roster, 525, 0, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if got := c.roster.Sharing(c.subset, c.agents); got != c.shared {
+				t.Errorf("got %d entries an agent, want %d", got, c.shared)
+			}
+		})
+	}
+}
--- a/io/ccentry/control.go
+++ b/io/ccentry/control.go
@@ -49,6 +49,7 @@
 	e.claims.tick(now)
 	e.expirePending(now)
 	e.answers.Expire(now)
+	e.dropGuests(now)
 }
 
 // do hands a command to the control goroutine. It is dropped when the entry has
--- a/io/ccentry/entry.go
+++ b/io/ccentry/entry.go
@@ -93,6 +93,8 @@
 	draining     bool   // No new jobs are taken.
 	version      uint64 // Of the settings in force.
 	versionSince time.Time
+	// guestsChecked is when connections outside the subset were last looked at.
+	guestsChecked time.Time
 }
 
 // command is work for the control goroutine.
--- a/io/ccentry/subset.go
+++ b/io/ccentry/subset.go
@@ -8,12 +8,11 @@
 )
 
 const (
-	// leastSharing is how many entries use each agent at least, so that no agent is
-	// idle when one of them fails.
-	leastSharing = 2
 	// guestTime is how long a connection is kept to an agent that is not of this
 	// entry's subset, after it was last asked something.
 	guestTime = 10 * time.Second
+	// guestCheck is how often such connections are looked at.
+	guestCheck = time.Second
 )
 
 // chooseAgents connects to the agents of this entry's subset and disconnects
@@ -31,7 +30,6 @@
 			}
 		}
 	}
-	e.dropGuests(now)
 }
 
 // sharing returns how many entries use each agent, by service, for the services
@@ -46,16 +44,19 @@
 	sharing := make(map[string]int)
 	for service, count := range agents {
 		if subset := e.dispatcher.SubsetOf(service); subset > 0 {
-			entries := len(e.presence.roster.Entries)
-			sharing[service] = max(leastSharing, (subset*entries+count-1)/count)
+			sharing[service] = e.presence.roster.Sharing(subset, count)
 		}
 	}
 	return sharing
 }
 
 // dropGuests disconnects from agents outside the subset that hold nothing of
-// this entry's.
+// this entry's. It is called with each tick.
 func (e *Entry) dropGuests(now time.Time) {
+	if now.Sub(e.guestsChecked) < guestCheck {
+		return
+	}
+	e.guestsChecked = now
 	for id, l := range e.links {
 		if e.dispatcher.Guest(id) && e.dispatcher.Out(id) == 0 && now.Sub(l.asked) > guestTime {
 			e.disconnect(now, id)
