--- a/core/cclease/order.go
+++ b/core/cclease/order.go
@@ -16,6 +16,9 @@
 	if heard := t.cfg.Now.Add(time.Duration(orders.EchoMS) * time.Millisecond); heard.After(o.heard) {
 		o.heard = heard
 	}
+	if orders.RoomIntervalMS > 0 {
+		o.roomInterval = time.Duration(orders.RoomIntervalMS) * time.Millisecond
+	}
 	t.takePlan(now, o, orders)
 	for _, task := range orders.Stops {
 		if r := t.runs[task]; r != nil && r.owner == entry && r.stopFrom.IsZero() {
--- a/core/cclease/owner.go
+++ b/core/cclease/owner.go
@@ -22,6 +22,8 @@
 	reported time.Time
 	urgent   bool
 	free     int64 // The processor room in the last report.
+	// roomInterval is the shortest pause between reports about room that it wants.
+	roomInterval time.Duration
 }
 
 // sentEnd is an end that was reported, kept for an entry that reconnects.
--- a/core/cclease/report.go
+++ b/core/cclease/report.go
@@ -13,7 +13,8 @@
 // is told to all entries before their next report is due.
 const freeStep = 1000
 
-// freeInterval is the shortest pause between two reports about room alone.
+// freeInterval is the shortest pause between two reports about room alone, unless
+// the entry wants a longer one.
 const freeInterval = 20 * time.Millisecond
 
 // progressInterval is the shortest pause between two reports before the later
@@ -48,7 +49,7 @@
 		}
 		age := now.Sub(o.reported)
 		moved := t.Free().CPU - o.free
-		if o.urgent || age >= reportInterval || (age >= freeInterval && (moved >= freeStep || moved <= -freeStep)) {
+		if o.urgent || age >= reportInterval || (age >= max(freeInterval, o.roomInterval) && (moved >= freeStep || moved <= -freeStep)) {
 			report := t.reportFor(now, o, age >= progressInterval)
 			if t.plan != nil && o.revision < t.plan.Revision && now.Sub(t.planSince) >= t.planDelay(id) {
 				report.Plan = t.plan
--- a/core/ccreplay/agent.go
+++ b/core/ccreplay/agent.go
@@ -20,8 +20,15 @@
 	// forgetAfter is how long an agent that is gone is remembered: its host may come
 	// back at the same address.
 	forgetAfter = 10 * time.Minute
-	// heartbeatInterval is the longest pause between two orders to an agent.
+	// heartbeatInterval is the longest pause between two orders to an agent that has
+	// runs: three within the silence after which it stops them.
 	heartbeatInterval = 130 * time.Millisecond
+	// idleHeartbeat is that of an agent without runs: two within the silence after
+	// which it opens its session anew.
+	idleHeartbeat = 280 * time.Millisecond
+	// roomReports is how many reports about room alone an entry takes in a second from
+	// all agents: at 40 us each, 2 % of a core.
+	roomReports = 500
 )
 
 // agent is a worker's agent as this entry knows it.
@@ -71,6 +78,14 @@
 	return a.open && a.closed == "" && now.Sub(a.heard) <= suspectAfter
 }
 
+// heartbeatDue returns the longest pause between two orders to the agent.
+func (a *agent) heartbeatDue() time.Duration {
+	if a.runs > 0 {
+		return heartbeatInterval
+	}
+	return idleHeartbeat
+}
+
 // Attach opens a session with an agent. Runs that the agent does not list are
 // over.
 func (s *Scheduler) Attach(now time.Time, attach ccwire.Attach) {
--- a/core/ccreplay/scheduler.go
+++ b/core/ccreplay/scheduler.go
@@ -202,21 +202,34 @@
 
 func (s *Scheduler) change(c Change) { s.out.Changes = append(s.out.Changes, c) }
 
+// roomInterval returns how often each agent may report room alone.
+func (s *Scheduler) roomInterval() time.Duration {
+	open := 0
+	for _, a := range s.agents {
+		if a.open {
+			open++
+		}
+	}
+	return time.Duration(open) * time.Second / roomReports
+}
+
 // flush sends each agent's orders, or a heartbeat when one is due.
 func (s *Scheduler) flush(now time.Time) {
+	room := s.roomInterval()
 	for _, id := range s.order {
 		a := s.agents[id]
 		if !a.open {
 			continue
 		}
 		pending := len(a.orders.Starts) > 0 || len(a.orders.Stops) > 0 || a.urgent
-		if !pending && now.Sub(a.sent) < heartbeatInterval {
+		if !pending && now.Sub(a.sent) < a.heartbeatDue() {
 			continue
 		}
 		a.sequence++
 		orders := a.orders
 		orders.Sequence = a.sequence
 		orders.EchoMS = a.echo
+		orders.RoomIntervalMS = room.Milliseconds()
 		if s.plan != nil {
 			orders.PlanRevision = s.plan.Revision
 			if a.revision < s.plan.Revision && (a.revision == 0 || now.Sub(s.planSince) >= s.planDelay(id)) {
--- a/core/ccwire/session.go
+++ b/core/ccwire/session.go
@@ -126,6 +126,9 @@
 	EchoMS int64        `json:"echoMs"`
 	Starts []StartOrder `json:"starts,omitempty"`
 	Stops  []TaskRef    `json:"stops,omitempty"`
+	// RoomIntervalMS is the shortest pause, in milliseconds, between two reports about
+	// room alone that the entry wants. Zero leaves what was said before.
+	RoomIntervalMS int64 `json:"roomIntervalMs,omitempty"`
 	// Entries are told when the entry learns of others.
 	Entries      []netip.AddrPort `json:"entries,omitempty"`
 	PlanRevision uint64           `json:"planRevision,omitempty"`
