Bound the reports that an entry takes, and carry sessions in CBOR frames

Cause: on the grown deployments the processor of an entry binds. Each agent reported each change of its room to each entry every 20 ms, 53 agents some 1,900 times a second, and jsonrpc2 parses a message three times.

Change: an entry tells agents how often room alone may be reported, 500 times a second from all; heartbeats to agents without runs each 280 ms; a session is frames with CBOR (io/ccsession). The schedule search iterates runs in order: a seed of it did not repeat. Seed 716 of 2,000 failed once before that, on an order within the guard's window as far as could be seen; it does not repeat, so it is open until 3,000 schedules have been searched again.

--- a/core/ccproof/replay_worker_test.go
+++ b/core/ccproof/replay_worker_test.go
@@ -1,6 +1,10 @@
 package ccproof
 
 import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"camphorcroft/core/cclease"
@@ -132,17 +136,26 @@
 	m.work()
 	look := cclease.Look{Answer: m.answer(cclease.ReplyOK)}
 	look.Born = m.born
-	for task, r := range m.runs {
+	for _, task := range m.tasks() {
+		r := m.runs[task]
 		look.Running = append(look.Running, cclease.Running{Task: task, Run: r.number, Percent: 50})
 	}
 	look.Ended = append(look.Ended, m.ended...)
 	return look
 }
 
+// tasks returns the tasks that run, sorted, so that a seed repeats.
+func (m *modelWorker) tasks() []ccwire.TaskRef {
+	return slices.SortedFunc(maps.Keys(m.runs), func(a, b ccwire.TaskRef) int {
+		return cmp.Or(strings.Compare(a.Job, b.Job), cmp.Compare(a.Index, b.Index))
+	})
+}
+
 // work lets time pass at the worker.
 func (m *modelWorker) work() {
 	lapsed := m.clock() > m.until
-	for task, r := range m.runs {
+	for _, task := range m.tasks() {
+		r := m.runs[task]
 		r.left -= m.w.now.Sub(r.worked)
 		r.worked = m.w.now
 		switch {
--- a/core/ccreplay/scheduler_test.go
+++ b/core/ccreplay/scheduler_test.go
@@ -521,3 +521,39 @@
 		t.Errorf("plan: got revision %d, want 6, which an agent relayed", got)
 	}
 }
+
+func TestEntryBoundsWhatAgentsReport(t *testing.T) {
+	t.Run("the pause between reports of room grows with the agents", func(t *testing.T) {
+		few, many := newFixture(t, make([]string, 10)...), newFixture(t, make([]string, 200)...)
+		for _, f := range []*fixture{few, many} {
+			f.pass(time.Second / 2)
+			f.submit("j1", 1)
+		}
+		first, second := few.take().Messages[0].Orders.RoomIntervalMS, many.take().Messages[0].Orders.RoomIntervalMS
+		if first != 20 || second != 400 {
+			t.Errorf("got %d and %d ms, want 20 and 400 for %d reports a second", first, second, roomReports)
+		}
+	})
+	t.Run("an agent without runs gets fewer heartbeats", func(t *testing.T) {
+		f := newFixture(t, "north", "north")
+		f.submit("j1", 1)
+		placed := f.take().Messages[0].To
+		count := map[ccnode.ID]int{}
+		for range 100 {
+			f.pass(10 * time.Millisecond)
+			for _, m := range f.take().Messages {
+				count[m.To]++
+			}
+			f.report("agent-1")
+			f.report("agent-2")
+		}
+		for id, got := range count {
+			if want := int(time.Second / idleHeartbeat); id != placed && got > want+1 {
+				t.Errorf("idle agent: got %d heartbeats in a second, want %d", got, want)
+			}
+			if want := int(time.Second / heartbeatInterval); id == placed && got < want-1 {
+				t.Errorf("agent with a run: got %d heartbeats in a second, want %d", got, want)
+			}
+		}
+	})
+}
--- a/core/ccwire/session.go
+++ b/core/ccwire/session.go
@@ -8,17 +8,22 @@
 	"camphorcroft/core/ccroute"
 )
 
-// Methods of a session between an agent, which dials, and an entry.
+// Message says what a message of a session is. The agent dials.
+type Message byte
+
 const (
-	// MethodWho is a request from the agent, without parameters, answered by
-	// WhoReply.
-	MethodWho = "session.who"
-	// MethodAttach is a request from the agent: Attach, answered by AttachReply.
-	MethodAttach = "session.attach"
-	// MethodRunReport is a notification from the agent: RunReport.
-	MethodRunReport = "session.report"
-	// MethodOrders is a notification from the entry: Orders.
-	MethodOrders = "session.orders"
+	// MessageWho asks who answers at an address. It has no fields.
+	MessageWho Message = iota + 1
+	// MessageWhoReply is the entry's WhoReply.
+	MessageWhoReply
+	// MessageAttach is the agent's Attach.
+	MessageAttach
+	// MessageAttachReply is the entry's AttachReply, ahead of its first orders.
+	MessageAttachReply
+	// MessageReport is the agent's RunReport.
+	MessageReport
+	// MessageOrders is the entry's Orders.
+	MessageOrders
 )
 
 // TaskRef names one task of one job.
--- a/io/cclease/agent.go
+++ b/io/cclease/agent.go
@@ -177,7 +177,7 @@
 			a.table.Tick(time.Now())
 		case <-a.ctx.Done():
 			for _, s := range a.sessions {
-				s.peer.Close()
+				s.conn.Close()
 			}
 			return
 		}
@@ -210,12 +210,12 @@
 	}
 	for _, report := range out.Reports {
 		if s := a.sessions[report.To]; s != nil {
-			s.sender.Send(ccwire.MethodRunReport, report.Report)
+			s.conn.Send(ccwire.MessageReport, report.Report)
 		}
 	}
 	for _, id := range out.Silent {
 		if s := a.sessions[id]; s != nil {
-			s.peer.Close()
+			s.conn.Close()
 		}
 	}
 	for _, c := range out.Changes {
--- a/io/cclease/session.go
+++ b/io/cclease/session.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/netip"
 	"time"
 
 	"camphorcroft/core/ccnode"
 	"camphorcroft/core/ccwire"
-	"camphorcroft/io/ccrpc"
+	"camphorcroft/io/ccsession"
 )
 
 const (
@@ -23,36 +22,63 @@
 	forgetAfter = time.Minute
 	// searchInterval is how often the store is asked while no entry is attached.
 	searchInterval = time.Second
-	// sendBuffer bounds the reports that wait for one entry. A session that
-	// exceeds it is closed.
-	sendBuffer = 256
 )
 
 // session is an open connection to an entry.
 type session struct {
 	agent *Agent
 	entry ccnode.ID // Empty until the entry has answered.
-	peer  *ccrpc.Peer
-	// sender is made when the connection is there.
-	sender *ccrpc.Sender
+	conn  *ccsession.Conn
+	// who and attached take the entry's two replies.
+	who      chan ccwire.WhoReply
+	attached chan ccwire.AttachReply
 	// opened is closed once the table knows the session. Orders wait for that.
 	opened chan struct{}
 	// closed is closed when the connection has ended.
 	closed chan struct{}
 }
 
-// Notified takes the entry's orders.
-func (s *session) Notified(_ *ccrpc.Peer, method string, params json.RawMessage) {
-	if method != ccwire.MethodOrders {
-		return
+// Received takes the entry's message.
+func (s *session) Received(conn *ccsession.Conn, message ccwire.Message, body []byte) {
+	var err error
+	switch message {
+	case ccwire.MessageWhoReply:
+		err = take(body, s.who)
+	case ccwire.MessageAttachReply:
+		err = take(body, s.attached)
+	case ccwire.MessageOrders:
+		var orders ccwire.Orders
+		if err = ccsession.Decode(body, &orders); err == nil {
+			s.ordered(orders)
+		}
+	case ccwire.MessageWho, ccwire.MessageAttach, ccwire.MessageReport:
+		// An entry sends none of these.
+		conn.Close()
 	}
-	var orders ccwire.Orders
-	if err := json.Unmarshal(params, &orders); err != nil {
-		s.agent.cfg.Log.Error(err, "Orders can't be read.", "entry", s.entry)
-		return
+	if err != nil {
+		s.agent.cfg.Log.Error(err, "Message can't be read.", "entry", s.entry, "message", int(message))
+		conn.Close()
+	}
+}
+
+// take hands a reply to the one who waits for it. Only the first counts.
+func take[T any](body []byte, to chan<- T) error {
+	var reply T
+	if err := ccsession.Decode(body, &reply); err != nil {
+		return err
 	}
+	select {
+	case to <- reply:
+	default:
+	}
+	return nil
+}
+
+func (s *session) ordered(orders ccwire.Orders) {
 	select {
 	case <-s.opened:
+	case <-s.closed:
+		return
 	case <-s.agent.ctx.Done():
 		return
 	}
@@ -64,13 +90,21 @@
 	})
 }
 
-// Called refuses requests: entries send none.
-func (s *session) Called(_ *ccrpc.Peer, method string, _ json.RawMessage, reply func(any, error)) {
-	reply(nil, &Error{Op: method, Kind: KindUnknownMethod})
-}
-
 // Closed ends the session.
-func (s *session) Closed(*ccrpc.Peer) { close(s.closed) }
+func (s *session) Closed(*ccsession.Conn) { close(s.closed) }
+
+// reply waits for one of the entry's replies.
+func reply[T any](ctx context.Context, s *session, from <-chan T) (T, bool) {
+	var none T
+	select {
+	case got := <-from:
+		return got, true
+	case <-s.closed:
+		return none, false
+	case <-ctx.Done():
+		return none, false
+	}
+}
 
 // dialAll keeps a session with each of the entries.
 func (a *Agent) dialAll(entries []netip.AddrPort) {
@@ -113,22 +147,23 @@
 
 // run keeps one session until it ends. It reports whether it was opened.
 func (a *Agent) run(addr netip.AddrPort) bool {
-	s := &session{agent: a, opened: make(chan struct{}), closed: make(chan struct{})}
+	s := &session{
+		agent: a, who: make(chan ccwire.WhoReply, 1), attached: make(chan ccwire.AttachReply, 1),
+		opened: make(chan struct{}), closed: make(chan struct{}),
+	}
 	ctx, cancel := context.WithTimeout(a.ctx, attachTimeout)
 	defer cancel()
-	peer, err := ccrpc.Dial(ctx, addr, s)
+	conn, err := ccsession.Dial(ctx, addr, s)
 	if err != nil {
 		a.cfg.Log.V(1).Info("Entry is not reached.", "address", addr, "error", err.Error())
 		return false
 	}
-	s.peer, s.sender = peer, ccrpc.NewSender(peer, sendBuffer)
-	defer peer.Close()
+	s.conn = conn
+	defer conn.Close()
 	if !a.attach(ctx, s, addr) {
 		return false
 	}
-	a.spawn(func() { s.sender.Run(a.ctx) })
 	<-s.closed
-	s.sender.Stop()
 	a.do(func(time.Time) {
 		if a.sessions[s.entry] == s {
 			delete(a.sessions, s.entry)
@@ -141,16 +176,17 @@
 // attach opens the session: the entry says who it is, and hears which of its
 // runs are alive.
 func (a *Agent) attach(ctx context.Context, s *session, addr netip.AddrPort) bool {
-	var who ccwire.WhoReply
-	if err := s.peer.Call(ctx, ccwire.MethodWho, struct{}{}, &who); err != nil {
-		a.cfg.Log.V(1).Info("Entry does not answer.", "address", addr, "error", err.Error())
+	s.conn.Send(ccwire.MessageWho, struct{}{})
+	who, ok := reply(ctx, s, s.who)
+	if !ok {
+		a.cfg.Log.V(1).Info("Entry does not answer.", "address", addr)
 		return false
 	}
 	opened := make(chan ccwire.Attach, 1)
 	var asked time.Time
 	a.do(func(now time.Time) {
 		if old := a.sessions[who.Node.ID]; old != nil {
-			old.peer.Close()
+			old.conn.Close()
 			delete(a.sessions, who.Node.ID)
 			a.table.Detached(who.Node.ID)
 		}
@@ -164,14 +200,15 @@
 	case <-a.ctx.Done():
 		return false
 	}
-	var reply ccwire.AttachReply
-	if err := s.peer.Call(ctx, ccwire.MethodAttach, attach, &reply); err != nil {
-		a.cfg.Log.V(1).Info("Entry does not attach.", "entry", who.Node.ID, "error", err.Error())
+	s.conn.Send(ccwire.MessageAttach, attach)
+	attached, ok := reply(ctx, s, s.attached)
+	if !ok {
+		a.cfg.Log.V(1).Info("Entry does not attach.", "entry", who.Node.ID)
 		return false
 	}
 	a.do(func(now time.Time) {
 		a.sessions[s.entry] = s
-		a.table.Attached(now, reply.Node, asked)
+		a.table.Attached(now, attached.Node, asked)
 		close(s.opened)
 	})
 	select {
--- a/io/ccreplay/entry.go
+++ b/io/ccreplay/entry.go
@@ -27,7 +27,7 @@
 	"camphorcroft/core/ccwire"
 	"camphorcroft/io/ccclock"
 	"camphorcroft/io/ccmetric"
-	"camphorcroft/io/ccrpc"
+	"camphorcroft/io/ccsession"
 )
 
 const (
@@ -100,7 +100,7 @@
 	e.listener = listener
 	e.cfg.Log.Info("Entry started.", "incarnation", uint64(e.cfg.Node.Incarnation), "domain", e.cfg.Domain)
 	e.spawn(e.control)
-	e.spawn(func() { ccrpc.Serve(listener, &acceptor{entry: e}) })
+	e.spawn(func() { ccsession.Serve(listener, &acceptor{entry: e}) })
 	e.spawn(e.followPlan)
 	e.spawn(e.followEntries)
 	return nil
@@ -222,7 +222,7 @@
 			e.scheduler.Tick(now)
 		case <-e.ctx.Done():
 			for _, s := range e.sessions {
-				s.peer.Close()
+				s.conn.Close()
 			}
 			return
 		}
@@ -243,7 +243,7 @@
 	}
 	for _, message := range out.Messages {
 		if s := e.sessions[message.To]; s != nil {
-			s.sender.Send(ccwire.MethodOrders, message.Orders)
+			s.conn.Send(ccwire.MessageOrders, message.Orders)
 		}
 	}
 	for _, answer := range out.Answers {
@@ -256,7 +256,7 @@
 	for _, id := range out.Silent {
 		if s := e.sessions[id]; s != nil {
 			delete(e.sessions, id)
-			s.peer.Close()
+			s.conn.Close()
 		}
 	}
 }
--- a/io/ccreplay/session.go
+++ b/io/ccreplay/session.go
@@ -1,48 +1,62 @@
 package ccreplay
 
 import (
-	"encoding/json"
 	"sync"
 	"time"
 
 	"camphorcroft/core/ccnode"
 	"camphorcroft/core/ccwire"
-	"camphorcroft/io/ccrpc"
+	"camphorcroft/io/ccsession"
 )
 
-// sendBuffer bounds the orders that wait for one agent. A session that exceeds it
-// is closed.
-const sendBuffer = 1024
-
 // session is an agent's connection, once it has attached.
 type session struct {
-	agent  ccnode.ID
-	peer   *ccrpc.Peer
-	sender *ccrpc.Sender
+	agent ccnode.ID
+	conn  *ccsession.Conn
 }
 
 // acceptor takes the messages of all agents' connections.
 type acceptor struct {
 	entry *Entry
 	mu    sync.Mutex // Guards known.
-	known map[*ccrpc.Peer]*session
+	known map[*ccsession.Conn]*session
 }
 
-func (a *acceptor) session(peer *ccrpc.Peer) *session {
+func (a *acceptor) session(conn *ccsession.Conn) *session {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.known[peer]
+	return a.known[conn]
 }
 
-// Notified takes an agent's report.
-func (a *acceptor) Notified(peer *ccrpc.Peer, method string, params json.RawMessage) {
-	s := a.session(peer)
-	if s == nil || method != ccwire.MethodRunReport {
-		return
+// Received takes an agent's message.
+func (a *acceptor) Received(conn *ccsession.Conn, message ccwire.Message, body []byte) {
+	var err error
+	switch message {
+	case ccwire.MessageWho:
+		conn.Send(ccwire.MessageWhoReply, ccwire.WhoReply{Node: a.entry.cfg.Node})
+	case ccwire.MessageAttach:
+		var attach ccwire.Attach
+		if err = ccsession.Decode(body, &attach); err == nil {
+			a.attach(conn, attach)
+		}
+	case ccwire.MessageReport:
+		var report ccwire.RunReport
+		if err = ccsession.Decode(body, &report); err == nil {
+			a.report(conn, report)
+		}
+	case ccwire.MessageWhoReply, ccwire.MessageAttachReply, ccwire.MessageOrders:
+		// An agent sends none of these.
+		conn.Close()
+	}
+	if err != nil {
+		a.entry.cfg.Log.Error(err, "Message can't be read.", "message", int(message))
+		conn.Close()
 	}
-	var report ccwire.RunReport
-	if err := json.Unmarshal(params, &report); err != nil {
-		a.entry.cfg.Log.Error(err, "Report can't be read.", "agent", s.agent)
+}
+
+func (a *acceptor) report(conn *ccsession.Conn, report ccwire.RunReport) {
+	s := a.session(conn)
+	if s == nil {
 		return
 	}
 	a.entry.do(func(now time.Time) {
@@ -52,54 +66,34 @@
 	})
 }
 
-// Called answers who this is, and opens sessions.
-func (a *acceptor) Called(peer *ccrpc.Peer, method string, params json.RawMessage, reply func(any, error)) {
-	switch method {
-	case ccwire.MethodWho:
-		reply(ccwire.WhoReply{Node: a.entry.cfg.Node}, nil)
-	case ccwire.MethodAttach:
-		var attach ccwire.Attach
-		if err := json.Unmarshal(params, &attach); err != nil {
-			reply(nil, &Error{Op: method, Kind: KindMessage, Err: err})
-			return
-		}
-		a.attach(peer, attach, reply)
-	default:
-		reply(nil, &Error{Op: method, Kind: KindMessage})
-	}
-}
-
-func (a *acceptor) attach(peer *ccrpc.Peer, attach ccwire.Attach, reply func(any, error)) {
+func (a *acceptor) attach(conn *ccsession.Conn, attach ccwire.Attach) {
 	e := a.entry
-	s := &session{agent: attach.Node.ID, peer: peer, sender: ccrpc.NewSender(peer, sendBuffer)}
+	s := &session{agent: attach.Node.ID, conn: conn}
 	a.mu.Lock()
 	if a.known == nil {
-		a.known = map[*ccrpc.Peer]*session{}
+		a.known = map[*ccsession.Conn]*session{}
 	}
-	a.known[peer] = s
+	a.known[conn] = s
 	a.mu.Unlock()
 	e.do(func(now time.Time) {
 		if old := e.sessions[s.agent]; old != nil {
-			old.peer.Close()
+			old.conn.Close()
 		}
 		e.sessions[s.agent] = s
-		// The reply goes ahead of the first orders, which the writer sends.
-		reply(ccwire.AttachReply{Node: e.cfg.Node}, nil)
-		e.spawn(func() { s.sender.Run(e.ctx) })
+		conn.Send(ccwire.MessageAttachReply, ccwire.AttachReply{Node: e.cfg.Node})
 		e.scheduler.Attach(now, attach)
 	})
 }
 
 // Closed ends an agent's session.
-func (a *acceptor) Closed(peer *ccrpc.Peer) {
+func (a *acceptor) Closed(conn *ccsession.Conn) {
 	a.mu.Lock()
-	s := a.known[peer]
-	delete(a.known, peer)
+	s := a.known[conn]
+	delete(a.known, conn)
 	a.mu.Unlock()
 	if s == nil {
 		return
 	}
-	s.sender.Stop()
 	a.entry.do(func(now time.Time) {
 		if a.entry.sessions[s.agent] == s {
 			delete(a.entry.sessions, s.agent)
--- /dev/null
+++ b/io/ccsession/conn_test.go
@@ -0,0 +1,198 @@
+package ccsession_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+
+	"camphorcroft/core/ccnode"
+	"camphorcroft/core/ccresource"
+	"camphorcroft/core/ccroute"
+	"camphorcroft/core/ccwire"
+	"camphorcroft/io/ccsession"
+)
+
+// waitLimit bounds what a test waits for. It says nothing about speed.
+const waitLimit = 20 * time.Second
+
+type received struct {
+	message ccwire.Message
+	body    []byte
+}
+
+type recorder struct {
+	messages chan received
+	conns    chan *ccsession.Conn
+	closed   chan struct{}
+}
+
+func newRecorder() *recorder {
+	return &recorder{messages: make(chan received, 4096), conns: make(chan *ccsession.Conn, 4096), closed: make(chan struct{}, 1)}
+}
+
+func (r *recorder) Received(conn *ccsession.Conn, message ccwire.Message, body []byte) {
+	r.messages <- received{message: message, body: append([]byte(nil), body...)}
+	r.conns <- conn
+}
+
+func (r *recorder) Closed(*ccsession.Conn) { r.closed <- struct{}{} }
+
+func listen(t *testing.T) (net.Listener, netip.AddrPort) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener, netip.MustParseAddrPort(listener.Addr().String())
+}
+
+func connect(t *testing.T, server, client *recorder) *ccsession.Conn {
+	t.Helper()
+	listener, addr := listen(t)
+	go ccsession.Serve(listener, server)
+	conn, err := ccsession.Dial(context.Background(), addr, client)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(conn.Close)
+	return conn
+}
+
+func wait[T any](t *testing.T, what string, from <-chan T) T {
+	t.Helper()
+	select {
+	case got := <-from:
+		return got
+	case <-time.After(waitLimit):
+		t.Fatalf("waited in vain for %s", what)
+		panic("unreachable")
+	}
+}
+
+func TestMessages(t *testing.T) {
+	t.Run("come whole and in their order", func(t *testing.T) {
+		server := newRecorder()
+		conn := connect(t, server, newRecorder())
+		for n := range uint64(500) {
+			conn.Send(ccwire.MessageOrders, ccwire.Orders{Sequence: n})
+		}
+		for n := range uint64(500) {
+			got := wait(t, "a message", server.messages)
+			var orders ccwire.Orders
+			if err := ccsession.Decode(got.body, &orders); err != nil || got.message != ccwire.MessageOrders || orders.Sequence != n {
+				t.Fatalf("message %d: got %v %v (%v)", n, got.message, orders.Sequence, err)
+			}
+		}
+	})
+	t.Run("keep every field", func(t *testing.T) {
+		server := newRecorder()
+		conn := connect(t, server, newRecorder())
+		attach := fullAttach()
+		conn.Send(ccwire.MessageAttach, attach)
+		var got ccwire.Attach
+		if err := ccsession.Decode(wait(t, "a message", server.messages).body, &got); err != nil || !reflect.DeepEqual(got, attach) {
+			t.Errorf("got %+v (%v), want %+v", got, err, attach)
+		}
+		orders := fullOrders()
+		conn.Send(ccwire.MessageOrders, orders)
+		var gotOrders ccwire.Orders
+		if err := ccsession.Decode(wait(t, "a message", server.messages).body, &gotOrders); err != nil || !reflect.DeepEqual(gotOrders, orders) {
+			t.Errorf("got %+v (%v), want %+v", gotOrders, err, orders)
+		}
+	})
+	t.Run("go both ways", func(t *testing.T) {
+		server, client := newRecorder(), newRecorder()
+		conn := connect(t, server, client)
+		conn.Send(ccwire.MessageWho, struct{}{})
+		wait(t, "a message", server.messages)
+		wait(t, "a connection", server.conns).Send(ccwire.MessageWhoReply, ccwire.WhoReply{Node: ccnode.Ref{ID: "entry-1"}})
+		if got := wait(t, "a reply", client.messages); got.message != ccwire.MessageWhoReply {
+			t.Errorf("got %v", got.message)
+		}
+	})
+	t.Run("that can't be read are errors", func(t *testing.T) {
+		var failed *ccsession.Error
+		if err := ccsession.Decode([]byte{0xff, 0x00}, &ccwire.Orders{}); !errors.As(err, &failed) || failed.Kind != ccsession.KindUnreadable {
+			t.Errorf("got %v", err)
+		}
+	})
+}
+
+func fullAttach() ccwire.Attach {
+	task := ccwire.TaskRef{Job: "5c0e7a21d94b36f8", Index: 3}
+	return ccwire.Attach{
+		Node: ccnode.Ref{ID: "agent-1", Incarnation: 1 << 50}, Runs: []ccwire.TaskRef{task},
+		Report: ccwire.RunReport{
+			ClockMS: 1 << 40, Handled: 7, Free: ccresource.Amount{CPU: -5, Memory: 6, Accelerators: 1},
+			Worker:  &ccwire.WorkerInfo{Domain: "north", Service: "proof", Labels: []string{"a", "r1"}, Capacity: ccresource.Amount{CPU: 16000}},
+			Settled: true, Closed: "worker is draining",
+			Ends:     []ccwire.Ended{{Task: task, Attempt: 2, End: ccwire.RunFailed, Reason: "r", RanMS: 12}},
+			Progress: []ccwire.Progress{{Task: task, Percent: 40, RanMS: 100}},
+		},
+	}
+}
+
+func fullOrders() ccwire.Orders {
+	return ccwire.Orders{
+		Sequence: 9, EchoMS: 123, RoomIntervalMS: 20,
+		Starts:  []ccwire.StartOrder{{Task: ccwire.TaskRef{Job: "j"}, Attempt: 1, Payload: "p", Need: ccresource.Amount{CPU: 1}}},
+		Stops:   []ccwire.TaskRef{{Job: "k", Index: 1}},
+		Entries: []netip.AddrPort{netip.MustParseAddrPort("10.1.0.13:7720")}, PlanRevision: 4,
+		Plan: &ccroute.Plan{
+			Revision: 4, Version: 2, DomainsOut: map[string]bool{"north": true}, MaxBodyBytes: 10,
+			Routes: []ccroute.Route{{Name: "n", Host: "h", Prefix: "/p/", Service: "s", Priority: 1, MaxAttempts: 3, Stretch: 1.6, Allowance: time.Second, Timeout: time.Minute}},
+		},
+	}
+}
+
+func TestEnds(t *testing.T) {
+	t.Run("the other end is told", func(t *testing.T) {
+		server := newRecorder()
+		conn := connect(t, server, newRecorder())
+		conn.Send(ccwire.MessageWho, struct{}{})
+		wait(t, "a message", server.messages)
+		conn.Close()
+		wait(t, "the end", server.closed)
+	})
+	t.Run("a message that is too long ends the connection", func(t *testing.T) {
+		server := newRecorder()
+		listener, addr := listen(t)
+		go ccsession.Serve(listener, server)
+		socket, err := net.Dial("tcp", addr.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = socket.Close() }()
+		if _, err := socket.Write([]byte{0xff, 0xff, 0xff, 0xff, 1}); err != nil {
+			t.Fatal(err)
+		}
+		wait(t, "the end", server.closed)
+	})
+	t.Run("a peer that does not read is closed and never waited for", func(t *testing.T) {
+		listener, addr := listen(t)
+		client := newRecorder()
+		conn, err := ccsession.Dial(context.Background(), addr, client)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = listener
+		payload := string(make([]byte, 1<<20))
+		for range 2000 {
+			conn.Send(ccwire.MessageOrders, ccwire.Orders{Starts: []ccwire.StartOrder{{Payload: payload}}})
+		}
+		wait(t, "the end", client.closed)
+	})
+	t.Run("nobody listens", func(t *testing.T) {
+		listener, addr := listen(t)
+		_ = listener.Close()
+		var failed *ccsession.Error
+		if _, err := ccsession.Dial(context.Background(), addr, newRecorder()); !errors.As(err, &failed) || failed.Kind != ccsession.KindUnreachable {
+			t.Errorf("got %v", err)
+		}
+	})
+}
