Learn a worker's pace at its agent, and tell all entries

A slow worker shows only when runs end.

Change: the agent learns from the runs of all entries, whose orders now carry the estimate, and reports the pace.

--- a/core/cclease/life.go
+++ b/core/cclease/life.go
@@ -47,6 +47,7 @@
 		t.workerGone(now, "another worker is here")
 	}
 	t.worker = worker
+	t.pace = pace{}
 	t.describe(worker)
 	t.forgetLife()
 }
--- a/core/cclease/look.go
+++ b/core/cclease/look.go
@@ -110,6 +110,7 @@
 			defer t.reportAll(now)
 		}
 		t.health.right()
+		t.pace.learn(now.Sub(r.started), r.expected)
 	case ccwire.RunFailed:
 		t.wrong(now, r, "worker fails what it starts")
 		if t.health.suspect() {
@@ -144,6 +145,10 @@
 			}
 		}
 	}
+	if t.pace.watch(t.order) {
+		t.out.Changes = append(t.out.Changes, Change{What: "Worker's pace changed.", Pace: t.pace.value()})
+		t.reportAll(now)
+	}
 	for _, r := range slices.Clone(t.order) {
 		if listed[r.task] || !call.Sent.After(r.settled) {
 			continue
--- a/core/cclease/order.go
+++ b/core/cclease/order.go
@@ -81,6 +81,7 @@
 	r := &run{
 		task: order.Task, number: t.numbers[order.Task].number + 1, attempt: order.Attempt,
 		owner: o.ref.ID, need: order.Need, payload: order.Payload, started: now,
+		expected: time.Duration(order.EstimateMS) * time.Millisecond,
 	}
 	t.add(r)
 	t.callStart(now, r)
--- a/core/cclease/report.go
+++ b/core/cclease/report.go
@@ -86,6 +86,7 @@
 		Free:    t.Free(),
 		Closed:  t.closedReason(now),
 		Settled: t.settled(),
+		Pace:    t.pace.value(),
 	}
 	if t.plan != nil {
 		report.PlanRevision = t.plan.Revision
--- a/core/cclease/run.go
+++ b/core/cclease/run.go
@@ -32,7 +32,9 @@
 	owner   ccnode.ID
 	need    ccresource.Amount
 	payload string
-	phase   phase
+	// expected is how long the task takes by its caller's estimate.
+	expected time.Duration
+	phase    phase
 	// settled is when the latest answer about the run came: a list that was asked
 	// for later and lacks the run proves that it is over.
 	settled  time.Time
--- a/core/cclease/table.go
+++ b/core/cclease/table.go
@@ -46,6 +46,8 @@
 	// End and Run are those of a run that is over.
 	End ccwire.RunEnd
 	Run uint64
+	// Pace is how many times as long as estimated runs take.
+	Pace float64
 }
 
 // Table holds an agent's control state. One goroutine owns it.
@@ -87,6 +89,7 @@
 	planSince time.Time
 	leaving   bool
 	health    health
+	pace      pace
 	out       Actions
 }
 
--- a/core/ccreplay/agent.go
+++ b/core/ccreplay/agent.go
@@ -55,7 +55,7 @@
 	urgent   bool
 	sent     time.Time
 	runs     int
-	pace     pace
+	pace     float64 // How many times as long as estimated runs take there.
 }
 
 // flight is the room that a start takes once the agent has handled it.
@@ -183,6 +183,9 @@
 		s.change(Change{What: "Agent is " + openWord(report.Closed) + ".", Agent: a.ref.ID, Reason: report.Closed})
 	}
 	a.closed, a.free, a.handled = report.Closed, report.Free, report.Handled
+	if a.pace = report.Pace; a.pace <= 0 {
+		a.pace = 1
+	}
 	a.inFlight = slices.DeleteFunc(a.inFlight, func(f flight) bool { return f.sequence <= report.Handled })
 	a.revision = max(a.revision, report.PlanRevision)
 	if w := report.Worker; w != nil {
--- a/core/ccreplay/end.go
+++ b/core/ccreplay/end.go
@@ -18,7 +18,6 @@
 	j.begun = j.begun || ended.End != ccwire.RunNoRoom && ended.End != ccwire.RunRefused
 	switch ended.End {
 	case ccwire.RunDone:
-		a.pace.learn(time.Duration(ended.RanMS)*time.Millisecond, j.expected)
 		tk.state = taskDone
 		j.queued--
 		j.done++
--- a/core/ccreplay/move.go
+++ b/core/ccreplay/move.go
@@ -40,7 +40,6 @@
 		return
 	}
 	tk.moves++
-	a.pace.learn(ran+left, j.expected)
 	s.change(Change{What: "Run is moved.", Job: j.request.ID, Index: p.Task.Index, Agent: a.ref.ID, Reason: "too slow", Age: ran, Count: p.Percent})
 	s.stopRun(j, p.Task.Index)
 }
--- a/core/ccreplay/place.go
+++ b/core/ccreplay/place.go
@@ -95,7 +95,7 @@
 		if !a.usable(now) || !j.request.Need.Fits(a.room()) || !s.allowed(now, j, i, a) {
 			continue
 		}
-		end := time.Duration(float64(j.expected) * a.pace.value() * s.distance(j, a))
+		end := time.Duration(float64(j.expected) * a.pace * s.distance(j, a))
 		if a.domain != s.cfg.Domain {
 			end += awayPenalty
 		}
@@ -143,7 +143,7 @@
 	tk := &j.tasks[i]
 	s.change(Change{
 		What: "Task placed.", Job: j.request.ID, Index: i, Agent: a.ref.ID, Age: now.Sub(j.arrived), Count: tk.attempt + 1,
-		Room: a.room().CPU, Pace: a.pace.value(), Heard: now.Sub(a.heard),
+		Room: a.room().CPU, Pace: a.pace, Heard: now.Sub(a.heard),
 	})
 	tk.state, tk.agent, tk.life, tk.sent = taskPlaced, a.ref.ID, a.ref.Incarnation, now
 	tk.attempt++
@@ -153,6 +153,7 @@
 	a.runs++
 	a.orders.Starts = append(a.orders.Starts, ccwire.StartOrder{
 		Task: ccwire.TaskRef{Job: j.request.ID, Index: i}, Attempt: tk.attempt, Payload: j.request.Payload, Need: j.request.Need,
+		EstimateMS: j.expected.Milliseconds(),
 	})
 	a.inFlight = append(a.inFlight, flight{sequence: a.sequence + 1, need: j.request.Need})
 }
--- a/core/ccwire/session.go
+++ b/core/ccwire/session.go
@@ -106,6 +106,9 @@
 	Worker *WorkerInfo `json:"worker,omitempty"`
 	// Settled is that no run of an earlier incarnation of the agent is alive.
 	Settled bool `json:"settled,omitempty"`
+	// Pace is how many times as long as estimated runs take at the worker. Zero is
+	// unknown.
+	Pace float64 `json:"pace,omitempty"`
 	// Closed says why the worker takes no starts. Empty is that it does.
 	Closed       string        `json:"closed,omitempty"`
 	Ends         []Ended       `json:"ends,omitempty"`
@@ -120,6 +123,8 @@
 	Attempt int               `json:"attempt"`
 	Payload string            `json:"payload"`
 	Need    ccresource.Amount `json:"need"`
+	// EstimateMS is how long the task is expected to take, in milliseconds.
+	EstimateMS int64 `json:"estimateMs,omitempty"`
 }
 
 // Orders is what an entry asks of an agent. Without starts and stops it is a
--- a/io/cclease/record.go
+++ b/io/cclease/record.go
@@ -40,5 +40,9 @@
 			"reason", c.Reason, "ranMs", c.Age.Milliseconds())
 		return
 	}
+	if c.Pace != 0 {
+		a.cfg.Log.Info(c.What, "pace", c.Pace)
+		return
+	}
 	a.cfg.Log.Info(c.What, "job", c.Task.Job, "index", c.Task.Index, "entry", string(c.Entry), "reason", c.Reason, "ageMs", c.Age.Milliseconds(), "count", c.Count)
 }
