Let a task wait for an agent where it meets its objective

Change: a task that would miss its objective where there is room waits, as long as at most four jobs wait at the entry and another agent would meet it.

--- a/core/ccreplay/job.go
+++ b/core/ccreplay/job.go
@@ -109,6 +109,9 @@
 // take: estimates are off by 40 %.
 const shortest = 0.6
 
+// longest is the most: the users' callers are off by 40 % either way.
+const longest = 1.4
+
 // hope is what a job can still earn. Less is better.
 type hope int
 
--- a/core/ccreplay/place.go
+++ b/core/ccreplay/place.go
@@ -86,24 +86,70 @@
 	}
 }
 
-// choose returns the agent with room where a task of the job ends first, or nil.
+// patientQueue is how many jobs may wait at the entry while a slow worker is left
+// idle: as many as get room elsewhere within a fraction of their slack. Beyond that
+// the room is worth more than one answer in time (docs/POLICY.md).
+const patientQueue = 4
+
+// choose returns the agent with room where a task of the job is best placed, or nil.
+// A task that would miss the objective there waits, as long as it would meet it at
+// another agent that has no room yet and few jobs wait.
 func (s *Scheduler) choose(now time.Time, j *job, i int) *agent {
-	var best *agent
-	var bestEnd time.Duration
+	var best offer
+	wait := false
 	for _, id := range s.order {
 		a := s.agents[id]
-		if !a.usable(now) || !j.request.Need.Fits(a.room()) || !s.allowed(now, j, i, a) {
+		if !a.usable(now) || !s.allowed(now, j, i, a) {
 			continue
 		}
-		end := time.Duration(float64(j.expected) * a.pace * s.distance(j, a))
-		if a.domain != s.cfg.Domain {
-			end += awayPenalty
+		o := s.offerOf(now, j, a)
+		if !j.request.Need.Fits(a.room()) {
+			wait = wait || o.sure
+			continue
 		}
-		if best == nil || end < bestEnd || end == bestEnd && a.room().CPU > best.room().CPU {
-			best, bestEnd = a, end
+		if best.agent == nil || o.better(best) {
+			best = o
 		}
 	}
-	return best
+	if wait && !best.sure && len(s.queue) <= patientQueue {
+		return nil
+	}
+	return best.agent
+}
+
+// offer is what an agent would do for a job's task.
+type offer struct {
+	agent *agent
+	// sure is that the task meets the objective, also if its estimate is off.
+	sure bool
+	end  time.Duration
+}
+
+func (s *Scheduler) offerOf(now time.Time, j *job, a *agent) offer {
+	factor := a.pace * s.distance(j, a)
+	wait := now.Sub(j.arrived)
+	if a.domain != s.cfg.Domain {
+		wait += awayPenalty
+	}
+	return offer{
+		agent: a, end: wait + time.Duration(factor*float64(j.expected)),
+		sure: j.meets(shortest, factor, wait) && j.meets(longest, factor, wait),
+	}
+}
+
+// meets reports whether a task that takes share of its estimate meets the objective
+// that follows from it, at an agent that takes factor times as long.
+func (j *job) meets(share, factor float64, wait time.Duration) bool {
+	work := time.Duration(share * float64(j.expected))
+	return wait+time.Duration(factor*float64(work)) <= j.request.Route.Objective(work)
+}
+
+// better reports whether o is to be taken rather than other.
+func (o offer) better(other offer) bool {
+	if o.sure != other.sure {
+		return o.sure
+	}
+	return o.end < other.end || o.end == other.end && o.agent.room().CPU > other.agent.room().CPU
 }
 
 // distance returns how many times as long a task takes at an agent for its being
--- a/core/ccreplay/scheduler_test.go
+++ b/core/ccreplay/scheduler_test.go
@@ -494,6 +494,43 @@
 			t.Errorf("first start: got %s, want high", s[0].order.Task.Job)
 		}
 	})
+	t.Run("waits for an agent where it meets its objective", func(t *testing.T) {
+		f := newFixture(t, "north", "north")
+		f.submit("full", 4)
+		full := f.wantStarts(f.take(), 4)
+		slow := ccnode.ID("agent-1")
+		if full[0].agent == slow {
+			slow = "agent-2"
+		}
+		f.free[full[0].agent] = 0
+		f.report(full[0].agent)
+		f.s.Report(f.now, slow, ccwire.RunReport{Free: ccresource.Amount{CPU: 4000}, Pace: 2})
+		f.submit("long", 1, func(r *Request) { r.Estimate = 900 * time.Millisecond })
+		f.wantStarts(f.take(), 0)
+		f.free[full[0].agent] = 1000
+		f.report(full[0].agent, end(full[0], ccwire.RunDone))
+		if s := f.wantStarts(f.take(), 1); s[0].agent == slow {
+			t.Errorf("placed at %s, which is too slow", slow)
+		}
+	})
+	t.Run("takes a slow agent while many jobs wait", func(t *testing.T) {
+		f := newFixture(t, "north", "north")
+		f.submit("full", 4)
+		full := f.wantStarts(f.take(), 4)
+		f.free[full[0].agent] = 0
+		f.report(full[0].agent)
+		for _, id := range []ccnode.ID{"agent-1", "agent-2"} {
+			if id != full[0].agent {
+				f.s.Report(f.now, id, ccwire.RunReport{Free: ccresource.Amount{CPU: 4000}, Pace: 2})
+			}
+		}
+		for i := range patientQueue + 1 {
+			f.submit(fmt.Sprintf("long-%d", i), 1, func(r *Request) { r.Estimate = 900 * time.Millisecond })
+		}
+		if got := startsIn(f.take()); len(got) == 0 {
+			t.Error("starts: got none")
+		}
+	})
 	t.Run("moves a run that makes no progress", func(t *testing.T) {
 		f := newFixture(t, "north", "south")
 		f.submit("j1", 1)
