--- a/core/ccreplay/job.go
+++ b/core/ccreplay/job.go
@@ -109,6 +109,9 @@
 // take: estimates are off by 40 %.
 const shortest = 0.6
 
+// longest is the most: the users' callers are off by 40 % either way.
+const longest = 1.4
+
 // hope is what a job can still earn. Less is better.
 type hope int
 
@@ -133,6 +136,18 @@
 	}
 }
 
+// hopeOf returns what the job earns if its last task ends at end.
+func (j *job) hopeOf(end time.Time) hope {
+	switch {
+	case !end.After(j.due):
+		return hopeFull
+	case !end.After(j.late):
+		return hopeLate
+	default:
+		return hopeNone
+	}
+}
+
 // mayHaveRun reports whether any task of the job has started or may have. Orders
 // that an agent gave back never did.
 func (j *job) mayHaveRun() bool { return j.begun || j.placed > 0 }
