--- a/core/cclease/guard.go
+++ b/core/cclease/guard.go
@@ -6,9 +6,10 @@
 	// lateOrders is how long after an order that had no answer the worker may still
 	// carry it out: the longest that the platform takes.
 	lateOrders = 12 * time.Second
-	// guardInterval is the longest pause between two looks in that time. It bounds how
+	// guardInterval is the longest pause between two looks in that time, the same as while
+	// runs are alive: a look whose answer is lost costs a connection. It bounds how
 	// long a new life of the worker can take such an order for its own.
-	guardInterval = 20 * time.Millisecond
+	guardInterval = lookWait
 )
 
 // guard raises the fencing token, so that a start without an answer is refused from
--- a/core/cclease/look.go
+++ b/core/cclease/look.go
@@ -25,9 +25,6 @@
 	if t.anyStopping() {
 		call.Wait = min(call.Wait, stopTime)
 	}
-	if t.guarding(now) {
-		call.Wait = min(call.Wait, guardInterval)
-	}
 	t.out.Looks = append(t.out.Looks, call)
 }
 
