--- /dev/null
+++ b/io/cclease/record_test.go
@@ -0,0 +1,46 @@
+package cclease
+
+import (
+	"bytes"
+	"regexp"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"camphorcroft/core/cclease"
+	"camphorcroft/core/ccnode"
+	"camphorcroft/core/ccwire"
+	"camphorcroft/io/cclog"
+)
+
+var logTime = regexp.MustCompile(`"ts":"[^"]*",`)
+
+// TestLogLines keeps the form of each line that an agent writes about its decisions:
+// operators' commands read them.
+func TestLogLines(t *testing.T) {
+	var out bytes.Buffer
+	log := cclog.New(cclog.Config{Out: &out})
+	agent := New(Config{Node: ccnode.Ref{ID: "agent-1", Incarnation: 7}, Domain: "north", Log: log.Logger})
+	task, ms := ccwire.TaskRef{Job: "5c0e", Index: 1}, time.Millisecond
+	for _, c := range []cclease.Change{
+		{What: "Order refused.", Entry: "entry-1", Task: task, Reason: "no room in the agent's ledger", End: ccwire.RunNoRoom},
+		{What: "Run ended.", Entry: "entry-1", Task: task, Age: 80 * ms, End: ccwire.RunDone, Run: 2},
+		{What: "Run ended.", Entry: "entry-1", Task: task, Reason: "worker has a new life", Age: 80 * ms, End: ccwire.RunLost, Run: 3},
+		{What: "Runs stopped.", Entry: "entry-1", Reason: "entry is silent", Age: 410 * ms, Count: 4},
+		{What: "Session opened.", Entry: "entry-1"},
+		{What: "Session closed.", Entry: "entry-1"},
+		{What: "Plan received.", Entry: "entry-1", Count: 17},
+		{What: "Worker heard.", Reason: "i-7f3a"},
+		{What: "Worker lost.", Reason: "nothing listens at the worker's address", Count: 2},
+		{What: "Worker does not answer.", Reason: "none"},
+		{What: "Worker answers again."},
+		{What: "Worker rests.", Reason: "worker fails what it starts", Age: 500 * ms},
+		{What: "Worker's pace changed.", Pace: 6.5},
+		{What: "Process was paused.", Count: 3},
+	} {
+		agent.record(c)
+	}
+	log.Close()
+	goldie.New(t).Assert(t, "lines", logTime.ReplaceAll(out.Bytes(), nil))
+}
--- /dev/null
+++ b/io/ccreplay/record_test.go
@@ -0,0 +1,54 @@
+package ccreplay
+
+import (
+	"bytes"
+	"regexp"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"camphorcroft/core/ccnode"
+	"camphorcroft/core/ccreplay"
+	"camphorcroft/io/cclog"
+)
+
+var logTime = regexp.MustCompile(`"ts":"[^"]*",`)
+
+// TestLogLines keeps the form of each line that an entry writes about its decisions:
+// operators' commands read them.
+func TestLogLines(t *testing.T) {
+	var out bytes.Buffer
+	log := cclog.New(cclog.Config{Out: &out})
+	entry := New(Config{Node: ccnode.Ref{ID: "entry-1", Incarnation: 7}, Domain: "north", Log: log.Logger})
+	ms := time.Millisecond
+	for _, c := range []ccreplay.Change{
+		{What: "Job taken.", Job: "5c0e", Reason: "r0", Age: 90 * ms, Count: 2},
+		{What: "Task placed.", Job: "5c0e", Index: 1, Agent: "agent-2", Age: 3 * ms, Count: 1, Room: 4000, Pace: 1.25, Heard: 40 * ms},
+		{What: "Run failed.", Job: "5c0e", Index: 1, Agent: "agent-2", Age: 80 * ms, Count: 1},
+		{What: "Start refused.", Job: "5c0e", Index: 1, Agent: "agent-2", Reason: "no room in the agent's ledger"},
+		{What: "Run is moved.", Job: "5c0e", Index: 1, Agent: "agent-2", Reason: "too slow", Age: 150 * ms, Count: 4},
+		{What: "Run is over.", Job: "5c0e", Index: 1, Agent: "agent-2", Reason: "lost agent has a new incarnation", Age: 400 * ms},
+		{What: "Caller left.", Job: "5c0e", Age: 500 * ms},
+		{What: "Agent attached.", Agent: "agent-2", Count: 3},
+		{What: "Agent is closed.", Agent: "agent-2", Reason: "worker is draining"},
+		{What: "Agent is open.", Agent: "agent-2"},
+		{What: "Agent detached.", Agent: "agent-2", Age: 340 * ms, Count: 2},
+		{What: "Agent forgotten.", Agent: "agent-2"},
+		{What: "Plan received from an agent.", Agent: "agent-2", Count: 17},
+		{What: "Plan in force.", Count: 17},
+		{What: "Process was paused.", Age: 900 * ms},
+	} {
+		entry.record(c)
+	}
+	for _, answer := range []ccreplay.Answer{
+		{ID: "5c0e", State: ccreplay.StateComplete, Took: 120 * ms},
+		{ID: "5c0f", State: ccreplay.StateRefused, Reason: "no worker had room in time", RetryAfter: time.Second, Took: 300 * ms},
+		{ID: "5c10", State: ccreplay.StateFailed, Reason: "a task has failed as often as it may", Took: 200 * ms},
+		{ID: "5c11", State: ccreplay.StateExpired, Reason: "its tasks can't end in time any more", Took: 470 * ms},
+	} {
+		entry.recordAnswer(answer)
+	}
+	log.Close()
+	goldie.New(t).Assert(t, "lines", logTime.ReplaceAll(out.Bytes(), nil))
+}
