--- a/core/ccreplay/scheduler.go
+++ b/core/ccreplay/scheduler.go
@@ -68,6 +68,7 @@
 	// active is when the last event came, and quietUntil when jobs from before a
 	// pause of this process may be placed again.
 	active     time.Time
+	began      time.Time // When the first event came.
 	quietUntil time.Time
 	// entries are where the entries that are known listen for agents.
 	entries []netip.AddrPort
@@ -161,6 +162,9 @@
 
 // noticePause finds a pause in the times of the events.
 func (s *Scheduler) noticePause(now time.Time) {
+	if s.began.IsZero() {
+		s.began = now
+	}
 	if !s.active.IsZero() && now.Sub(s.active) > pauseLimit {
 		s.Woke(now)
 	}
--- a/core/ccreplay/scheduler_test.go
+++ b/core/ccreplay/scheduler_test.go
@@ -170,11 +170,29 @@
 	})
 	t.Run("that no known worker can run is refused at once", func(t *testing.T) {
 		f := newFixture(t, "north")
+		f.now = f.now.Add(learnAgents)
 		token := f.submit("j1", 1, func(r *Request) { r.Need.CPU = 9000 })
 		f.wantAnswer(f.take(), token, StateRefused)
 		token = f.submit("j2", 1, func(r *Request) { r.Label = "gpu" })
 		f.wantAnswer(f.take(), token, StateRefused)
 	})
+	t.Run("that comes right after the entry's start waits for its agents", func(t *testing.T) {
+		f := newFixture(t)
+		token := f.submit("j1", 1)
+		if out := f.take(); len(out.Answers) != 0 {
+			t.Fatalf("answers before any agent can have attached: got %+v", out.Answers)
+		}
+		f.now = f.now.Add(100 * time.Millisecond)
+		f.attach("agent-1", 1, "north")
+		f.report("agent-1", end(f.wantStarts(f.take(), 1)[0], ccwire.RunDone))
+		f.wantAnswer(f.take(), token, StateComplete)
+	})
+	t.Run("that comes later and finds no agents is refused at once", func(t *testing.T) {
+		f := newFixture(t)
+		f.now = f.now.Add(learnAgents)
+		token := f.submit("j1", 1)
+		f.wantAnswer(f.take(), token, StateRefused)
+	})
 	t.Run("that finds no room in time is refused as not run", func(t *testing.T) {
 		f := newFixture(t, "north")
 		f.submit("big", 4, func(r *Request) { r.Estimate = time.Second; r.Deadline = f.now.Add(9 * time.Second) })
--- a/core/ccreplay/submit.go
+++ b/core/ccreplay/submit.go
@@ -11,6 +11,9 @@
 	// rememberAgent is how long an agent that is gone still counts as one that may
 	// come back: it restarts, or is reached again, within that.
 	rememberAgent = 3 * time.Second
+	// learnAgents is how long an entry that has just started waits for its agents to
+	// attach: they dial it again at least each 400 ms, and give a dial 150 ms.
+	learnAgents = time.Second
 	// maxJobs bounds the jobs of an entry: 10 s of the greatest load that one is
 	// planned for, 5,400 jobs a second at 50 entries, is a tenth of it.
 	maxJobs = 10_000
@@ -67,8 +70,12 @@
 	s.change(Change{What: "Job taken.", Job: request.ID, Reason: request.Route.Name, Age: expected, Count: request.Tasks})
 }
 
-// possible reports whether any worker that is known could run the request's tasks.
+// possible reports whether any worker that is known could run the request's tasks. An
+// entry that has just started does not know its agents yet: they are about to attach.
 func (s *Scheduler) possible(now time.Time, request Request) bool {
+	if s.began.IsZero() || now.Sub(s.began) < learnAgents {
+		return true
+	}
 	for _, a := range s.agents {
 		if (a.open || now.Sub(a.heard) < rememberAgent) && s.suits(a, request) && request.Need.Fits(a.capacity) {
 			return true
--- a/io/cclease/record.go
+++ b/io/cclease/record.go
@@ -40,9 +40,26 @@
 			"reason", c.Reason, "ranMs", c.Age.Milliseconds())
 		return
 	}
+	a.cfg.Log.Info(c.What, fieldsOf(c)...)
+}
+
+// fieldsOf returns what a change says: lines are short, since each costs.
+func fieldsOf(c cclease.Change) []any {
+	fields := make([]any, 0, 10)
+	if c.Entry != "" {
+		fields = append(fields, "entry", string(c.Entry))
+	}
+	if c.Reason != "" {
+		fields = append(fields, "reason", c.Reason)
+	}
+	if c.Age != 0 {
+		fields = append(fields, "ageMs", c.Age.Milliseconds())
+	}
+	if c.Count != 0 {
+		fields = append(fields, "count", c.Count)
+	}
 	if c.Pace != 0 {
-		a.cfg.Log.Info(c.What, "pace", c.Pace)
-		return
+		fields = append(fields, "pace", c.Pace)
 	}
-	a.cfg.Log.Info(c.What, "job", c.Task.Job, "index", c.Task.Index, "entry", string(c.Entry), "reason", c.Reason, "ageMs", c.Age.Milliseconds(), "count", c.Count)
+	return fields
 }
--- a/io/ccreplay/record.go
+++ b/io/ccreplay/record.go
@@ -48,7 +48,28 @@
 			"room", c.Room, "pace", c.Pace, "reportAgeMs", c.Heard.Milliseconds())
 		return
 	}
-	e.log.Info(c.What, "job", c.Job, "index", c.Index, "agent", string(c.Agent), "reason", c.Reason, "ageMs", c.Age.Milliseconds(), "count", c.Count)
+	e.log.Info(c.What, fieldsOf(c)...)
+}
+
+// fieldsOf returns what a change says: lines are short, since each costs.
+func fieldsOf(c ccreplay.Change) []any {
+	fields := make([]any, 0, 12)
+	if c.Job != "" {
+		fields = append(fields, "job", c.Job, "index", c.Index)
+	}
+	if c.Agent != "" {
+		fields = append(fields, "agent", string(c.Agent))
+	}
+	if c.Reason != "" {
+		fields = append(fields, "reason", c.Reason)
+	}
+	if c.Age != 0 {
+		fields = append(fields, "ageMs", c.Age.Milliseconds())
+	}
+	if c.Count != 0 {
+		fields = append(fields, "count", c.Count)
+	}
+	return fields
 }
 
 // recordAnswer writes an answer into the log and the counters.
