Tell repeated refusals for want of room seldom

Ruled out: lost writes; the count of dropped lines was told.

Change: orders of one task that come back for want of room have lines the first three times and then each time that their number has doubled; each is counted as before.

The new case of TestPlacement fails before.

--- a/core/cclease/look.go
+++ b/core/cclease/look.go
@@ -143,7 +143,7 @@
 		}
 	}
 	if t.pace.watch(t.order) {
-		t.out.Changes = append(t.out.Changes, Change{What: "Worker's pace changed.", Pace: t.pace.value()})
+		t.out.Changes = append(t.out.Changes, Change{What: "Worker pace changed.", Pace: t.pace.value()})
 		t.reportAll(now)
 	}
 	for _, r := range slices.Clone(t.order) {
--- a/core/ccreplay/end.go
+++ b/core/ccreplay/end.go
@@ -31,7 +31,8 @@
 		if ended.End == ccwire.RunRefused {
 			tk.notBefore = now.Add(refusalPause)
 		}
-		s.change(Change{What: "Start refused.", Job: j.request.ID, Index: i, Agent: a.ref.ID, Reason: ended.Reason})
+		s.change(Change{What: "Start refused.", Job: j.request.ID, Index: i, Agent: a.ref.ID, Reason: ended.Reason, Count: tk.attempt, Quiet: tk.quiet()})
+		tk.refused++
 	case ccwire.RunStopped, ccwire.RunLost:
 		tk.avoid = a.ref.ID
 		s.change(Change{What: "Run is over.", Job: j.request.ID, Index: i, Agent: a.ref.ID, Reason: string(ended.End) + " " + ended.Reason, Age: now.Sub(tk.sent)})
--- a/core/ccreplay/job.go
+++ b/core/ccreplay/job.go
@@ -78,11 +78,17 @@
 	// notBefore is when the task may be placed again after a refusal.
 	notBefore time.Time
 	stopping  bool
+	refused   int // Counts the orders that found no room.
 	moves     int // Counts the runs that were stopped to run elsewhere.
 	// avoid is where the last run went wrong.
 	avoid ccnode.ID
 }
 
+// quiet reports whether the task's next order for want of room goes without a line of
+// its own: in an overload a task finds no room dozens of times. Lines are written for
+// the first three times and then each time that their number has doubled.
+func (tk *task) quiet() bool { return tk.refused > 2 && tk.refused&(tk.refused-1) != 0 }
+
 // job is a request that has not been answered, or whose runs are not over.
 type job struct {
 	request  Request
--- a/core/ccreplay/scheduler.go
+++ b/core/ccreplay/scheduler.go
@@ -38,6 +38,8 @@
 	Room  int64
 	Pace  float64
 	Heard time.Duration
+	// Quiet is a change that repeats earlier ones: it is counted, and no line tells it.
+	Quiet bool
 }
 
 // Message is orders for an agent.
--- a/core/ccreplay/scheduler_test.go
+++ b/core/ccreplay/scheduler_test.go
@@ -492,6 +492,24 @@
 			t.Errorf("placed at %s again", first.agent)
 		}
 	})
+	t.Run("tells the first refusals for want of room, then fewer and fewer", func(t *testing.T) {
+		f := newFixture(t, "north")
+		f.submit("j1", 1, func(r *Request) { r.Estimate = 900 * time.Millisecond })
+		told := 0
+		for range 40 {
+			out := f.take()
+			f.report("agent-1", end(f.wantStarts(out, 1)[0], ccwire.RunNoRoom))
+			for _, c := range out.Changes {
+				if c.What == "Task placed." && !c.Quiet {
+					told++
+				}
+			}
+		}
+		// The orders after 0 to 2 refusals, and after 4, 8, 16 and 32.
+		if told != 7 {
+			t.Errorf("lines for 40 orders: got %d, want 7", told)
+		}
+	})
 	t.Run("sends nothing to an agent that is closed", func(t *testing.T) {
 		f := newFixture(t, "north")
 		f.s.Report(f.now, "agent-1", ccwire.RunReport{Closed: "worker is draining", Free: ccresource.Amount{CPU: 4000}})
--- a/io/ccreplay/record_test.go
+++ b/io/ccreplay/record_test.go
@@ -27,6 +27,7 @@
 		{What: "Task placed.", Job: "5c0e", Index: 1, Agent: "agent-2", Age: 3 * ms, Count: 1, Room: 4000, Pace: 1.25, Heard: 40 * ms},
 		{What: "Run failed.", Job: "5c0e", Index: 1, Agent: "agent-2", Age: 80 * ms, Count: 1},
 		{What: "Start refused.", Job: "5c0e", Index: 1, Agent: "agent-2", Reason: "no room in the agent's ledger"},
+		{What: "Start refused.", Job: "5c0e", Index: 1, Agent: "agent-2", Reason: "no room in the agent's ledger", Count: 6, Quiet: true},
 		{What: "Run is moved.", Job: "5c0e", Index: 1, Agent: "agent-2", Reason: "too slow", Age: 150 * ms, Count: 4},
 		{What: "Run is over.", Job: "5c0e", Index: 1, Agent: "agent-2", Reason: "lost agent has a new incarnation", Age: 400 * ms},
 		{What: "Caller left.", Job: "5c0e", Age: 500 * ms},
