Write logs in pieces that a pipe takes whole

Each write held the lines of 50 ms, and the collected text has at most 8 KiB of a write: the rest of a busy moment was cut, in the middle of a line.

Ruled out: the budget, and the queue, which tell what they leave out.

Change: a write has whole lines and at most 4 KiB, which a pipe takes in one piece; only a longer line goes alone.

The new test fails before, with one write of all.

--- a/io/cclog/log_test.go
+++ b/io/cclog/log_test.go
@@ -130,3 +130,42 @@
 		log.Logger.Info("Task placed.", "job", "5c0e7a21d94b36f8", "index", 2, "agent", "agent-1", "room", 4000)
 	}
 }
+
+// pieces keeps each write by itself.
+type pieces struct {
+	mu  sync.Mutex
+	all []string
+}
+
+func (p *pieces) Write(piece []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.all = append(p.all, string(piece))
+	return len(piece), nil
+}
+
+func TestWritesAreWholeLinesThatAPipeTakes(t *testing.T) {
+	out := &pieces{}
+	log := New(Config{Out: out})
+	long := strings.Repeat("x", 2*writeBytes)
+	for n := range 300 {
+		log.Logger.Info(fmt.Sprintf("Line %d.", n), "job", "5c0e", "index", n)
+		if n == 150 {
+			log.Logger.Info("A long line.", "job", "5c0e", "reason", long)
+		}
+	}
+	log.Close()
+	lines := 0
+	for _, piece := range out.all {
+		lines += strings.Count(piece, "\n")
+		if !strings.HasSuffix(piece, "\n") {
+			t.Errorf("a write ends within a line: %q", piece[max(0, len(piece)-40):])
+		}
+		if len(piece) > writeBytes && !strings.Contains(piece, long) {
+			t.Errorf("a write has %d bytes, want %d at most", len(piece), writeBytes)
+		}
+	}
+	if lines != 301 {
+		t.Errorf("lines: got %d, want 301", lines)
+	}
+}
--- a/io/cclog/queue.go
+++ b/io/cclog/queue.go
@@ -1,6 +1,7 @@
 package cclog
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -11,6 +12,9 @@
 const (
 	// queueBytes bounds the lines that wait for the writer: a second of 5,000 lines.
 	queueBytes = 1 << 20
+	// writeBytes bounds one write: a pipe takes that much in one piece, so that the lines
+	// of processes that share it don't mix, and collectors take 8 KiB of a write.
+	writeBytes = 4096
 	// flushInterval is how long lines are gathered for one write.
 	flushInterval = 50 * time.Millisecond
 	// closeWait is how long a stop waits for a reader who has stopped reading.
@@ -73,8 +77,7 @@
 			lines = fmt.Appendf(lines, "{\"level\":\"error\",\"ts\":%q,\"msg\":\"Log lines were dropped, the reader is slow.\",\"count\":%d}\n", time.Now().Format(time.RFC3339Nano), dropped-q.told)
 			q.told = dropped
 		}
-		// A writer that fails leaves nobody to tell.
-		_, _ = q.out.Write(lines)
+		q.writeOut(lines)
 		spare = lines
 		if ending {
 			return
@@ -82,6 +85,23 @@
 	}
 }
 
+// writeOut writes lines in pieces that the reader gets whole.
+func (q *queue) writeOut(lines []byte) {
+	for len(lines) > 0 {
+		n := len(lines)
+		if n > writeBytes {
+			n = bytes.LastIndexByte(lines[:writeBytes], '\n') + 1
+			if n == 0 {
+				// One line is longer than a piece.
+				n = bytes.IndexByte(lines, '\n') + 1
+			}
+		}
+		// A writer that fails leaves nobody to tell.
+		_, _ = q.out.Write(lines[:n])
+		lines = lines[n:]
+	}
+}
+
 func (q *queue) close() {
 	q.mu.Lock()
 	q.closed = true
