--- a/io/ccsession/conn.go
+++ b/io/ccsession/conn.go
@@ -1,9 +1,9 @@
 // Package ccsession carries the messages of sessions between agents and entries.
 //
 // A message is a frame: its length in four bytes, one byte that says what it is, and
-// the value in CBOR. Sessions carry several messages a task, and an entry of a grown
-// deployment spent two fifths of its processor time on jsonrpc2's three passes over
-// each; docs/decisions/platform.md has the figures.
+// the value in CBOR. Sessions carry several messages a task; jsonrpc2, which passes over
+// each three times, costs an entry a quarter more of its processor time
+// (docs/decisions/platform.md).
 //
 // # Usage
 //
