Answer every request before an entry that stops ends

At its limit of 5.2 s an entry went on to close its listeners, which waits 0.3 s for requests and then cuts them.

Ruled out: want of readiness (unready since the signal); a later limit, since a request may come at any moment up to the end.

Change: at its limit the entry answers each open request, with 502 if its job may have run, so that its caller sends it again elsewhere, else with 503 and a time to come back; whatever comes after that is refused.

Figures: TestLeavingEntryGivesUpInTime and TestJob's case fail before.

--- a/core/ccreplay/scheduler.go
+++ b/core/ccreplay/scheduler.go
@@ -69,8 +69,10 @@
 	list      []*job // The jobs, in the order in which they came.
 	// active is when the last event came, and quietUntil when jobs from before a
 	// pause of this process may be placed again.
-	active     time.Time
-	began      time.Time // When the first event came.
+	active time.Time
+	began  time.Time // When the first event came.
+	// ending is that every request was answered, and that no other is taken.
+	ending     bool
 	quietUntil time.Time
 	// entries are where the entries that are known listen for agents.
 	entries []netip.AddrPort
--- a/core/ccreplay/scheduler_test.go
+++ b/core/ccreplay/scheduler_test.go
@@ -193,6 +193,21 @@
 		token := f.submit("j1", 1)
 		f.wantAnswer(f.take(), token, StateRefused)
 	})
+	t.Run("that is open when its entry ends is answered then", func(t *testing.T) {
+		f := newFixture(t, "north")
+		placed := f.submit("j1", 4)
+		f.wantStarts(f.take(), 4)
+		waits := f.submit("j2", 1)
+		f.s.GiveUp(f.now)
+		out := f.take()
+		f.wantAnswer(out, placed, StateUnknown)
+		f.wantAnswer(out, waits, StateRefused)
+		if stops := stopsIn(out); len(stops) != 4 {
+			t.Errorf("stops: got %d, want 4", len(stops))
+		}
+		later := f.submit("j1", 1)
+		f.wantAnswer(f.take(), later, StateRefused)
+	})
 	t.Run("that finds no room in time is refused as not run", func(t *testing.T) {
 		f := newFixture(t, "north")
 		f.submit("big", 4, func(r *Request) { r.Estimate = time.Second; r.Deadline = f.now.Add(9 * time.Second) })
--- a/core/ccreplay/submit.go
+++ b/core/ccreplay/submit.go
@@ -27,6 +27,10 @@
 
 // Submit takes a request. Each request gets one answer, through Take.
 func (s *Scheduler) Submit(now time.Time, request Request) {
+	if s.ending {
+		s.refuse(request, "entry is stopping", retrySoon)
+		return
+	}
 	if j := s.jobs[request.ID]; j != nil {
 		s.attachWaiter(j, request)
 		return
@@ -48,6 +52,26 @@
 	j.next = &request
 }
 
+// GiveUp answers every request, since the entry is about to end, and refuses those that
+// come after. A caller whose job may have run sends it again, to another entry.
+func (s *Scheduler) GiveUp(now time.Time) {
+	s.ending = true
+	for _, j := range slices.Clone(s.list) {
+		if j.next != nil {
+			s.refuse(*j.next, "entry is stopping", retrySoon)
+			j.next = nil
+		}
+		if j.answered {
+			continue
+		}
+		state := StateUnknown
+		if !j.mayHaveRun() {
+			state = StateRefused
+		}
+		s.answer(now, j, state, "entry is stopping")
+	}
+}
+
 func (s *Scheduler) admit(now time.Time, request Request) {
 	if len(s.list) >= maxJobs {
 		s.refuse(request, "entry has as many jobs as it may", retrySoon)
--- a/io/ccreplay/entry.go
+++ b/io/ccreplay/entry.go
@@ -123,6 +123,9 @@
 		}
 		time.Sleep(tickInterval)
 	}
+	// Requests on open connections come until the end. What is not answered now would
+	// be cut.
+	e.do(func(now time.Time) { e.scheduler.GiveUp(now) })
 	return nil
 }
 
--- a/io/ccreplay/fleet_test.go
+++ b/io/ccreplay/fleet_test.go
@@ -359,6 +359,39 @@
 	waitFor(t, "an entry that was added later is ready", ready(second))
 }
 
+// TestLeavingEntryGivesUpInTime has runs that don't end before the entry must: their
+// callers, and those who come last, get an answer, not a broken connection.
+func TestLeavingEntryGivesUpInTime(t *testing.T) {
+	t.Parallel()
+	store, worker := newMemoryStore(), &instantWorker{hold: true}
+	putPlan(t, store)
+	addr := freeAddr(t)
+	entry := startEntry(t, "entry-1", addr, 1, store)
+	defer entry.Close()
+	startAgent(t, worker, addr)
+	waitFor(t, "the entry is ready", ready(entry))
+	answers := make(chan corereplay.Answer, 1)
+	go func() { answers <- entry.Submit(context.Background(), job("j1")) }()
+	waitFor(t, "the runs are alive", func() bool { return worker.alive() == 3 })
+	if err := entry.Stop(context.Background()); err != nil {
+		t.Error(err)
+	}
+	select {
+	case answer := <-answers:
+		if answer.State != corereplay.StateUnknown {
+			t.Errorf("the job that runs: got %s (%s), want unknown", answer.State, answer.Reason)
+		}
+	case <-time.After(time.Second):
+		t.Error("the job that runs has no answer when the entry has stopped")
+	}
+	last, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if answer := entry.Submit(last, job("j2")); answer.State != corereplay.StateRefused || answer.RetryAfter == 0 {
+		t.Errorf("a job that comes last: got %s (%s), want refused with a time to come back", answer.State, answer.Reason)
+	}
+	waitFor(t, "the runs are stopped", func() bool { return worker.alive() == 0 })
+}
+
 func TestLeavingEntryAnswersWhatItHas(t *testing.T) {
 	store, worker := newMemoryStore(), &instantWorker{hold: true}
 	putPlan(t, store)
