Refusals always name the same time to come back

The linter found that each call of refuse passes the same time; the parameter is gone. Nothing else changes. Ruled out: an exception for the linter.

--- a/core/ccreplay/submit.go
+++ b/core/ccreplay/submit.go
@@ -28,7 +28,7 @@
 // Submit takes a request. Each request gets one answer, through Take.
 func (s *Scheduler) Submit(now time.Time, request Request) {
 	if s.ending {
-		s.refuse(request, "entry is stopping", retrySoon)
+		s.refuse(request, "entry is stopping")
 		return
 	}
 	if j := s.jobs[request.ID]; j != nil {
@@ -47,7 +47,7 @@
 		return
 	}
 	if j.next != nil {
-		s.refuse(*j.next, "a later request for the job has come", retrySoon)
+		s.refuse(*j.next, "a later request for the job has come")
 	}
 	j.next = &request
 }
@@ -58,7 +58,7 @@
 	s.ending = true
 	for _, j := range slices.Clone(s.list) {
 		if j.next != nil {
-			s.refuse(*j.next, "entry is stopping", retrySoon)
+			s.refuse(*j.next, "entry is stopping")
 			j.next = nil
 		}
 		if j.answered {
@@ -74,11 +74,11 @@
 
 func (s *Scheduler) admit(now time.Time, request Request) {
 	if len(s.list) >= maxJobs {
-		s.refuse(request, "entry has as many jobs as it may", retrySoon)
+		s.refuse(request, "entry has as many jobs as it may")
 		return
 	}
 	if !s.possible(now, request) {
-		s.refuse(request, "no worker can ever run this job", retrySoon)
+		s.refuse(request, "no worker can ever run this job")
 		return
 	}
 	expected := request.Estimate
@@ -108,9 +108,9 @@
 	return false
 }
 
-func (s *Scheduler) refuse(request Request, reason string, after time.Duration) {
+func (s *Scheduler) refuse(request Request, reason string) {
 	s.out.Answers = append(s.out.Answers, Answer{
-		Token: request.Token, ID: request.ID, State: StateRefused, Reason: reason, RetryAfter: after,
+		Token: request.Token, ID: request.ID, State: StateRefused, Reason: reason, RetryAfter: retrySoon,
 	})
 }
 
