--- a/core/ccreplay/agent.go
+++ b/core/ccreplay/agent.go
@@ -27,7 +27,7 @@
 	// which it opens its session anew.
 	idleHeartbeat = 280 * time.Millisecond
 	// roomReports is how many reports about room alone an entry takes in a second from
-	// all agents: at some 30 us each, 1.5 % of a core.
+	// all agents; docs/CAPACITY.md has what an entry spends with it.
 	roomReports = 500
 )
 
--- a/core/ccreplay/move.go
+++ b/core/ccreplay/move.go
@@ -21,8 +21,8 @@
 )
 
 // progress stops a run that would end later than one started anew elsewhere, if the
-// job can earn more by that. A run that is only longer than its estimate, as one in
-// forty is by a factor of two, would be no sooner elsewhere.
+// job can earn more by that. A run that is only longer than its estimate
+// would end no sooner elsewhere.
 func (s *Scheduler) progress(now time.Time, a *agent, p ccwire.Progress) {
 	if !s.placedAt(p.Task, a.ref.ID) {
 		return
--- a/io/ccsession/conn.go
+++ b/io/ccsession/conn.go
@@ -2,7 +2,7 @@
 //
 // A message is a frame: its length in four bytes, one byte that says what it is, and
 // the value in CBOR. Sessions carry several messages a task; jsonrpc2, which passes over
-// each three times, costs an entry a quarter more of its processor time
+// each three times, costs an entry a third more processor time
 // (docs/decisions/platform.md).
 //
 // # Usage
