Match routes by an index, so that the cost does not grow with the routes

Cause: Match walks all routes of a plan for each request. On the large deployment a configuration grows by 1,360 routes at once, and each of 55 entries walks them for each request. Ruled out: sorting by host alone, since most routes have the same host. Change: BuildIndex makes a table by host and prefix, with the distinct lengths of the prefixes; a plan without an index is walked as before.

--- a/core/ccroute/plan.go
+++ b/core/ccroute/plan.go
@@ -53,6 +53,50 @@
 	DomainsOut map[string]bool `json:"domainsOut,omitempty"`
 	// MaxBodyBytes limits the size of a request's body. Zero sets no limit here.
 	MaxBodyBytes int64 `json:"maxBodyBytes,omitempty"`
+
+	index map[string]*hostRoutes // By host. Nil until BuildIndex.
+}
+
+// hostRoutes are the routes of one host.
+type hostRoutes struct {
+	byPrefix map[string]Route
+	lengths  []int // The distinct lengths of the prefixes, longest first.
+}
+
+// BuildIndex prepares the plan so that the cost of Match does not grow with the number
+// of routes. It must be called before the plan is shared.
+func (p *Plan) BuildIndex() {
+	p.index = map[string]*hostRoutes{}
+	for _, route := range p.Routes {
+		host := p.index[route.Host]
+		if host == nil {
+			host = &hostRoutes{byPrefix: map[string]Route{}}
+			p.index[route.Host] = host
+		}
+		if _, exists := host.byPrefix[route.Prefix]; exists {
+			continue // The first of several equal routes is in force.
+		}
+		host.byPrefix[route.Prefix] = route
+		if !slices.Contains(host.lengths, len(route.Prefix)) {
+			host.lengths = append(host.lengths, len(route.Prefix))
+		}
+	}
+	for _, host := range p.index {
+		slices.SortFunc(host.lengths, func(a, b int) int { return b - a })
+	}
+}
+
+// match returns the route with the longest prefix of path, and the rest of the path.
+func (h *hostRoutes) match(path string) (Route, string, bool) {
+	for _, length := range h.lengths {
+		if length > len(path) {
+			continue
+		}
+		if route, ok := h.byPrefix[path[:length]]; ok {
+			return route, path[length:], true
+		}
+	}
+	return Route{}, "", false
 }
 
 // Sorted returns a copy of the routes in the order that Match requires: longest prefix
@@ -66,6 +110,12 @@
 // Match returns the host's route with the longest prefix of path, and the rest of the
 // path after the prefix.
 func (p *Plan) Match(host, path string) (Route, string, bool) {
+	if p.index != nil {
+		if routes := p.index[host]; routes != nil {
+			return routes.match(path)
+		}
+		return Route{}, "", false
+	}
 	for _, route := range p.Routes {
 		if route.Host != host {
 			continue
