--- a/core/ccroster/subset.go
+++ b/core/ccroster/subset.go
@@ -1,9 +1,8 @@
 package ccroster
 
 import (
-	"github.com/cespare/xxhash/v2"
-
 	"camphorcroft/core/ccnode"
+	"camphorcroft/core/ccsubset"
 )
 
 // minEntriesPerAgent keeps an agent in use when one of its entries fails.
@@ -29,7 +28,7 @@
 // Each agent is used by exactly that many entries, and an entry that joins or
 // leaves moves only its own share of the agents.
 func (r *Roster) Uses(entry, agent ccnode.ID, entriesPerAgent int) bool {
-	own := agentWeight(agent, entry)
+	own := ccsubset.Score(agent, string(entry))
 	known, above := false, 0
 	for i := range r.Entries {
 		other := r.Entries[i].Ref.ID
@@ -37,13 +36,9 @@
 		case r.Entries[i].Leaving:
 		case other == entry:
 			known = true
-		case agentWeight(agent, other) > own:
+		case ccsubset.Score(agent, string(other)) > own:
 			above++
 		}
 	}
 	return known && above < entriesPerAgent
 }
-
-func agentWeight(agent, entry ccnode.ID) uint64 {
-	return xxhash.Sum64String(string(agent) + "/" + string(entry))
-}
