--- a/core/cclease/manager.go
+++ b/core/cclease/manager.go
@@ -87,12 +87,10 @@
 	runNumbers map[ccwire.TaskRef]lastRunNumber
 	reserved   ccresource.Amount
 	plan       *ccroute.Plan
-	// planReceivedAt is when the plan was received.
-	planReceivedAt time.Time
-	draining       bool
-	health         health
-	pace           pace
-	actions        Actions
+	draining   bool
+	health     health
+	pace       pace
+	actions    Actions
 }
 
 // lastRunNumber is the highest run number that a task had on this worker, and when it
@@ -174,6 +172,14 @@
 	}
 }
 
+// closedReasonFor returns why no start of an entry is accepted now. The entry may be nil.
+func (m *Manager) closedReasonFor(now time.Time, o *owner) string {
+	if o != nil && o.retiring {
+		return "session is about to close"
+	}
+	return m.closedReason(now)
+}
+
 // priorRunsEnded reports whether no run of an earlier incarnation of this agent is
 // active.
 func (m *Manager) priorRunsEnded() bool { return m.runsListed && m.orphans() == 0 }
--- a/core/cclease/order.go
+++ b/core/cclease/order.go
@@ -35,14 +35,18 @@
 
 func (m *Manager) updatePlan(now time.Time, o *owner, orders ccwire.Orders) {
 	o.planRevision = max(o.planRevision, orders.PlanRevision)
+	if orders.WantPlan {
+		o.wantsPlan, o.reportNow = true, true
+	}
 	if !orders.Plan.Newer(m.plan) {
 		return
 	}
 	m.plan = orders.Plan
 	o.planRevision = max(o.planRevision, orders.Plan.Revision)
 	m.actions.Changes = append(m.actions.Changes, Change{Message: "Plan received.", Entry: o.ref.ID, Count: int(m.plan.Revision)})
-	m.planReceivedAt = now
-	m.sendDueReports(now)
+	// Entries that can't reach the store learn from the next report that they can ask for
+	// the plan here.
+	m.reportAll(now)
 }
 
 // handleStart accepts or refuses a start order.
@@ -51,7 +55,7 @@
 		m.refuseOrder(now, o.ref.ID, order, ccwire.RunRefused, "echo is old")
 		return
 	}
-	if reason := m.closedReason(now); reason != "" {
+	if reason := m.closedReasonFor(now, o); reason != "" {
 		m.refuseOrder(now, o.ref.ID, order, ccwire.RunRefused, reason)
 		return
 	}
--- a/core/cclease/owner.go
+++ b/core/cclease/owner.go
@@ -17,6 +17,8 @@
 	lastHeard       time.Time
 	handledSequence uint64
 	planRevision    uint64 // The revision of the entry's plan.
+	wantsPlan       bool   // The entry has asked for the plan.
+	retiring        bool   // The session is about to be closed.
 	sentInfo        *ccwire.WorkerInfo
 	pendingEnds     []ccwire.RunResult
 	recentEnds      []recentEnd
@@ -86,6 +88,7 @@
 	o.handledSequence = 0
 	o.reportNow = true
 	o.sentInfo = nil
+	o.retiring, o.wantsPlan = false, false
 	m.actions.Changes = append(m.actions.Changes, Change{Message: "Session opened.", Entry: entry.ID})
 	m.sendDueReports(now)
 }
@@ -99,6 +102,34 @@
 	}
 }
 
+// Retire announces to an entry that its session is about to be closed, because the agent
+// needs it no longer. The entry orders no more starts from then on.
+func (m *Manager) Retire(now time.Time, entry ccnode.ID) {
+	if o := m.owners[entry]; o != nil && !o.retiring {
+		o.retiring, o.reportNow = true, true
+		m.sendDueReports(now)
+	}
+}
+
+// Restore takes back Retire.
+func (m *Manager) Restore(now time.Time, entry ccnode.ID) {
+	if o := m.owners[entry]; o != nil && o.retiring {
+		o.retiring, o.reportNow = false, true
+		m.sendDueReports(now)
+	}
+}
+
+// RunsOf returns the number of active runs that an entry has ordered.
+func (m *Manager) RunsOf(entry ccnode.ID) int {
+	n := 0
+	for _, r := range m.runList {
+		if r.owner == entry {
+			n++
+		}
+	}
+	return n
+}
+
 // Connected reports whether a session with the entry is open.
 func (m *Manager) Connected(entry ccnode.ID) bool {
 	o := m.owners[entry]
--- a/core/cclease/report.go
+++ b/core/cclease/report.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"camphorcroft/core/ccnode"
 	"camphorcroft/core/ccwire"
 )
@@ -51,10 +49,11 @@
 		cpuChange := m.Free().CPU - o.reportedCPU
 		if o.reportNow || age >= maxReportInterval || (age >= max(minCapacityInterval, o.capacityInterval) && (cpuChange >= cpuReportStep || cpuChange <= -cpuReportStep)) {
 			report := m.newReport(now, o, age >= progressInterval)
-			if m.plan != nil && o.planRevision < m.plan.Revision && now.Sub(m.planReceivedAt) >= m.planDelay(id) {
+			if o.wantsPlan && m.plan != nil && o.planRevision < m.plan.Revision {
 				report.Plan = m.plan
 				o.planRevision = m.plan.Revision
 			}
+			o.wantsPlan = false
 			if m.workerInfo != nil && o.sentInfo != m.workerInfo {
 				report.Worker, o.sentInfo = m.workerInfo, m.workerInfo
 			}
@@ -64,29 +63,12 @@
 	}
 }
 
-// planDelay returns how long the agent waits before it sends a plan to an entry. Most
-// entries read the plan from the store and state its revision in their next orders. The
-// delay differs for each pair of agent and entry, so that an entry that cannot reach
-// the store gets few copies.
-func (m *Manager) planDelay(entry ccnode.ID) time.Duration {
-	return minPlanDelay + time.Duration((xxhash.Sum64String(string(entry))^m.cfg.Token)%planDelaySteps)*planDelayStep
-}
-
-// minPlanDelay allows for one report and one heartbeat. planDelaySteps and
-// planDelayStep spread the copies over another 375 ms. A plan must be in force 2 s
-// after it was accepted.
-const (
-	minPlanDelay   = 300 * time.Millisecond
-	planDelaySteps = 16
-	planDelayStep  = 25 * time.Millisecond
-)
-
 // newReport returns a report for an entry. If o is nil, it has no data of a session.
 func (m *Manager) newReport(now time.Time, o *owner, progress bool) ccwire.RunReport {
 	report := ccwire.RunReport{
 		ClockMS:        now.Sub(m.cfg.StartTime).Milliseconds(),
 		Free:           m.Free(),
-		ClosedReason:   m.closedReason(now),
+		ClosedReason:   m.closedReasonFor(now, o),
 		PriorRunsEnded: m.priorRunsEnded(),
 		Pace:           m.pace.value(),
 	}
--- a/core/ccreplay/agent.go
+++ b/core/ccreplay/agent.go
@@ -2,11 +2,13 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"camphorcroft/core/cclease"
 	"camphorcroft/core/ccnode"
 	"camphorcroft/core/ccresource"
+	"camphorcroft/core/ccsubset"
 	"camphorcroft/core/ccwire"
 )
 
@@ -40,23 +42,38 @@
 	labels   []string
 	capacity ccresource.Amount
 	// attached is true while the agent has a session with this entry.
-	attached     bool
-	lastReport   time.Time
-	clockMS      int64  // The agent's clock in its latest report, echoed in orders.
-	closedReason string // Why the agent takes no starts. Empty if it does.
+	attached   bool
+	lastReport time.Time
+	// stalledAtReport is how long the entry had been stalled in all at the last report.
+	stalledAtReport time.Duration
+	clockMS         int64 // The agent's clock in its latest report, echoed in orders.
+	clockOffset     clockOffset
+	closedReason    string // Why the agent takes no starts. Empty if it does.
 	// free is the free capacity in the agent's latest report.
 	free               ccresource.Amount
-	handled            uint64             // Sequence of the last orders that free accounts for.
-	sequence           uint64             // Sequence of the last orders sent in this session.
-	inFlight           []inFlightStart    // Starts that free does not account for yet.
-	planRevision       uint64             // Revision of the plan that the agent has.
+	available          ccresource.Amount // What updateAvailable has computed last.
+	sequence           uint64            // Sequence of the last orders sent in this session.
+	inFlight           []inFlightStart   // Starts that free does not account for yet.
+	planRevision       uint64            // Revision of the plan that the agent has or was sent.
+	heldPlan           uint64            // Revision of the plan that the agent has.
+	relay              bool              // The agent relays plans.
+	relayRank          uint64
 	settledIncarnation ccnode.Incarnation // The latest one whose predecessors have no runs left.
 	entriesSent        bool               // The agent has the current entries.
 	orders             ccwire.Orders      // Orders to send with the next message.
-	sendNow            bool               // Send a message even without starts or stops.
+	inOutbox           bool               // The agent is in the scheduler's outbox.
 	lastSent           time.Time
-	runCount           int
-	pace               float64 // Actual run time as a multiple of the estimate.
+	runs               []placedTask // The tasks placed on the agent.
+	// lostAt is the earliest time at which one of the runs counts as lost. Zero is not
+	// known.
+	lostAt time.Time
+	pace   float64 // Actual run time as a multiple of the estimate.
+}
+
+// placedTask is a task of a job that is placed on an agent.
+type placedTask struct {
+	job   *job
+	index int
 }
 
 // inFlightStart is the capacity that a start uses once the agent has handled the
@@ -66,23 +83,44 @@
 	need     ccresource.Amount
 }
 
-// available returns the reported free capacity minus that of starts in flight.
-func (a *agent) available() ccresource.Amount {
-	free := a.free
+// updateAvailable recomputes the available capacity: that of the last report minus that of
+// starts in flight.
+func (a *agent) updateAvailable() {
+	a.available = a.free
 	for _, f := range a.inFlight {
-		free = free.Minus(f.need)
+		a.available = a.available.Minus(f.need)
 	}
-	return free
+}
+
+// addRun records a task that was placed on the agent.
+func (a *agent) addRun(j *job, i int) {
+	j.tasks[i].position = len(a.runs)
+	a.runs = append(a.runs, placedTask{job: j, index: i})
+}
+
+// removeRun removes a task that addRun has recorded.
+func (a *agent) removeRun(j *job, i int) {
+	at, last := j.tasks[i].position, len(a.runs)-1
+	a.runs[at] = a.runs[last]
+	a.runs[at].job.tasks[a.runs[at].index].position = at
+	a.runs[last] = placedTask{}
+	a.runs = a.runs[:last]
 }
 
 // usable reports whether the agent may be given tasks now.
-func (a *agent) usable(now time.Time) bool {
-	return a.attached && a.closedReason == "" && now.Sub(a.lastReport) <= suspectAfter
+func (s *Scheduler) usable(now time.Time, a *agent) bool {
+	return a.attached && a.closedReason == "" && s.silence(now, a) <= suspectAfter
+}
+
+// silence returns how long an agent has been silent. It leaves out the times for which the
+// entry was stalled, and the delay with which it reads reports.
+func (s *Scheduler) silence(now time.Time, a *agent) time.Duration {
+	return now.Sub(a.lastReport) - (s.lateness.stalled - a.stalledAtReport) - s.lateness.reports
 }
 
 // heartbeatPeriod returns the longest time between two messages to the agent.
 func (a *agent) heartbeatPeriod() time.Duration {
-	if a.runCount > 0 {
+	if len(a.runs) > 0 {
 		return heartbeatInterval
 	}
 	return idleHeartbeatInterval
@@ -93,17 +131,20 @@
 func (s *Scheduler) Attach(now time.Time, attach ccwire.Attach) {
 	a := s.agents[attach.Node.ID]
 	if a == nil {
-		a = &agent{}
-		s.agents[attach.Node.ID] = a
-		s.agentIDs = append(s.agentIDs, attach.Node.ID)
-		slices.Sort(s.agentIDs)
+		a = s.addAgent(attach.Node)
 	}
 	if attach.Node.Incarnation < a.ref.Incarnation {
 		return
 	}
+	if !a.attached {
+		s.attached++
+	}
 	a.ref = attach.Node
-	a.entriesSent = false
+	a.entriesSent = attach.EntriesDigest == ccsubset.Digest(s.entries)
+	a.planRevision = 0
+	s.relay.stale = true
 	a.attached, a.sequence, a.inFlight, a.orders = true, 0, nil, ccwire.Orders{}
+	a.clockOffset.reset()
 	s.recordChange(Change{Message: "Agent attached.", Agent: a.ref.ID, Count: len(attach.Runs)})
 	s.handleReport(now, a, attach.Report)
 	alive := map[ccwire.TaskRef]bool{}
@@ -113,35 +154,49 @@
 			a.orders.Stops = append(a.orders.Stops, ref)
 		}
 	}
-	s.reconcileRuns(now, a, alive)
-	a.sendNow = true
+	s.reconcileRuns(now, a, alive, attach.Report.HandledSequence)
+	s.sendNow(a)
 	s.schedule(now)
 }
 
+func (s *Scheduler) addAgent(ref ccnode.Ref) *agent {
+	a := &agent{ref: ref, relayRank: relayRank(ref.ID)}
+	s.agents[ref.ID] = a
+	at, _ := slices.BinarySearchFunc(s.agentList, a, compareAgents)
+	s.agentList = slices.Insert(s.agentList, at, a)
+	return a
+}
+
+func compareAgents(a, b *agent) int { return strings.Compare(string(a.ref.ID), string(b.ref.ID)) }
+
 // reconcileRuns compares the tasks placed on an agent with the runs that it listed
 // when it attached. Listed runs continue, and missing runs of its current
-// incarnation have ended. An agent knows nothing of the runs of its earlier
-// incarnations until it is settled: those stay unresolved until then, or until
-// cclease.RunsExpireAfter has passed.
-func (s *Scheduler) reconcileRuns(now time.Time, a *agent, alive map[ccwire.TaskRef]bool) {
-	for _, j := range slices.Clone(s.jobList) {
-		for i := range j.tasks {
-			tk := &j.tasks[i]
-			ref := ccwire.TaskRef{Job: j.request.ID, Index: i}
-			switch {
-			case tk.state != taskPlaced || tk.agent != a.ref.ID:
-			case tk.incarnation != a.ref.Incarnation:
-				if tk.lostAt.IsZero() {
-					tk.lostAt = now.Add(cclease.RunsExpireAfter)
-				}
-			case alive[ref]:
-				tk.lostAt = time.Time{}
-				if tk.stopping {
-					a.orders.Stops = append(a.orders.Stops, ref)
-				}
-			default:
-				s.endRun(now, j, i, ccwire.RunResult{Task: ref, Attempt: tk.attempt, Outcome: ccwire.RunLost, Reason: "agent attached without it"})
+// incarnation have ended. Those whose orders the agent had not handled in the previous
+// session never started, since it drops the orders of a session that was replaced.
+//
+// An agent knows nothing of the runs of its earlier incarnations until it is settled:
+// those stay unresolved until then, or until cclease.RunsExpireAfter has passed.
+func (s *Scheduler) reconcileRuns(now time.Time, a *agent, alive map[ccwire.TaskRef]bool, handled uint64) {
+	for _, p := range slices.Clone(a.runs) {
+		tk := &p.job.tasks[p.index]
+		ref := ccwire.TaskRef{Job: p.job.request.ID, Index: p.index}
+		ended := ccwire.RunResult{Task: ref, Attempt: tk.attempt, Outcome: ccwire.RunLost, Reason: "agent attached without it"}
+		switch {
+		case tk.incarnation != a.ref.Incarnation:
+			if tk.lostAt.IsZero() {
+				tk.lostAt = now.Add(cclease.RunsExpireAfter)
+				a.lostAt = earliest(a.lostAt, tk.lostAt)
 			}
+		case alive[ref]:
+			tk.lostAt, tk.sequence = time.Time{}, 0
+			if tk.stopping {
+				a.orders.Stops = append(a.orders.Stops, ref)
+			}
+		case tk.sequence > handled:
+			ended.Outcome, ended.Reason = ccwire.RunRefused, "agent attached without having handled the order"
+			s.endRun(now, p.job, p.index, ended)
+		default:
+			s.endRun(now, p.job, p.index, ended)
 		}
 	}
 }
@@ -149,11 +204,9 @@
 // endEarlierRuns ends the runs of an agent's earlier incarnations once the agent has
 // reported that none of them is alive.
 func (s *Scheduler) endEarlierRuns(now time.Time, a *agent) {
-	for _, j := range slices.Clone(s.jobList) {
-		for i := range j.tasks {
-			if tk := &j.tasks[i]; tk.state == taskPlaced && tk.agent == a.ref.ID && tk.incarnation != a.ref.Incarnation {
-				s.endRun(now, j, i, ccwire.RunResult{Attempt: tk.attempt, Outcome: ccwire.RunLost, Reason: "agent has a new incarnation"})
-			}
+	for _, p := range slices.Clone(a.runs) {
+		if tk := &p.job.tasks[p.index]; tk.incarnation != a.ref.Incarnation {
+			s.endRun(now, p.job, p.index, ccwire.RunResult{Attempt: tk.attempt, Outcome: ccwire.RunLost, Reason: "agent has a new incarnation"})
 		}
 	}
 }
@@ -178,7 +231,8 @@
 }
 
 func (s *Scheduler) handleReport(now time.Time, a *agent, report ccwire.RunReport) {
-	a.lastReport = now
+	a.lastReport, a.stalledAtReport = now, s.lateness.stalled
+	s.lateness.observe(a.clockOffset.delay(now, report.ClockMS))
 	a.clockMS = max(a.clockMS, report.ClockMS)
 	if report.ClockMS < a.clockMS {
 		// The clock of a new incarnation restarts at zero.
@@ -187,12 +241,13 @@
 	if a.closedReason != report.ClosedReason {
 		s.recordChange(Change{Message: "Agent is " + openOrClosed(report.ClosedReason) + ".", Agent: a.ref.ID, Reason: report.ClosedReason})
 	}
-	a.closedReason, a.free, a.handled = report.ClosedReason, report.Free, report.HandledSequence
+	a.closedReason, a.free = report.ClosedReason, report.Free
 	if a.pace = report.Pace; a.pace <= 0 {
 		a.pace = 1
 	}
 	a.inFlight = slices.DeleteFunc(a.inFlight, func(f inFlightStart) bool { return f.sequence <= report.HandledSequence })
-	a.planRevision = max(a.planRevision, report.PlanRevision)
+	a.updateAvailable()
+	s.handlePlanRevision(now, a, report.PlanRevision)
 	if w := report.Worker; w != nil {
 		a.domain, a.service, a.labels, a.capacity = w.Domain, w.Service, w.Labels, w.Capacity
 	}
@@ -237,21 +292,21 @@
 		return
 	}
 	a.attached = false
-	s.recordChange(Change{Message: "Agent detached.", Agent: id, Age: now.Sub(a.lastReport), Count: a.runCount})
+	s.attached--
+	s.relay.stale = true
+	s.recordChange(Change{Message: "Agent detached.", Agent: id, Age: now.Sub(a.lastReport), Count: len(a.runs)})
 	lostAt := a.lastReport.Add(cclease.RunsExpireAfter)
-	for _, j := range s.jobList {
-		for i := range j.tasks {
-			if tk := &j.tasks[i]; tk.state == taskPlaced && tk.agent == id {
-				tk.lostAt = lostAt
-			}
-		}
+	a.lostAt = time.Time{}
+	for _, p := range a.runs {
+		p.job.tasks[p.index].lostAt = lostAt
+		a.lostAt = lostAt
 	}
 	s.schedule(now)
 }
 
 // forgetAgent deletes the state of an agent that has been detached for forgetAfter.
-func (s *Scheduler) forgetAgent(id ccnode.ID) {
-	delete(s.agents, id)
-	s.agentIDs = slices.DeleteFunc(s.agentIDs, func(other ccnode.ID) bool { return other == id })
-	s.recordChange(Change{Message: "Agent forgotten.", Agent: id})
+func (s *Scheduler) forgetAgent(a *agent) {
+	delete(s.agents, a.ref.ID)
+	s.agentList = slices.DeleteFunc(s.agentList, func(other *agent) bool { return other == a })
+	s.recordChange(Change{Message: "Agent forgotten.", Agent: a.ref.ID})
 }
--- a/core/ccreplay/end.go
+++ b/core/ccreplay/end.go
@@ -12,7 +12,7 @@
 func (s *Scheduler) endRun(now time.Time, j *job, i int, ended ccwire.RunResult) {
 	tk := &j.tasks[i]
 	a := s.agents[tk.agent]
-	a.runCount--
+	a.removeRun(j, i)
 	j.placed--
 	tk.state = taskQueued
 	j.queued++
--- a/core/ccreplay/move.go
+++ b/core/ccreplay/move.go
@@ -46,8 +46,8 @@
 
 // otherAgentUsable reports whether an agent other than a can run the job's tasks.
 func (s *Scheduler) otherAgentUsable(now time.Time, j *job, a *agent) bool {
-	for _, id := range s.agentIDs {
-		if other := s.agents[id]; other != a && other.usable(now) && s.compatible(other, j.request) {
+	for _, other := range s.agentList {
+		if other != a && s.usable(now, other) && s.compatible(other, j.request) {
 			return true
 		}
 	}
--- a/core/ccreplay/place.go
+++ b/core/ccreplay/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -17,6 +18,7 @@
 	j.feasibility = j.feasibilityIfStarted(now)
 	at, _ := slices.BinarySearchFunc(s.queue, j, compareQueueOrder)
 	s.queue = slices.Insert(s.queue, at, j)
+	s.leastNeed = min(s.leastNeed, j.request.Need.CPU)
 }
 
 // compareQueueOrder orders jobs by feasibility, then by the priority of their route, then
@@ -32,6 +34,7 @@
 // refreshQueue updates the feasibility of each queued job, reorders the queue, and
 // answers the jobs that have become infeasible.
 func (s *Scheduler) refreshQueue(now time.Time) {
+	s.pruneQueue()
 	changed := false
 	for _, j := range s.queue {
 		if current := j.feasibilityIfStarted(now); current != j.feasibility {
@@ -62,32 +65,71 @@
 // be placed end with it.
 func (s *Scheduler) schedule(now time.Time) {
 	s.detectPause(now)
-	s.queue = slices.DeleteFunc(s.queue, func(j *job) bool { return !j.hasQueuedTasks() || s.jobs[j.request.ID] != j })
+	if len(s.queue) == 0 {
+		return
+	}
+	open := s.openAgents(now)
+	if len(open) == 0 {
+		return
+	}
+	s.pruneQueue()
 	for _, j := range s.queue {
 		// After a pause, callers of earlier jobs may have gone to another entry.
 		if now.Before(j.request.Deadline) && (!now.Before(s.holdUntil) || !j.arrived.Before(s.holdUntil.Add(-pauseHold))) {
-			s.placeJob(now, j)
+			open = s.placeJob(now, j, open)
+		}
+		if len(open) == 0 {
+			return
 		}
 	}
 }
 
-// placeJob places the queued tasks of a job. If a task finds no agent, the others won't
-// either, unless the task is to avoid one.
-func (s *Scheduler) placeJob(now time.Time, j *job) {
+// openAgents returns the usable agents with enough free CPU for some queued task. Under
+// overload it is nearly empty, which bounds the cost of an event.
+func (s *Scheduler) openAgents(now time.Time) []*agent {
+	s.open = s.open[:0]
+	for _, a := range s.agentList {
+		if a.available.CPU >= s.leastNeed && s.usable(now, a) {
+			s.open = append(s.open, a)
+		}
+	}
+	return s.open
+}
+
+// pruneQueue removes the jobs without tasks to place from the queue.
+func (s *Scheduler) pruneQueue() {
+	s.leastNeed = math.MaxInt64
+	s.queue = slices.DeleteFunc(s.queue, func(j *job) bool {
+		if !j.hasQueuedTasks() || s.jobs[j.request.ID] != j {
+			return true
+		}
+		s.leastNeed = min(s.leastNeed, j.request.Need.CPU)
+		return false
+	})
+}
+
+// placeJob places the queued tasks of a job on open agents, and returns those that are
+// still open. If a task finds no agent, the others won't either, unless the task is to
+// avoid one.
+func (s *Scheduler) placeJob(now time.Time, j *job, open []*agent) []*agent {
 	for i := range j.tasks {
 		tk := &j.tasks[i]
 		if tk.state != taskQueued || now.Before(tk.notBefore) {
 			continue
 		}
-		a := s.chooseAgent(now, j, i)
+		a := s.chooseAgent(now, j, i, open)
 		if a == nil {
 			if tk.avoidAgent == "" {
-				return
+				return open
 			}
 			continue
 		}
 		s.placeTask(now, j, i, a)
+		if a.available.CPU < s.leastNeed {
+			open = slices.DeleteFunc(open, func(other *agent) bool { return other == a })
+		}
 	}
+	return open
 }
 
 // delayQueueLimit is the longest queue at which a task waits for a faster worker while a
@@ -96,32 +138,36 @@
 // one answer in time (docs/POLICY.md).
 const delayQueueLimit = 4
 
-// chooseAgent returns the best agent with enough free capacity for a task of the job, or
-// nil. If the task would miss its objective there but meet it on an agent that is
+// chooseAgent returns the best open agent with enough free capacity for a task of the
+// job, or nil. If the task would miss its objective there but meet it on an agent that is
 // currently full, it waits, as long as the queue is short.
-func (s *Scheduler) chooseAgent(now time.Time, j *job, i int) *agent {
+func (s *Scheduler) chooseAgent(now time.Time, j *job, i int, open []*agent) *agent {
 	var best candidate
-	delay := false
-	for _, id := range s.agentIDs {
-		a := s.agents[id]
-		if !a.usable(now) || !s.mayPlace(now, j, i, a) {
-			continue
-		}
-		c := s.newCandidate(now, j, a)
-		if !j.request.Need.Fits(a.available()) {
-			delay = delay || c.meetsObjective
+	for _, a := range open {
+		if !j.request.Need.Fits(a.available) || !s.mayPlace(now, j, i, a) {
 			continue
 		}
-		if best.agent == nil || c.better(best) {
+		if c := s.newCandidate(now, j, a); best.agent == nil || c.better(best) {
 			best = c
 		}
 	}
-	if delay && !best.meetsObjective && len(s.queue) <= delayQueueLimit {
+	if !best.meetsObjective && len(s.queue) <= delayQueueLimit && s.fasterAgentFull(now, j, i) {
 		return nil
 	}
 	return best.agent
 }
 
+// fasterAgentFull reports whether the task would meet its objective on some agent that is
+// currently full.
+func (s *Scheduler) fasterAgentFull(now time.Time, j *job, i int) bool {
+	for _, a := range s.agentList {
+		if !j.request.Need.Fits(a.available) && s.usable(now, a) && s.mayPlace(now, j, i, a) && s.newCandidate(now, j, a).meetsObjective {
+			return true
+		}
+	}
+	return false
+}
+
 // candidate is the predicted result of placing a task on an agent.
 type candidate struct {
 	agent *agent
@@ -156,7 +202,7 @@
 	if c.meetsObjective != other.meetsObjective {
 		return c.meetsObjective
 	}
-	return c.latency < other.latency || c.latency == other.latency && c.agent.available().CPU > other.agent.available().CPU
+	return c.latency < other.latency || c.latency == other.latency && c.agent.available.CPU > other.agent.available.CPU
 }
 
 // localityFactor returns how many times longer a task takes on an agent because of the
@@ -197,17 +243,20 @@
 	tk := &j.tasks[i]
 	s.recordChange(Change{
 		Message: "Task placed.", Job: j.request.ID, Index: i, Agent: a.ref.ID, Age: now.Sub(j.arrived), Count: tk.attempt + 1,
-		FreeCPU: a.available().CPU, Pace: a.pace, ReportAge: now.Sub(a.lastReport), Quiet: tk.suppressLog(),
+		FreeCPU: a.available.CPU, Pace: a.pace, ReportAge: now.Sub(a.lastReport), Quiet: tk.suppressLog(),
 	})
 	tk.state, tk.agent, tk.incarnation, tk.placedAt = taskPlaced, a.ref.ID, a.ref.Incarnation, now
 	tk.attempt++
 	tk.stopping, tk.lostAt = false, time.Time{}
 	j.queued--
 	j.placed++
-	a.runCount++
+	tk.sequence = a.sequence + 1
+	a.addRun(j, i)
+	s.sendNow(a)
 	a.orders.Starts = append(a.orders.Starts, ccwire.StartOrder{
 		Task: ccwire.TaskRef{Job: j.request.ID, Index: i}, Attempt: tk.attempt, Payload: j.request.Payload, Need: j.request.Need,
 		EstimateMS: j.expected.Milliseconds(),
 	})
 	a.inFlight = append(a.inFlight, inFlightStart{sequence: a.sequence + 1, need: j.request.Need})
+	a.available = a.available.Minus(j.request.Need)
 }
--- /dev/null
+++ b/core/ccreplay/relay.go
@@ -0,0 +1,128 @@
+package ccreplay
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"camphorcroft/core/ccnode"
+	"camphorcroft/core/ccroute"
+)
+
+const (
+	// relayCount is the number of agents to which an entry sends a plan, so that entries
+	// that can't reach the store get it from there. The same agents serve all entries
+	// that they are attached to.
+	relayCount = 8
+	// planDelaySteps and planDelayStep spread the sending of a plan over 300 ms, well
+	// within the 2 s in which a plan must take effect.
+	planDelaySteps = 16
+	planDelayStep  = 20 * time.Millisecond
+	// planRequestDelay is how long an entry waits for a plan from the store before it asks
+	// an agent for it.
+	planRequestDelay = 300 * time.Millisecond
+	// planRequestRetry is how long it waits for the answer before it asks another agent.
+	planRequestRetry = 250 * time.Millisecond
+)
+
+// planRelay is the state of the plan's way between entries over agents.
+type planRelay struct {
+	// stale is set when the agents that relay plans must be chosen again.
+	stale bool
+	// heard is the highest revision that an agent has, and heardAt when an agent first
+	// had a newer plan than the entry.
+	heard    uint64
+	heardAt  time.Time
+	askedAt  time.Time
+	requests int
+}
+
+// planDue reports whether the agent must be sent the plan now.
+func (s *Scheduler) planDue(now time.Time, a *agent) bool {
+	if s.plan == nil || a.planRevision >= s.plan.Revision || !s.relaysPlans(a) {
+		return false
+	}
+	return a.planRevision == 0 || now.Sub(s.planSetAt) >= s.planDelay(a.ref.ID)
+}
+
+// planDelay is how long the entry waits before it sends a plan to an agent, which may
+// get it from another entry in the meantime. It differs for each pair of entry and
+// agent.
+func (s *Scheduler) planDelay(id ccnode.ID) time.Duration {
+	return time.Duration(xxhash.Sum64String(string(s.cfg.Self.ID)+string(id))%planDelaySteps) * planDelayStep
+}
+
+// relaysPlans reports whether the agent is one of those that relay plans: the attached
+// agents with the lowest hashes.
+func (s *Scheduler) relaysPlans(a *agent) bool {
+	if s.relay.stale {
+		s.relay.stale = false
+		var attached []*agent
+		for _, other := range s.agentList {
+			other.relay = false
+			if other.attached {
+				attached = append(attached, other)
+			}
+		}
+		slices.SortFunc(attached, func(a, b *agent) int { return cmp.Compare(a.relayRank, b.relayRank) })
+		for _, other := range attached[:min(relayCount, len(attached))] {
+			other.relay = true
+		}
+	}
+	return a.relay
+}
+
+// relayRank orders the agents for the choice of those that relay plans. It is the same at
+// all entries.
+func relayRank(id ccnode.ID) uint64 { return xxhash.Sum64String(string(id)) }
+
+// handlePlanRevision records the revision of the plan that an agent has.
+func (s *Scheduler) handlePlanRevision(now time.Time, a *agent, revision uint64) {
+	a.heldPlan = revision
+	a.planRevision = max(a.planRevision, revision)
+	if revision > s.planRevision() && revision > s.relay.heard {
+		if s.relay.heard <= s.planRevision() {
+			s.relay.heardAt = now
+		}
+		s.relay.heard = revision
+	}
+}
+
+// requestPlan asks an agent for its plan if the store has not sent it in time.
+func (s *Scheduler) requestPlan(now time.Time) {
+	own := s.planRevision()
+	if s.relay.heard <= own || now.Sub(s.relay.heardAt) < planRequestDelay || now.Sub(s.relay.askedAt) < planRequestRetry {
+		return
+	}
+	var holders []*agent
+	for _, a := range s.agentList {
+		if a.attached && a.heldPlan > own {
+			holders = append(holders, a)
+		}
+	}
+	if len(holders) == 0 {
+		s.relay.heard = own
+		return
+	}
+	a := holders[s.relay.requests%len(holders)]
+	s.relay.requests++
+	s.relay.askedAt = now
+	a.orders.WantPlan = true
+	s.sendNow(a)
+}
+
+// planRevision returns the revision of the current plan, or 0.
+func (s *Scheduler) planRevision() uint64 {
+	if s.plan == nil {
+		return 0
+	}
+	return s.plan.Revision
+}
+
+func (s *Scheduler) setPlan(now time.Time, plan *ccroute.Plan) {
+	plan.BuildIndex()
+	s.plan, s.planSetAt = plan, now
+	s.recordChange(Change{Message: "Plan in force.", Count: int(plan.Revision)})
+}
--- a/core/ccreplay/scheduler.go
+++ b/core/ccreplay/scheduler.go
@@ -1,14 +1,12 @@
 package ccreplay
 
 import (
-	"net/netip"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"camphorcroft/core/ccnode"
 	"camphorcroft/core/ccroute"
+	"camphorcroft/core/ccsubset"
 	"camphorcroft/core/ccwire"
 )
 
@@ -66,7 +64,9 @@
 	// planSetAt is when this scheduler adopted the plan.
 	planSetAt time.Time
 	agents    map[ccnode.ID]*agent
-	agentIDs  []ccnode.ID // Sorted, so that decisions are reproducible.
+	agentList []*agent // Sorted by ID, so that decisions are reproducible.
+	attached  int      // Number of agents with a session.
+	outbox    []*agent // Agents with a message to send.
 	jobs      map[string]*job
 	jobList   []*job // In order of arrival.
 	// lastEvent is the time of the last event. holdUntil is when jobs from before a
@@ -76,10 +76,16 @@
 	// stopping is set by Stop: all requests are answered, and new ones are refused.
 	stopping  bool
 	holdUntil time.Time
-	// entries are the addresses on which the known entries listen for agents.
-	entries []netip.AddrPort
-	queue   []*job  // Jobs with tasks to place, in scheduling order.
-	actions Actions // What the next Take returns.
+	// entries are those that have a record in the store.
+	entries []ccsubset.Entry
+	relay   planRelay
+	queue   []*job   // Jobs with tasks to place, in scheduling order.
+	open    []*agent // The result of the last openAgents, for reuse.
+	// leastNeed is at most the CPU that a task of any queued job needs.
+	leastNeed int64
+	lateness  lateness
+	overload  overload
+	actions   Actions // What the next Take returns.
 }
 
 // New returns a scheduler without agents and without a plan.
@@ -106,44 +112,14 @@
 	}
 }
 
-// SetEntries sets the addresses on which the entries listen and sends them to all agents.
-func (s *Scheduler) SetEntries(entries []netip.AddrPort) {
-	if slices.Equal(entries, s.entries) {
-		return
-	}
-	s.entries = entries
-	for _, a := range s.agents {
-		a.entriesSent, a.sendNow = false, true
-	}
-}
-
-func (s *Scheduler) setPlan(now time.Time, plan *ccroute.Plan) {
-	s.plan, s.planSetAt = plan, now
-	s.recordChange(Change{Message: "Plan in force.", Count: int(plan.Revision)})
-}
-
-// planDelay is how long the entry waits before it sends a plan to an agent, which may
-// get it from another entry in the meantime. It differs for each pair of entry and
-// agent.
-func (s *Scheduler) planDelay(id ccnode.ID) time.Duration {
-	return time.Duration(xxhash.Sum64String(string(s.cfg.Self.ID)+string(id))%planDelaySteps) * planDelayStep
-}
-
-// planDelaySteps and planDelayStep spread the sending of a plan over 300 ms, well within
-// the 2 s in which a plan must take effect.
-const (
-	planDelaySteps = 16
-	planDelayStep  = 20 * time.Millisecond
-)
-
 // Jobs returns the number of jobs that are unanswered or still have runs.
 func (s *Scheduler) Jobs() int { return len(s.jobs) }
 
 // UsableAgents returns the number of agents that may be given tasks.
 func (s *Scheduler) UsableAgents(now time.Time) int {
 	n := 0
-	for _, a := range s.agents {
-		if a.usable(now) {
+	for _, a := range s.agentList {
+		if s.usable(now, a) {
 			n++
 		}
 	}
@@ -181,35 +157,74 @@
 // Tick handles timeouts and deadlines. It must be called at least every 25 ms while
 // there are jobs.
 func (s *Scheduler) Tick(now time.Time) {
-	for _, id := range slices.Clone(s.agentIDs) {
-		a := s.agents[id]
-		silence := now.Sub(a.lastReport)
-		if !a.attached && a.runCount == 0 && silence > forgetAfter {
-			s.forgetAgent(id)
-			continue
+	s.lateness.tick(now)
+	s.updateOverload(now)
+	for _, a := range slices.Clone(s.agentList) {
+		s.tickAgent(now, a)
+	}
+	s.requestPlan(now)
+	s.expireJobs(now)
+	s.refreshQueue(now)
+	s.schedule(now)
+}
+
+// tickAgent ends the runs of an agent that count as lost, closes the session of an agent
+// that is silent, and sends what is due to the others.
+func (s *Scheduler) tickAgent(now time.Time, a *agent) {
+	if !a.lostAt.IsZero() && !now.Before(a.lostAt) {
+		s.endLostRuns(now, a)
+	}
+	if !a.attached {
+		if len(a.runs) == 0 && now.Sub(a.lastReport) > forgetAfter {
+			s.forgetAgent(a)
 		}
-		if a.attached && (silence > suspectAfter && a.runCount > 0 || silence > idleSessionTimeout) {
-			s.actions.CloseSessions = append(s.actions.CloseSessions, id)
-			s.Detach(now, id)
+		return
+	}
+	if silence := s.silence(now, a); silence > suspectAfter && len(a.runs) > 0 || silence > idleSessionTimeout {
+		s.actions.CloseSessions = append(s.actions.CloseSessions, a.ref.ID)
+		s.Detach(now, a.ref.ID)
+		return
+	}
+	if now.Sub(a.lastSent) >= a.heartbeatPeriod() || s.planDue(now, a) {
+		s.sendNow(a)
+	}
+}
+
+// endLostRuns ends the agent's runs that count as lost.
+func (s *Scheduler) endLostRuns(now time.Time, a *agent) {
+	a.lostAt = time.Time{}
+	for _, p := range slices.Clone(a.runs) {
+		tk := &p.job.tasks[p.index]
+		switch {
+		case tk.lostAt.IsZero():
+		case now.Before(tk.lostAt):
+			a.lostAt = earliest(a.lostAt, tk.lostAt)
+		default:
+			s.endRun(now, p.job, p.index, ccwire.RunResult{Attempt: tk.attempt, Outcome: ccwire.RunLost, Reason: "agent is silent for longer than its runs can live"})
 		}
 	}
-	for _, j := range slices.Clone(s.jobList) {
-		s.tickJob(now, j)
+}
+
+// earliest returns the earlier of two times. Zero stands for no time.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
 	}
-	s.refreshQueue(now)
-	s.schedule(now)
+	return a
 }
 
-// tickJob ends the job's runs that count as lost, and the job at its deadline.
-func (s *Scheduler) tickJob(now time.Time, j *job) {
-	for i := range j.tasks {
-		tk := &j.tasks[i]
-		if tk.state == taskPlaced && !tk.lostAt.IsZero() && !now.Before(tk.lostAt) {
-			s.endRun(now, j, i, ccwire.RunResult{Attempt: tk.attempt, Outcome: ccwire.RunLost, Reason: "agent is silent for longer than its runs can live"})
+// expireJobs answers the jobs whose deadline has passed.
+func (s *Scheduler) expireJobs(now time.Time) {
+	var expired []*job
+	for _, j := range s.jobList {
+		if !j.answered && !now.Before(j.request.Deadline) {
+			expired = append(expired, j)
 		}
 	}
-	if !j.answered && !now.Before(j.request.Deadline) {
-		s.expire(now, j)
+	for _, j := range expired {
+		if !j.answered {
+			s.expire(now, j)
+		}
 	}
 }
 
@@ -218,43 +233,40 @@
 // capacityReportInterval returns the shortest time between two reports of an agent that
 // only carry free capacity. It grows with the number of attached agents.
 func (s *Scheduler) capacityReportInterval() time.Duration {
-	attached := 0
-	for _, a := range s.agents {
-		if a.attached {
-			attached++
-		}
+	return time.Duration(s.attached) * time.Second / capacityReportsPerSecond
+}
+
+// sendNow marks an agent to get a message with the next Take.
+func (s *Scheduler) sendNow(a *agent) {
+	if a.attached && !a.inOutbox {
+		a.inOutbox = true
+		s.outbox = append(s.outbox, a)
 	}
-	return time.Duration(attached) * time.Second / capacityReportsPerSecond
 }
 
-// flush queues a message with each agent's pending orders, or a heartbeat if one is due.
+// flush queues the messages of the agents in the outbox.
 func (s *Scheduler) flush(now time.Time) {
-	interval := s.capacityReportInterval()
-	for _, id := range s.agentIDs {
-		a := s.agents[id]
+	interval := s.capacityReportInterval().Milliseconds()
+	for _, a := range s.outbox {
+		a.inOutbox = false
 		if !a.attached {
 			continue
 		}
-		pending := len(a.orders.Starts) > 0 || len(a.orders.Stops) > 0 || a.sendNow
-		if !pending && now.Sub(a.lastSent) < a.heartbeatPeriod() {
-			continue
-		}
 		a.sequence++
 		orders := a.orders
 		orders.Sequence = a.sequence
 		orders.EchoMS = a.clockMS
-		orders.CapacityIntervalMS = interval.Milliseconds()
+		orders.CapacityIntervalMS = interval
 		if s.plan != nil {
 			orders.PlanRevision = s.plan.Revision
-			if a.planRevision < s.plan.Revision && (a.planRevision == 0 || now.Sub(s.planSetAt) >= s.planDelay(id)) {
+			if s.planDue(now, a) {
 				orders.Plan = s.plan
 				a.planRevision = s.plan.Revision
 			}
 		}
-		if !a.entriesSent {
-			orders.Entries, a.entriesSent = s.entries, true
-		}
-		a.orders, a.sendNow, a.lastSent = ccwire.Orders{}, false, now
-		s.actions.Messages = append(s.actions.Messages, Message{To: id, Orders: orders})
+		s.addEntries(a, &orders)
+		a.orders, a.lastSent = ccwire.Orders{}, now
+		s.actions.Messages = append(s.actions.Messages, Message{To: a.ref.ID, Orders: orders})
 	}
+	s.outbox = s.outbox[:0]
 }
--- a/core/ccreplay/submit.go
+++ b/core/ccreplay/submit.go
@@ -37,6 +37,10 @@
 		s.joinRequest(j, request)
 		return
 	}
+	if s.overload.late {
+		s.refuse(request, "entry is late")
+		return
+	}
 	s.admit(now, request)
 	s.schedule(now)
 }
@@ -103,7 +107,7 @@
 	if s.firstEvent.IsZero() || now.Sub(s.firstEvent) < startupGrace {
 		return true
 	}
-	for _, a := range s.agents {
+	for _, a := range s.agentList {
 		if (a.attached || now.Sub(a.lastReport) < reattachGrace) && s.compatible(a, request) && request.Need.Fits(a.capacity) {
 			return true
 		}
@@ -207,6 +211,7 @@
 	tk.stopping = true
 	if a := s.agents[tk.agent]; a.attached {
 		a.orders.Stops = append(a.orders.Stops, ccwire.TaskRef{Job: j.request.ID, Index: i})
+		s.sendNow(a)
 	}
 }
 
--- a/core/ccresource/amount.go
+++ b/core/ccresource/amount.go
@@ -10,9 +10,9 @@
 
 // Amount is a quantity of each resource.
 type Amount struct {
-	CPU          int64 `json:"cpu,omitempty"`    // Thousandths of a core.
-	Memory       int64 `json:"memory,omitempty"` // Mebibytes.
-	Accelerators int64 `json:"accelerators,omitempty"`
+	CPU          int64 `json:"cpu,omitempty" cbor:"1,keyasint,omitempty"`    // Thousandths of a core.
+	Memory       int64 `json:"memory,omitempty" cbor:"2,keyasint,omitempty"` // Mebibytes.
+	Accelerators int64 `json:"accelerators,omitempty" cbor:"3,keyasint,omitempty"`
 }
 
 // Plus returns a + b.
--- a/core/ccwire/session.go
+++ b/core/ccwire/session.go
@@ -6,6 +6,7 @@
 	"camphorcroft/core/ccnode"
 	"camphorcroft/core/ccresource"
 	"camphorcroft/core/ccroute"
+	"camphorcroft/core/ccsubset"
 )
 
 // MessageKind is the kind of a message in a session. The agent dials.
@@ -28,8 +29,8 @@
 
 // TaskRef identifies one task of one job.
 type TaskRef struct {
-	Job   string `json:"job"`
-	Index int    `json:"index"`
+	Job   string `cbor:"1,keyasint"`
+	Index int    `cbor:"2,keyasint"`
 }
 
 // RunOutcome is how a run of a task ended.
@@ -53,100 +54,108 @@
 // Attach opens a session. It replaces any earlier session of the same agent: runs
 // of this incarnation that it does not list have ended.
 type Attach struct {
-	Node ccnode.Ref `json:"node"`
+	Node ccnode.Ref `cbor:"1,keyasint"`
 	// Runs lists the tasks of this entry that are running at the worker.
-	Runs   []TaskRef `json:"runs"`
-	Report RunReport `json:"report"`
+	Runs   []TaskRef `cbor:"2,keyasint"`
+	Report RunReport `cbor:"3,keyasint"`
+	// EntriesDigest is the ccsubset.Digest of the entries that the agent knows. An entry
+	// that knows the same ones need not send them.
+	EntriesDigest uint64 `cbor:"4,keyasint"`
 }
 
 // IdentifyReply names the entry that answers at an address.
 type IdentifyReply struct {
-	Node ccnode.Ref `json:"node"`
+	Node ccnode.Ref `cbor:"1,keyasint"`
 }
 
 // AttachReply accepts a session.
 type AttachReply struct {
-	Node ccnode.Ref `json:"node"`
+	Node ccnode.Ref `cbor:"1,keyasint"`
 }
 
 // RunResult tells an entry that a run of its task has ended.
 type RunResult struct {
-	Task    TaskRef    `json:"task"`
-	Attempt int        `json:"attempt"`
-	Outcome RunOutcome `json:"end"`
-	Reason  string     `json:"reason,omitempty"`
+	Task    TaskRef    `cbor:"1,keyasint"`
+	Attempt int        `cbor:"2,keyasint"`
+	Outcome RunOutcome `cbor:"3,keyasint"`
+	Reason  string     `cbor:"4,keyasint,omitempty"`
 	// RunMS is how long the run took, in milliseconds.
-	RunMS int64 `json:"ranMs,omitempty"`
+	RunMS int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Progress tells an entry what percentage of a running task was complete
 // ElapsedMS milliseconds after the start of the run.
 type Progress struct {
-	Task      TaskRef `json:"task"`
-	Percent   int     `json:"percent"`
-	ElapsedMS int64   `json:"ranMs"`
+	Task      TaskRef `cbor:"1,keyasint"`
+	Percent   int     `cbor:"2,keyasint"`
+	ElapsedMS int64   `cbor:"3,keyasint"`
 }
 
 // WorkerInfo describes a worker to the entries that use it.
 type WorkerInfo struct {
-	Domain   string            `json:"domain"`
-	Service  string            `json:"service"`
-	Labels   []string          `json:"labels"`
-	Capacity ccresource.Amount `json:"capacity"`
+	Domain   string            `cbor:"1,keyasint"`
+	Service  string            `cbor:"2,keyasint"`
+	Labels   []string          `cbor:"3,keyasint"`
+	Capacity ccresource.Amount `cbor:"4,keyasint"`
 }
 
 // RunReport is the agent's state as reported to one entry.
 type RunReport struct {
 	// ClockMS is the agent's clock, in milliseconds since its start. The entry
 	// echoes the latest value in its orders.
-	ClockMS int64 `json:"clockMs"`
+	ClockMS int64 `cbor:"1,keyasint"`
 	// HandledSequence is the sequence number of the last orders that Free takes
 	// into account.
-	HandledSequence uint64            `json:"handled"`
-	Free            ccresource.Amount `json:"free"`
+	HandledSequence uint64            `cbor:"2,keyasint"`
+	Free            ccresource.Amount `cbor:"3,keyasint"`
 	// Worker is sent once per session and whenever it changes.
-	Worker *WorkerInfo `json:"worker,omitempty"`
+	Worker *WorkerInfo `cbor:"4,keyasint,omitempty"`
 	// PriorRunsEnded reports whether all runs of earlier incarnations of the agent
 	// have ended.
-	PriorRunsEnded bool `json:"settled,omitempty"`
+	PriorRunsEnded bool `cbor:"5,keyasint,omitempty"`
 	// Pace is the ratio of actual to estimated run time at the worker. Zero means
 	// that it is unknown.
-	Pace float64 `json:"pace,omitempty"`
+	Pace float64 `cbor:"6,keyasint,omitempty"`
 	// ClosedReason says why the worker accepts no starts. It is empty if the worker
 	// accepts them.
-	ClosedReason string        `json:"closed,omitempty"`
-	Results      []RunResult   `json:"ends,omitempty"`
-	Progress     []Progress    `json:"progress,omitempty"`
-	PlanRevision uint64        `json:"planRevision,omitempty"`
-	Plan         *ccroute.Plan `json:"plan,omitempty"`
+	ClosedReason string        `cbor:"7,keyasint,omitempty"`
+	Results      []RunResult   `cbor:"8,keyasint,omitempty"`
+	Progress     []Progress    `cbor:"9,keyasint,omitempty"`
+	PlanRevision uint64        `cbor:"10,keyasint,omitempty"`
+	Plan         *ccroute.Plan `cbor:"11,keyasint,omitempty"`
 }
 
 // StartOrder asks an agent to start a task.
 type StartOrder struct {
-	Task    TaskRef           `json:"task"`
-	Attempt int               `json:"attempt"`
-	Payload string            `json:"payload"`
-	Need    ccresource.Amount `json:"need"`
+	Task    TaskRef           `cbor:"1,keyasint"`
+	Attempt int               `cbor:"2,keyasint"`
+	Payload string            `cbor:"3,keyasint"`
+	Need    ccresource.Amount `cbor:"4,keyasint"`
 	// EstimateMS is the expected run time of the task, in milliseconds.
-	EstimateMS int64 `json:"estimateMs,omitempty"`
+	EstimateMS int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Orders carries the starts and stops that an entry requests from an agent.
 // Without any it is a heartbeat.
 type Orders struct {
-	Sequence uint64 `json:"sequence"`
+	Sequence uint64 `cbor:"1,keyasint"`
 	// EchoMS is the latest ClockMS that the entry has received from this agent. An
 	// agent starts nothing for an entry whose echo is too old.
-	EchoMS int64        `json:"echoMs"`
-	Starts []StartOrder `json:"starts,omitempty"`
-	Stops  []TaskRef    `json:"stops,omitempty"`
+	EchoMS int64        `cbor:"2,keyasint"`
+	Starts []StartOrder `cbor:"3,keyasint,omitempty"`
+	Stops  []TaskRef    `cbor:"4,keyasint,omitempty"`
 	// CapacityIntervalMS is the minimum interval, in milliseconds, that the entry
 	// wants between two reports that only update free capacity. Zero leaves the
 	// previous value in force.
-	CapacityIntervalMS int64 `json:"roomIntervalMs,omitempty"`
-	// Entries lists the addresses of the entries. It is sent when the entry learns
-	// of new ones.
-	Entries      []netip.AddrPort `json:"entries,omitempty"`
-	PlanRevision uint64           `json:"planRevision,omitempty"`
-	Plan         *ccroute.Plan    `json:"plan,omitempty"`
+	CapacityIntervalMS int64 `cbor:"5,keyasint,omitempty"`
+	// Entries lists all entries, in the first message of a session with an agent that
+	// doesn't know them. EntriesJoined and EntriesLeft are the changes since the message
+	// before.
+	Entries       []ccsubset.Entry `cbor:"6,keyasint,omitempty"`
+	EntriesJoined []ccsubset.Entry `cbor:"7,keyasint,omitempty"`
+	EntriesLeft   []netip.AddrPort `cbor:"8,keyasint,omitempty"`
+	PlanRevision  uint64           `cbor:"9,keyasint,omitempty"`
+	Plan          *ccroute.Plan    `cbor:"10,keyasint,omitempty"`
+	// WantPlan asks for the agent's plan if it is newer than PlanRevision.
+	WantPlan bool `cbor:"11,keyasint,omitempty"`
 }
--- a/io/cclease/agent.go
+++ b/io/cclease/agent.go
@@ -1,9 +1,9 @@
 // Package cclease runs core/cclease as an agent: a process next to a worker that
 // runs tasks under leases.
 //
-// The agent connects to every entry that it learns of: those in its configuration
-// file, those that other entries announce and, while no session is open, those
-// listed in the store. One goroutine owns the manager; calls to the worker and
+// The agent learns of entries from its configuration file, from other entries and, while
+// no session is open, from the store. It connects to those that core/ccsubset chooses.
+// One goroutine owns the manager; calls to the worker and
 // writes to entries run in their own goroutines.
 //
 // # Usage
@@ -24,6 +24,7 @@
 
 	"camphorcroft/core/cclease"
 	"camphorcroft/core/ccnode"
+	"camphorcroft/core/ccsubset"
 	"camphorcroft/core/ccwire"
 	"camphorcroft/io/ccclock"
 	"camphorcroft/io/ccmetric"
@@ -53,7 +54,7 @@
 
 // Directory lists entries. It is used while the agent has no open session.
 type Directory interface {
-	Entries(ctx context.Context) ([]netip.AddrPort, error)
+	Entries(ctx context.Context) ([]ccsubset.Entry, error)
 }
 
 // Config configures an Agent. Directory and Metrics are optional.
@@ -67,7 +68,7 @@
 	Log       logr.Logger
 }
 
-// Agent manages the runs of one worker and the sessions with all entries.
+// Agent manages the runs of one worker and the sessions with entries.
 type Agent struct {
 	cfg    Config
 	events chan func(now time.Time)
@@ -78,7 +79,9 @@
 	// The fields below are owned by the control goroutine.
 	manager  *cclease.Manager
 	sessions map[ccnode.ID]*session
-	dialing  map[netip.AddrPort]bool
+	subset   *ccsubset.Subset
+	links    map[netip.AddrPort]*link
+	syncedAt time.Time // When syncLinks was last called.
 	metrics  metrics
 }
 
@@ -86,7 +89,8 @@
 func New(cfg Config) *Agent {
 	a := &Agent{
 		cfg: cfg, events: make(chan func(time.Time), eventBuffer),
-		sessions: map[ccnode.ID]*session{}, dialing: map[netip.AddrPort]bool{},
+		sessions: map[ccnode.ID]*session{}, links: map[netip.AddrPort]*link{},
+		subset: ccsubset.New(ccsubset.Config{Self: cfg.Node.ID, Domain: cfg.Domain, Local: localEntries, Remote: remoteEntries}),
 	}
 	a.metrics = a.newMetrics()
 	a.ctx, a.cancel = context.WithCancel(context.Background())
@@ -98,7 +102,7 @@
 func (a *Agent) Start(context.Context) error {
 	a.cfg.Log.Info("Agent started.", "incarnation", uint64(a.cfg.Node.Incarnation), "domain", a.cfg.Domain, "seeds", len(a.cfg.Seeds))
 	a.spawn(a.control)
-	a.do(func(time.Time) { a.dialAll(a.cfg.Seeds) })
+	a.SetSeeds(a.cfg.Seeds)
 	if a.cfg.Directory != nil {
 		a.spawn(a.searchDirectory)
 	}
@@ -131,10 +135,14 @@
 	a.do(func(now time.Time) { a.manager.WorkerLeft(now, id) })
 }
 
-// SetSeeds connects to the addresses of a changed configuration file. Existing
-// sessions stay open.
+// SetSeeds adds the addresses of the configuration file to the known entries.
 func (a *Agent) SetSeeds(seeds []netip.AddrPort) {
-	a.do(func(time.Time) { a.dialAll(seeds) })
+	a.do(func(now time.Time) {
+		for _, addr := range seeds {
+			a.subset.Add(ccsubset.Entry{Addr: addr})
+		}
+		a.syncLinks(now)
+	})
 }
 
 // activeRuns returns the number of active runs, or 0 after the agent has stopped.
@@ -179,7 +187,11 @@
 			if suspendDetector.Resumed() {
 				a.manager.Resumed(time.Now())
 			}
-			a.manager.Tick(time.Now())
+			now := time.Now()
+			a.manager.Tick(now)
+			if now.Sub(a.syncedAt) >= syncInterval {
+				a.syncLinks(now)
+			}
 		case <-a.ctx.Done():
 			for _, s := range a.sessions {
 				s.conn.Close()
--- a/io/cclease/session.go
+++ b/io/cclease/session.go
@@ -10,23 +10,13 @@
 	"camphorcroft/io/ccsession"
 )
 
-const (
-	// attachTimeout bounds connecting to an entry and the handshake with it.
-	attachTimeout = 500 * time.Millisecond
-	// redialMin and redialMax bound the exponential backoff between connection
-	// attempts to an entry.
-	redialMin = 20 * time.Millisecond
-	redialMax = 400 * time.Millisecond
-	// forgetAfter is how long the agent keeps dialing an unreachable entry that is not
-	// one of Config.Seeds.
-	forgetAfter = time.Minute
-	// searchInterval is how often the store is queried while no session is open.
-	searchInterval = time.Second
-)
+// attachTimeout bounds connecting to an entry and the handshake with it.
+const attachTimeout = 500 * time.Millisecond
 
 // session is a connection to an entry.
 type session struct {
 	agent *Agent
+	addr  netip.AddrPort
 	entry ccnode.ID // Empty until the entry has identified itself.
 	conn  *ccsession.Conn
 	// identified and attached receive the entry's replies during the handshake.
@@ -89,7 +79,7 @@
 	s.agent.do(func(now time.Time) {
 		if s.agent.sessions[s.entry] == s {
 			s.agent.manager.OrdersReceived(now, s.entry, orders)
-			s.agent.dialAll(orders.Entries)
+			s.agent.updateEntries(now, orders)
 		}
 	})
 }
@@ -111,66 +101,29 @@
 	}
 }
 
-// dialAll starts to maintain a session with each entry that has none yet.
-func (a *Agent) dialAll(entries []netip.AddrPort) {
-	for _, addr := range entries {
-		if !a.dialing[addr] {
-			a.dialing[addr] = true
-			a.spawn(func() { a.maintainSession(addr) })
-		}
-	}
-}
-
-// maintainSession keeps a session with the entry at addr open and reconnects with
-// backoff. It gives up on an entry that is not a seed after forgetAfter.
-func (a *Agent) maintainSession(addr netip.AddrPort) {
-	backoff := redialMin
-	lastReached := time.Now()
-	for a.ctx.Err() == nil {
-		if a.runSession(addr) {
-			backoff = redialMin
-			lastReached = time.Now()
-		} else if time.Since(lastReached) > forgetAfter && !a.isSeed(addr) {
-			a.do(func(time.Time) { delete(a.dialing, addr) })
-			return
-		}
-		select {
-		case <-time.After(backoff):
-		case <-a.ctx.Done():
-		}
-		backoff = min(2*backoff, redialMax)
-	}
-}
-
-func (a *Agent) isSeed(addr netip.AddrPort) bool {
-	for _, seed := range a.cfg.Seeds {
-		if seed == addr {
-			return true
-		}
-	}
-	return false
-}
-
-// runSession opens a session and waits until it closes. It reports whether the
-// session was opened.
-func (a *Agent) runSession(addr netip.AddrPort) bool {
+// runSession opens a session and waits until it closes or ctx is done. It reports
+// whether the session was opened.
+func (a *Agent) runSession(ctx context.Context, addr netip.AddrPort) bool {
 	s := &session{
-		agent: a, identified: make(chan ccwire.IdentifyReply, 1), attached: make(chan ccwire.AttachReply, 1),
+		agent: a, addr: addr, identified: make(chan ccwire.IdentifyReply, 1), attached: make(chan ccwire.AttachReply, 1),
 		opened: make(chan struct{}), closed: make(chan struct{}),
 	}
-	ctx, cancel := context.WithTimeout(a.ctx, attachTimeout)
+	attachCtx, cancel := context.WithTimeout(ctx, attachTimeout)
 	defer cancel()
-	conn, err := ccsession.Dial(ctx, addr, s)
+	conn, err := ccsession.Dial(attachCtx, addr, s)
 	if err != nil {
 		a.cfg.Log.V(1).Info("Cannot connect to entry.", "address", addr, "error", err.Error())
 		return false
 	}
 	s.conn = conn
 	defer conn.Close()
-	if !a.attach(ctx, s, addr) {
+	if !a.attach(attachCtx, s, addr) {
 		return false
 	}
-	<-s.closed
+	select {
+	case <-s.closed:
+	case <-ctx.Done():
+	}
 	a.do(func(time.Time) {
 		if a.sessions[s.entry] == s {
 			delete(a.sessions, s.entry)
@@ -199,7 +152,9 @@
 		}
 		sentAt = now
 		s.entry = identity.Node.ID
-		request <- a.manager.AttachRequest(now, a.cfg.Node, identity.Node.ID)
+		attach := a.manager.AttachRequest(now, a.cfg.Node, identity.Node.ID)
+		attach.EntriesDigest = a.subset.Digest()
+		request <- attach
 	})
 	var attach ccwire.Attach
 	select {
@@ -215,6 +170,7 @@
 	}
 	a.do(func(now time.Time) {
 		a.sessions[s.entry] = s
+		a.subset.Reached(addr)
 		a.manager.SessionOpened(now, attached.Node, sentAt)
 		close(s.opened)
 	})
@@ -225,32 +181,3 @@
 		return false
 	}
 }
-
-// searchDirectory looks up entries in the store while no session is open.
-func (a *Agent) searchDirectory() {
-	ticker := time.NewTicker(searchInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-a.ctx.Done():
-			return
-		}
-		noSessions := make(chan bool, 1)
-		a.do(func(time.Time) { noSessions <- len(a.sessions) == 0 })
-		select {
-		case none := <-noSessions:
-			if !none {
-				continue
-			}
-		case <-a.ctx.Done():
-			return
-		}
-		entries, err := a.cfg.Directory.Entries(a.ctx)
-		if err != nil {
-			a.cfg.Log.Info("Cannot list entries in the store.", "error", err.Error())
-			continue
-		}
-		a.do(func(time.Time) { a.dialAll(entries) })
-	}
-}
--- a/io/ccreplay/entry.go
+++ b/io/ccreplay/entry.go
@@ -71,6 +71,8 @@
 	leaving      atomic.Bool
 	plan         atomic.Pointer[ccroute.Plan]
 	usableAgents atomic.Int64
+	overloaded   atomic.Bool
+	lateness     atomic.Int64 // In nanoseconds.
 	lastToken    atomic.Uint64
 
 	// The fields below are owned by the control goroutine.
@@ -155,6 +157,8 @@
 		return false, "no plan yet"
 	case e.usableAgents.Load() == 0:
 		return false, "no agent is attached"
+	case e.overloaded.Load():
+		return false, "entry is late"
 	default:
 		return true, ""
 	}
@@ -232,6 +236,9 @@
 				e.scheduler.Resumed(now)
 			}
 			e.scheduler.Tick(now)
+			e.usableAgents.Store(int64(e.scheduler.UsableAgents(now)))
+			e.overloaded.Store(e.scheduler.Overloaded())
+			e.lateness.Store(int64(e.scheduler.Lateness()))
 		case <-e.ctx.Done():
 			for _, s := range e.sessions {
 				s.conn.Close()
@@ -245,7 +252,6 @@
 // performActions carries out the actions that the scheduler has queued.
 func (e *Entry) performActions(now time.Time) {
 	out := e.scheduler.Take(now)
-	e.usableAgents.Store(int64(e.scheduler.UsableAgents(now)))
 	if plan := e.scheduler.Plan(); plan != nil && plan != e.plan.Load() {
 		e.plan.Store(plan)
 		e.planAppliedAt = now
--- a/io/ccreplay/follow.go
+++ b/io/ccreplay/follow.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"camphorcroft/core/ccroute"
+	"camphorcroft/core/ccsubset"
 	"camphorcroft/io/ccstore"
 )
 
@@ -154,13 +155,14 @@
 	missing := make(chan struct{}, 1)
 	e.spawn(func() { e.maintainRecord(missing) })
 	own := entryPrefix + string(e.cfg.Node.ID)
+	self := ccsubset.Entry{Addr: e.cfg.Listen, Domain: e.cfg.Domain}
 	e.follow(entryPrefix, entriesWatchTimeout, func(items []ccstore.Item, _ uint64) {
-		addrs, err := readRecords(items)
+		entries, err := readRecords(items)
 		if err != nil {
 			e.cfg.Log.Error(err, "Cannot read an entry's record.")
 		}
-		found := slices.ContainsFunc(items, func(item ccstore.Item) bool { return item.Key == own }) && slices.Contains(addrs, e.cfg.Listen)
-		e.do(func(time.Time) { e.scheduler.SetEntries(addrs) })
+		found := slices.ContainsFunc(items, func(item ccstore.Item) bool { return item.Key == own }) && slices.Contains(entries, self)
+		e.do(func(time.Time) { e.scheduler.SetEntries(entries) })
 		if !found {
 			select {
 			case missing <- struct{}{}:
@@ -207,7 +209,7 @@
 	if err != nil {
 		return ccstore.NoLease, err
 	}
-	value, err := json.Marshal(entryRecord{Addr: e.cfg.Listen})
+	value, err := json.Marshal(entryRecord{Addr: e.cfg.Listen, Domain: e.cfg.Domain})
 	if err != nil {
 		return ccstore.NoLease, &Error{Op: "write record", Kind: KindMessage, Err: err}
 	}
--- a/io/ccreplay/record.go
+++ b/io/ccreplay/record.go
@@ -32,6 +32,7 @@
 		return 0
 	})
 	set.Func("agentsUsable", func() any { return e.usableAgents.Load() })
+	set.Func("latenessMs", func() any { return time.Duration(e.lateness.Load()).Milliseconds() })
 	return metrics{
 		changes: set.Map("changes"), answers: set.Map("answers"), refusals: set.Map("refusals"),
 		answerTime: set.Histogram("answerTime"), placementTime: set.Histogram("placementTime"),
