Add cclab, a laboratory of load; log a job's placements in one line

Change: core/cclab runs the real schedulers and lease managers on a simulated clock with model workers, callers and a limited processor for each entry.

The placements of a job's tasks are one line now, the names of counters are kept, and `Job taken.` has the route and the number of tasks under their own keys. A payload is sent once a message. Tests of the lines' form were changed with them.

--- /dev/null
+++ b/core/cclab/caller.go
@@ -0,0 +1,124 @@
+package cclab
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"camphorcroft/core/ccreplay"
+	"camphorcroft/core/ccresource"
+	"camphorcroft/core/ccroute"
+)
+
+// serviceName is the service of all jobs and workers.
+const serviceName = "service"
+
+// job is what the workers know of a job.
+type job struct {
+	work time.Duration
+	need ccresource.Amount
+}
+
+// caller waits for the answer to one job.
+type caller struct {
+	lab    *Lab
+	record *Record
+	sent   time.Time
+	done   bool
+}
+
+// arrive submits jobs of a class from one domain at random intervals.
+func (l *Lab) arrive(domain int, class Class) {
+	rate := class.PerSecond / float64(l.cfg.Domains)
+	elapsed := l.clock.now.Sub(l.start)
+	for _, b := range l.cfg.Bursts {
+		if (b.Class == "" || b.Class == class.Name) && elapsed >= b.At && elapsed < b.At+b.For {
+			rate *= b.Factor
+		}
+	}
+	l.clock.after(time.Duration(l.rng.ExpFloat64()*float64(time.Second)/rate), func() {
+		if l.clock.now.Sub(l.start) < l.cfg.Duration {
+			l.submit(domain, class)
+			l.arrive(domain, class)
+		}
+	})
+}
+
+// submit sends one job to an entry that the balancer chooses.
+func (l *Lab) submit(domain int, class Class) {
+	e := l.balance(domain)
+	l.lastToken++
+	token := l.lastToken
+	id := fmt.Sprintf("%016x", token)
+	tasks := min(max(1, int(math.Round(l.lognormal(float64(class.Tasks), 0.4)))), class.MaxTasks)
+	work := time.Duration(min(l.lognormal(float64(class.Work), 0.4), 4*float64(class.Work)))
+	need := ccresource.Amount{CPU: int64(float64(class.CPU) * (0.8 + 0.4*l.rng.Float64()))}
+	l.jobs[id] = &job{work: work, need: need}
+	c := &caller{lab: l, sent: l.clock.now, record: &Record{
+		Domain: DomainName(domain), Class: class.Name, Sent: l.clock.now.Sub(l.start), Tasks: tasks,
+		Objective: time.Duration(stretch*float64(work)) + allowance,
+	}}
+	l.result.Records = append(l.result.Records, c.record)
+	l.clock.after(callerTimeout, func() { c.leave(e, id, token) })
+	e.receive(costRequest, func() {
+		if c.done {
+			return
+		}
+		e.callers[token] = c
+		e.scheduler.Submit(l.clock.now, ccreplay.Request{
+			Token: token, ID: id, Tasks: tasks, Need: need, Payload: "payload",
+			Route:    ccroute.Route{Name: class.Name, Service: serviceName, Priority: class.Priority, MaxAttempts: 3, Stretch: stretch, Allowance: allowance},
+			Estimate: time.Duration(float64(work) * (0.6 + 0.8*l.rng.Float64())), Deadline: c.sent.Add(callerTimeout),
+		})
+	})
+}
+
+// leave ends the wait of a caller without an answer.
+func (c *caller) leave(e *entry, id string, token uint64) {
+	if c.done {
+		return
+	}
+	c.done = true
+	c.record.Outcome = ccreplay.StateUnknown
+	e.receive(costMessage, func() {
+		delete(e.callers, token)
+		e.scheduler.Cancel(c.lab.clock.now, id, token)
+	})
+}
+
+func (c *caller) answered(answer ccreplay.Answer) {
+	if c.done {
+		return
+	}
+	c.done = true
+	c.record.Outcome, c.record.Reason = answer.State, answer.Reason
+	c.record.Took, c.record.RetryAfter = c.lab.clock.now.Sub(c.sent), answer.RetryAfter
+}
+
+// balance returns a random entry of the domain that is in the balancer's pool, or one of
+// another domain if there is none.
+func (l *Lab) balance(domain int) *entry {
+	var local, others []*entry
+	for _, e := range l.entries {
+		switch {
+		case !e.inPool:
+		case e.cfg.Domain == domain:
+			local = append(local, e)
+		default:
+			others = append(others, e)
+		}
+	}
+	switch {
+	case len(local) > 0:
+		return local[l.rng.IntN(len(local))]
+	case len(others) > 0:
+		return others[l.rng.IntN(len(others))]
+	default:
+		return l.entries[l.rng.IntN(len(l.entries))]
+	}
+}
+
+// lognormal returns a random value with the given mean and a spread of the logarithm.
+func (l *Lab) lognormal(mean, spread float64) float64 {
+	return mean * math.Exp(spread*l.rng.NormFloat64()-spread*spread/2)
+}
--- /dev/null
+++ b/core/cclab/worker.go
@@ -0,0 +1,110 @@
+package cclab
+
+import (
+	"slices"
+	"time"
+
+	"camphorcroft/core/cclease"
+	"camphorcroft/core/ccresource"
+	"camphorcroft/core/ccwire"
+)
+
+// worker is a model worker that runs tasks under a lease and refuses what doesn't fit.
+type worker struct {
+	lab      *Lab
+	id       string
+	born     time.Time
+	capacity ccresource.Amount
+	speed    float64
+	used     ccresource.Amount
+	runs     []*workerRun
+	ended    []cclease.EndedRun
+	lastEnd  uint64
+	// waiting is answered when a run ends.
+	waiting func()
+}
+
+type workerRun struct {
+	task    ccwire.TaskRef
+	number  uint64
+	need    ccresource.Amount
+	started time.Time
+	end     time.Time
+}
+
+func (w *worker) response(status cclease.Status) cclease.Response {
+	return cclease.Response{Status: status, Clock: w.lab.clock.now.Sub(w.born) + time.Second, StartTime: w.born}
+}
+
+func (w *worker) start(call cclease.StartCall) cclease.Response {
+	j := w.lab.jobs[call.Task.Job]
+	if j == nil {
+		return w.response(cclease.StatusInvalid)
+	}
+	if !j.need.Fits(w.capacity.Minus(w.used)) {
+		return w.response(cclease.StatusNoCapacity)
+	}
+	now := w.lab.clock.now
+	took := time.Duration(float64(j.work) / w.speed)
+	r := &workerRun{task: call.Task, number: call.Run, need: j.need, started: now, end: now.Add(took)}
+	w.runs = append(w.runs, r)
+	w.used = w.used.Plus(r.need)
+	w.lab.busy += took
+	w.lab.clock.after(took, func() { w.finish(r, ccwire.RunDone) })
+	return w.response(cclease.StatusOK)
+}
+
+func (w *worker) stop(call cclease.StopCall) cclease.Response {
+	for _, r := range w.runs {
+		if r.task == call.Task && r.number == call.Run {
+			w.lab.wasted += w.lab.clock.now.Sub(r.started)
+			w.finish(r, ccwire.RunStopped)
+			break
+		}
+	}
+	return w.response(cclease.StatusOK)
+}
+
+// finish ends a run, unless it has ended.
+func (w *worker) finish(r *workerRun, outcome ccwire.RunOutcome) {
+	at := slices.Index(w.runs, r)
+	if at < 0 {
+		return
+	}
+	w.runs = slices.Delete(w.runs, at, at+1)
+	w.used = w.used.Minus(r.need)
+	w.lastEnd++
+	w.ended = append(w.ended, cclease.EndedRun{Number: w.lastEnd, Task: r.task, Run: r.number, End: outcome})
+	if waiting := w.waiting; waiting != nil {
+		w.waiting = nil
+		waiting()
+	}
+}
+
+// poll answers a poll at once if an end is listed, and otherwise when a run ends or the
+// call's wait is over.
+func (w *worker) poll(call cclease.PollCall, done func(cclease.PollResponse)) {
+	w.ended = slices.DeleteFunc(w.ended, func(e cclease.EndedRun) bool { return e.Number <= call.Ack })
+	answered := false
+	answer := func() {
+		if !answered {
+			answered = true
+			done(w.list())
+		}
+	}
+	if len(w.ended) > 0 || call.Wait == 0 {
+		answer()
+		return
+	}
+	w.waiting = answer
+	w.lab.clock.after(call.Wait, answer)
+}
+
+func (w *worker) list() cclease.PollResponse {
+	response := cclease.PollResponse{Response: w.response(cclease.StatusOK), Ended: slices.Clone(w.ended)}
+	for _, r := range w.runs {
+		percent := int(100 * w.lab.clock.now.Sub(r.started) / max(r.end.Sub(r.started), 1))
+		response.Running = append(response.Running, cclease.ActiveRun{Task: r.task, Run: r.number, Percent: min(percent, 99)})
+	}
+	return response
+}
--- a/core/ccreplay/place.go
+++ b/core/ccreplay/place.go
@@ -109,9 +109,19 @@
 }
 
 // placeJob places the queued tasks of a job on open agents, and returns those that are
-// still open. If a task finds no agent, the others won't either, unless the task is to
-// avoid one.
+// still open.
 func (s *Scheduler) placeJob(now time.Time, j *job, open []*agent) []*agent {
+	placed := Change{Message: "Tasks placed.", Job: j.request.ID, Age: now.Sub(j.arrived), Quiet: true}
+	open = s.placeTasks(now, j, open, &placed)
+	if placed.Count = len(placed.Placements); placed.Count > 0 {
+		s.recordChange(placed)
+	}
+	return open
+}
+
+// placeTasks is placeJob without the log. If a task finds no agent, the others won't
+// either, unless the task is to avoid one.
+func (s *Scheduler) placeTasks(now time.Time, j *job, open []*agent, placed *Change) []*agent {
 	for i := range j.tasks {
 		tk := &j.tasks[i]
 		if tk.state != taskQueued || now.Before(tk.notBefore) {
@@ -124,6 +134,10 @@
 			}
 			continue
 		}
+		placed.Quiet = placed.Quiet && tk.suppressLog()
+		placed.Placements = append(placed.Placements, Placement{
+			Index: i, Agent: a.ref.ID, Attempt: tk.attempt + 1, FreeCPU: a.available.CPU, Pace: a.pace, ReportAge: now.Sub(a.lastReport),
+		})
 		s.placeTask(now, j, i, a)
 		if a.available.CPU < s.leastNeed {
 			open = slices.DeleteFunc(open, func(other *agent) bool { return other == a })
@@ -241,10 +255,6 @@
 // placeTask places one task on an agent and adds the start to the agent's orders.
 func (s *Scheduler) placeTask(now time.Time, j *job, i int, a *agent) {
 	tk := &j.tasks[i]
-	s.recordChange(Change{
-		Message: "Task placed.", Job: j.request.ID, Index: i, Agent: a.ref.ID, Age: now.Sub(j.arrived), Count: tk.attempt + 1,
-		FreeCPU: a.available.CPU, Pace: a.pace, ReportAge: now.Sub(a.lastReport), Quiet: tk.suppressLog(),
-	})
 	tk.state, tk.agent, tk.incarnation, tk.placedAt = taskPlaced, a.ref.ID, a.ref.Incarnation, now
 	tk.attempt++
 	tk.stopping, tk.lostAt = false, time.Time{}
--- a/core/ccreplay/scheduler.go
+++ b/core/ccreplay/scheduler.go
@@ -23,6 +23,8 @@
 // Change is a state change or decision of the scheduler, for the log and the counters.
 type Change struct {
 	Message string // The log message.
+	// Route is the name of the job's route. It is set when the job is taken.
+	Route string
 	Job     string
 	Index   int
 	Agent   ccnode.ID
@@ -31,14 +33,22 @@
 	// Message.
 	Age   time.Duration
 	Count int
-	// FreeCPU, Pace and ReportAge are the inputs of a placement: the agent's free CPU in
-	// thousandths of a core, the slowdown of its worker, and the age of the report with
-	// both.
+	// Placements are the tasks of the job that were placed at once.
+	Placements []Placement
+	// Quiet is true for a repeated change that is counted but not logged.
+	Quiet bool
+}
+
+// Placement is the placement of one task and the data that it is based on.
+type Placement struct {
+	Index   int
+	Agent   ccnode.ID
+	Attempt int
+	// FreeCPU is the agent's free CPU in thousandths of a core, Pace the slowdown of its
+	// worker, and ReportAge the age of the report with both.
 	FreeCPU   int64
 	Pace      float64
 	ReportAge time.Duration
-	// Quiet is true for a repeated change that is counted but not logged.
-	Quiet bool
 }
 
 // Message carries orders to an agent.
--- a/core/ccreplay/scheduler_test.go
+++ b/core/ccreplay/scheduler_test.go
@@ -515,7 +515,7 @@
 			out := f.take()
 			f.report("agent-1", endOf(f.wantStarts(out, 1)[0], ccwire.RunNoCapacity))
 			for _, c := range out.Changes {
-				if c.Message == "Task placed." && !c.Quiet {
+				if c.Message == "Tasks placed." && !c.Quiet {
 					logged++
 				}
 			}
--- a/core/ccreplay/submit.go
+++ b/core/ccreplay/submit.go
@@ -98,7 +98,7 @@
 	s.jobs[request.ID] = j
 	s.jobList = append(s.jobList, j)
 	s.enqueue(now, j)
-	s.recordChange(Change{Message: "Job taken.", Job: request.ID, Reason: request.Route.Name, Age: expected, Count: request.Tasks})
+	s.recordChange(Change{Message: "Job taken.", Job: request.ID, Route: request.Route.Name, Age: expected, Count: request.Tasks})
 }
 
 // anyAgentFits reports whether any known worker could run the request's tasks. During
--- a/core/ccwire/session.go
+++ b/core/ccwire/session.go
@@ -129,7 +129,9 @@
 type StartOrder struct {
 	Task    TaskRef           `cbor:"1,keyasint"`
 	Attempt int               `cbor:"2,keyasint"`
-	Payload string            `cbor:"3,keyasint"`
+	// Payload is empty if it is that of the order before it in the same message, whose
+	// task belongs to the same job.
+	Payload string            `cbor:"3,keyasint,omitempty"`
 	Need    ccresource.Amount `cbor:"4,keyasint"`
 	// EstimateMS is the expected run time of the task, in milliseconds.
 	EstimateMS int64 `cbor:"5,keyasint,omitempty"`
@@ -159,3 +161,22 @@
 	// WantPlan asks for the agent's plan if it is newer than PlanRevision.
 	WantPlan bool `cbor:"11,keyasint,omitempty"`
 }
+
+// FillPayloads sets the payloads that were left out because they are the same as that of
+// the order before.
+func (o *Orders) FillPayloads() {
+	for i := 1; i < len(o.Starts); i++ {
+		if current, previous := &o.Starts[i], o.Starts[i-1]; current.Payload == "" && current.Task.Job == previous.Task.Job {
+			current.Payload = previous.Payload
+		}
+	}
+}
+
+// OmitPayloads leaves out the payloads that FillPayloads sets again.
+func (o *Orders) OmitPayloads() {
+	for i := len(o.Starts) - 1; i > 0; i-- {
+		if o.Starts[i].Task.Job == o.Starts[i-1].Task.Job {
+			o.Starts[i].Payload = ""
+		}
+	}
+}
--- a/io/cclease/link.go
+++ b/io/cclease/link.go
@@ -12,11 +12,10 @@
 
 const (
 	// localEntries and remoteEntries are the numbers of entries to which an agent
-	// connects in its own failure domain and elsewhere. docs/CAPACITY.md lists what the
-	// sessions cost. With ten elsewhere, the entries of one domain reach a sixth of all
-	// other workers each.
+	// connects in its own failure domain and elsewhere. docs/decisions/scale.md compares
+	// the sizes.
 	localEntries  = 12
-	remoteEntries = 10
+	remoteEntries = 6
 	// syncInterval is the longest time between two calls of syncLinks.
 	syncInterval = 100 * time.Millisecond
 	// redialMin and redialMax bound the exponential backoff between connection
--- a/io/cclease/session.go
+++ b/io/cclease/session.go
@@ -40,6 +40,7 @@
 	case ccwire.MessageOrders:
 		var orders ccwire.Orders
 		if err = ccsession.Decode(body, &orders); err == nil {
+			orders.FillPayloads()
 			s.handleOrders(orders)
 		}
 	case ccwire.MessageIdentify, ccwire.MessageAttach, ccwire.MessageReport:
--- a/io/ccreplay/entry.go
+++ b/io/ccreplay/entry.go
@@ -261,6 +261,7 @@
 	}
 	for _, message := range out.Messages {
 		if s := e.sessions[message.To]; s != nil {
+			message.Orders.OmitPayloads()
 			s.conn.Send(ccwire.MessageOrders, message.Orders)
 		}
 	}
--- a/io/ccreplay/record.go
+++ b/io/ccreplay/record.go
@@ -42,18 +42,36 @@
 // recordChange counts a change and, unless it is quiet, logs it.
 func (e *Entry) recordChange(c ccreplay.Change) {
 	e.metrics.changes.Add(ccmetric.Name(c.Message), 1)
-	if c.FreeCPU != 0 && c.Count == 1 {
-		e.metrics.placementTime.Observe(c.Age)
+	for _, p := range c.Placements {
+		if p.Attempt == 1 {
+			e.metrics.placementTime.Observe(c.Age)
+		}
+	}
+	switch {
+	case c.Quiet:
+	case len(c.Placements) > 0:
+		e.log.Info(c.Message, placementFields(c)...)
+	case c.Route != "":
+		e.log.Info(c.Message, "job", c.Job, "route", c.Route, "tasks", c.Count, "estimateMs", c.Age.Milliseconds())
+	default:
+		e.log.Info(c.Message, logFields(c)...)
 	}
-	if c.Quiet {
-		return
+}
+
+// placementFields returns the log fields of the placement of a job's tasks: one line for
+// all tasks, with a list for each value that differs by task. Each line has a cost.
+func placementFields(c ccreplay.Change) []any {
+	n := len(c.Placements)
+	indexes, agents, attempts := make([]int, n), make([]string, n), make([]int, n)
+	rooms, paces, ages := make([]int64, n), make([]float64, n), make([]int64, n)
+	for i, p := range c.Placements {
+		indexes[i], agents[i], attempts[i] = p.Index, string(p.Agent), p.Attempt
+		rooms[i], paces[i], ages[i] = p.FreeCPU, math.Round(100*p.Pace)/100, p.ReportAge.Milliseconds()
 	}
-	if c.FreeCPU != 0 {
-		e.log.Info(c.Message, "job", c.Job, "index", c.Index, "agent", string(c.Agent), "attempt", c.Count, "waitedMs", c.Age.Milliseconds(),
-			"room", c.FreeCPU, "pace", math.Round(100*c.Pace)/100, "reportAgeMs", c.ReportAge.Milliseconds())
-		return
+	return []any{
+		"job", c.Job, "waitedMs", c.Age.Milliseconds(), "indexes", indexes, "agents", agents, "attempts", attempts,
+		"rooms", rooms, "paces", paces, "reportAgesMs", ages,
 	}
-	e.log.Info(c.Message, logFields(c)...)
 }
 
 // logFields returns the log fields of a change. It omits empty fields to keep log
--- a/io/ccreplay/record_test.go
+++ b/io/ccreplay/record_test.go
@@ -23,8 +23,11 @@
 	entry := New(Config{Node: ccnode.Ref{ID: "entry-1", Incarnation: 7}, Domain: "north", Log: log.Logger})
 	ms := time.Millisecond
 	for _, c := range []ccreplay.Change{
-		{Message: "Job taken.", Job: "5c0e", Reason: "r0", Age: 90 * ms, Count: 2},
-		{Message: "Task placed.", Job: "5c0e", Index: 1, Agent: "agent-2", Age: 3 * ms, Count: 1, FreeCPU: 4000, Pace: 1.25, ReportAge: 40 * ms},
+		{Message: "Job taken.", Job: "5c0e", Route: "r0", Age: 90 * ms, Count: 2},
+		{Message: "Tasks placed.", Job: "5c0e", Age: 3 * ms, Count: 2, Placements: []ccreplay.Placement{
+			{Index: 0, Agent: "agent-1", Attempt: 1, FreeCPU: 2500, Pace: 0.7, ReportAge: 12 * ms},
+			{Index: 1, Agent: "agent-2", Attempt: 1, FreeCPU: 4000, Pace: 1.25, ReportAge: 40 * ms},
+		}},
 		{Message: "Run failed.", Job: "5c0e", Index: 1, Agent: "agent-2", Age: 80 * ms, Count: 1},
 		{Message: "Start refused.", Job: "5c0e", Index: 1, Agent: "agent-2", Reason: "no room in the agent's ledger"},
 		{Message: "Start refused.", Job: "5c0e", Index: 1, Agent: "agent-2", Reason: "no room in the agent's ledger", Count: 6, Quiet: true},
