Offer capacity that falls free to the entry with the most urgent job

Cause: under overload the entries' orders meet at the rooms that fall free: all see the same free capacity, and it goes to whichever asks first, not to the most urgent job of the fleet.

Change: an entry with queued jobs tells its agents of the most urgent one that the worker could run, each 20 ms, or less often with more agents (500 messages a second at most). An agent reserves capacity that falls free for the most urgent demand for 15 ms. An offer that isn't used goes to the next entry, and the demand of the entry counts again once it sends it anew.

--- a/core/cclab/config.go
+++ b/core/cclab/config.go
@@ -25,7 +25,7 @@
 	Freezes       []Freeze
 	// DomainsOut are the domains that are taken out, by number.
 	DomainsOut []int
-	Duration      time.Duration
+	Duration   time.Duration
 	// MeasureProcessor adds the time that the scheduler really takes for an event to the
 	// event's cost. The result then depends on the machine.
 	MeasureProcessor bool
--- /dev/null
+++ b/core/cclease/offer.go
@@ -0,0 +1,97 @@
+package cclease
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"camphorcroft/core/ccresource"
+	"camphorcroft/core/ccwire"
+)
+
+const (
+	// offerTimeout is how long capacity is reserved for an entry that was offered it: two
+	// messages between failure domains and the entry's scheduling.
+	offerTimeout = 15 * time.Millisecond
+	// demandTimeout is how long an entry's demand counts without a further message, a
+	// little more than the interval of its heartbeats.
+	demandTimeout = 330 * time.Millisecond
+)
+
+// offer is capacity that is reserved for one entry.
+type offer struct {
+	amount ccresource.Amount
+	until  time.Time
+}
+
+// freeFor returns the free capacity that is not reserved for other entries.
+func (m *Manager) freeFor(now time.Time, o *owner) ccresource.Amount {
+	free := m.Free()
+	for _, other := range m.ownerList {
+		if other != o && now.Before(other.offer.until) {
+			free = free.Minus(other.offer.amount)
+		}
+	}
+	return free
+}
+
+// setDemand records what an entry would start if it had the capacity.
+func (m *Manager) setDemand(now time.Time, o *owner, demand *ccwire.Demand) {
+	o.demand, o.demandAt = demand, now
+	if demand == nil {
+		o.offer = offer{}
+	}
+}
+
+// offerCapacity reserves free capacity for the entries with the most urgent demands. An
+// entry that used nothing of its last offer gets none until it sends its demand again.
+func (m *Manager) offerCapacity(now time.Time) {
+	if m.closedReason(now) != "" {
+		return
+	}
+	var demanding []*owner
+	free := m.Free()
+	for _, o := range m.ownerList {
+		if !o.offer.until.IsZero() && !now.Before(o.offer.until) {
+			o.offer, o.demand = offer{}, nil
+		}
+		free = free.Minus(o.offer.amount)
+		if o.connected && !o.retiring && o.demand != nil && o.offer.until.IsZero() && now.Sub(o.demandAt) <= demandTimeout {
+			demanding = append(demanding, o)
+		}
+	}
+	slices.SortStableFunc(demanding, func(a, b *owner) int { return compareDemands(a.demand, b.demand) })
+	for _, o := range demanding {
+		offered := ccresource.Amount{}
+		for range o.demand.Tasks {
+			if !o.demand.Need.Fits(free) {
+				break
+			}
+			free, offered = free.Minus(o.demand.Need), offered.Plus(o.demand.Need)
+		}
+		if offered != (ccresource.Amount{}) {
+			o.offer, o.reportNow = offer{amount: offered, until: now.Add(offerTimeout)}, true
+		}
+	}
+}
+
+// compareDemands orders demands by urgency, the most urgent first.
+func compareDemands(a, b *ccwire.Demand) int {
+	if a.Late != b.Late {
+		if b.Late {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.SlackMS, b.SlackMS))
+}
+
+// useOffer takes capacity that a start needs from the entry's offer.
+func (o *owner) useOffer(need ccresource.Amount) {
+	left := o.offer.amount.Minus(need)
+	if left.CPU <= 0 {
+		o.offer = offer{}
+		return
+	}
+	o.offer.amount = left
+}
--- a/core/cclease/order.go
+++ b/core/cclease/order.go
@@ -28,6 +28,7 @@
 	for _, order := range orders.Starts {
 		m.handleStart(now, o, order)
 	}
+	m.setDemand(now, o, orders.Demand)
 	o.handledSequence = orders.Sequence
 	m.poll(now)
 	m.sendDueReports(now)
@@ -67,7 +68,7 @@
 		m.refuseOrder(now, o.ref.ID, order, ccwire.RunRefused, "an earlier run is not over")
 		return
 	}
-	if !order.Need.Fits(m.Free()) {
+	if !order.Need.Fits(m.freeFor(now, o)) {
 		m.refuseOrder(now, o.ref.ID, order, ccwire.RunNoCapacity, "no room in the agent's ledger")
 		return
 	}
@@ -87,6 +88,7 @@
 		owner: o.ref.ID, need: order.Need, payload: order.Payload, started: now,
 		estimate: time.Duration(order.EstimateMS) * time.Millisecond,
 	}
+	o.useOffer(order.Need)
 	m.addRun(r)
 	m.sendStart(now, r)
 }
--- a/core/cclease/owner.go
+++ b/core/cclease/owner.go
@@ -24,6 +24,9 @@
 	recentEnds      []recentEnd
 	reportedAt      time.Time
 	reportNow       bool
+	demand          *ccwire.Demand // Nil is none.
+	demandAt        time.Time
+	offer           offer
 	reportedCPU     int64 // The free CPU in the last report.
 	// capacityInterval is the shortest time that the entry wants between reports of
 	// changed capacity alone.
@@ -89,6 +92,7 @@
 	o.reportNow = true
 	o.sentInfo = nil
 	o.retiring, o.wantsPlan = false, false
+	o.demand, o.offer = nil, offer{}
 	m.actions.Changes = append(m.actions.Changes, Change{Message: "Session opened.", Entry: entry.ID})
 	m.sendDueReports(now)
 }
@@ -98,6 +102,7 @@
 func (m *Manager) SessionClosed(entry ccnode.ID) {
 	if o := m.owners[entry]; o != nil && o.connected {
 		o.connected = false
+		o.demand, o.offer = nil, offer{}
 		m.actions.Changes = append(m.actions.Changes, Change{Message: "Session closed.", Entry: entry})
 	}
 }
--- a/core/cclease/report.go
+++ b/core/cclease/report.go
@@ -40,13 +40,14 @@
 // sendDueReports sends a report to each connected entry that has pending news, for
 // which the free capacity has changed, or that got no report for maxReportInterval.
 func (m *Manager) sendDueReports(now time.Time) {
+	m.offerCapacity(now)
 	for _, o := range m.ownerList {
 		id := o.ref.ID
 		if !o.connected {
 			continue
 		}
 		age := now.Sub(o.reportedAt)
-		cpuChange := m.Free().CPU - o.reportedCPU
+		cpuChange := m.freeFor(now, o).CPU - o.reportedCPU
 		if o.reportNow || age >= maxReportInterval || (age >= max(minCapacityInterval, o.capacityInterval) && (cpuChange >= cpuReportStep || cpuChange <= -cpuReportStep)) {
 			report := m.newReport(now, o, age >= progressInterval)
 			if o.wantsPlan && m.plan != nil && o.planRevision < m.plan.Revision {
@@ -58,7 +59,7 @@
 				report.Worker, o.sentInfo = m.workerInfo, m.workerInfo
 			}
 			m.actions.Reports = append(m.actions.Reports, Report{To: id, Report: report})
-			o.pendingEnds, o.reportNow, o.reportedAt, o.reportedCPU = nil, false, now, m.Free().CPU
+			o.pendingEnds, o.reportNow, o.reportedAt, o.reportedCPU = nil, false, now, m.freeFor(now, o).CPU
 		}
 	}
 }
@@ -67,7 +68,7 @@
 func (m *Manager) newReport(now time.Time, o *owner, progress bool) ccwire.RunReport {
 	report := ccwire.RunReport{
 		ClockMS:        now.Sub(m.cfg.StartTime).Milliseconds(),
-		Free:           m.Free(),
+		Free:           m.freeFor(now, o),
 		ClosedReason:   m.closedReasonFor(now, o),
 		PriorRunsEnded: m.priorRunsEnded(),
 		Pace:           m.pace.value(),
--- a/core/ccreplay/scheduler.go
+++ b/core/ccreplay/scheduler.go
@@ -24,11 +24,11 @@
 type Change struct {
 	Message string // The log message.
 	// Route is the name of the job's route. It is set when the job is taken.
-	Route string
-	Job     string
-	Index   int
-	Agent   ccnode.ID
-	Reason  string
+	Route  string
+	Job    string
+	Index  int
+	Agent  ccnode.ID
+	Reason string
 	// Age is the age of the job, of the run or of the agent's last report, depending on
 	// Message.
 	Age   time.Duration
@@ -93,9 +93,12 @@
 	open    []*agent // The result of the last openAgents, for reuse.
 	// leastNeed is at most the CPU that a task of any queued job needs.
 	leastNeed int64
-	lateness  lateness
-	overload  overload
-	actions   Actions // What the next Take returns.
+	// announced is whether the agents were last told of any demand.
+	announced   bool
+	announcedAt time.Time
+	lateness    lateness
+	overload    overload
+	actions     Actions // What the next Take returns.
 }
 
 // New returns a scheduler without agents and without a plan.
@@ -176,6 +179,7 @@
 	s.expireJobs(now)
 	s.refreshQueue(now)
 	s.schedule(now)
+	s.announceDemand(now)
 }
 
 // tickAgent ends the runs of an agent that count as lost, closes the session of an agent
@@ -275,6 +279,7 @@
 			}
 		}
 		s.addEntries(a, &orders)
+		orders.Demand = s.demandFor(now, a)
 		a.orders, a.lastSent = ccwire.Orders{}, now
 		s.actions.Messages = append(s.actions.Messages, Message{To: a.ref.ID, Orders: orders})
 	}
--- a/core/ccwire/session.go
+++ b/core/ccwire/session.go
@@ -127,8 +127,8 @@
 
 // StartOrder asks an agent to start a task.
 type StartOrder struct {
-	Task    TaskRef           `cbor:"1,keyasint"`
-	Attempt int               `cbor:"2,keyasint"`
+	Task    TaskRef `cbor:"1,keyasint"`
+	Attempt int     `cbor:"2,keyasint"`
 	// Payload is empty if it is that of the order before it in the same message, whose
 	// task belongs to the same job.
 	Payload string            `cbor:"3,keyasint,omitempty"`
@@ -137,6 +137,19 @@
 	EstimateMS int64 `cbor:"5,keyasint,omitempty"`
 }
 
+// Demand tells an agent what an entry would start if it had the capacity. The agent offers
+// capacity that falls free to the entry with the most urgent demand.
+type Demand struct {
+	// Late is true if the job can only end after its objective.
+	Late     bool `cbor:"1,keyasint,omitempty"`
+	Priority int  `cbor:"2,keyasint,omitempty"` // Lower values go first.
+	// SlackMS is how much later the job could start without missing its objective, in
+	// milliseconds.
+	SlackMS int64             `cbor:"3,keyasint,omitempty"`
+	Need    ccresource.Amount `cbor:"4,keyasint"`
+	Tasks   int               `cbor:"5,keyasint"` // How many tasks wait, at least 1.
+}
+
 // Orders carries the starts and stops that an entry requests from an agent.
 // Without any it is a heartbeat.
 type Orders struct {
@@ -158,6 +171,8 @@
 	EntriesLeft   []netip.AddrPort `cbor:"8,keyasint,omitempty"`
 	PlanRevision  uint64           `cbor:"9,keyasint,omitempty"`
 	Plan          *ccroute.Plan    `cbor:"10,keyasint,omitempty"`
+	// Demand is the most urgent queued job that the agent's worker could run. Nil is none.
+	Demand *Demand `cbor:"12,keyasint,omitempty"`
 	// WantPlan asks for the agent's plan if it is newer than PlanRevision.
 	WantPlan bool `cbor:"11,keyasint,omitempty"`
 }
