Refuse jobs that can't get capacity in time, and tell callers when to return

Each refusal told callers to come back after one second, however full the fleet was.

Ruled out: a rate of placements that is measured also without a backlog.

Change: while jobs wait, an entry measures the rate at which tasks are placed. Each 20 ms it refuses the jobs of which no task was placed and whose tasks would get capacity only after the cutoff, from the tasks before them in the queue and that rate, less the rate at which more urgent tasks arrive. Retry-After covers the time in which the waiting tasks are placed, spread over as much again, 5 s at most.

--- a/core/cclab/overload_test.go
+++ b/core/cclab/overload_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"camphorcroft/core/ccreplay"
 )
 
 // smallFleet has four entries and eleven workers of three speeds, and a burst of all
@@ -66,3 +68,19 @@
 		t.Errorf("credit in the burst: %.3f, want 0.75 of the ideal %.3f", got, ideal)
 	}
 }
+
+// Jobs that can't be served in time: callers hear of it while they can still go elsewhere,
+// not when their time is over.
+func TestHopelessJobsAreRefusedEarly(t *testing.T) {
+	result := New(smallFleet(4, 2)).Run()
+	refused := result.Filter(func(r *Record) bool { return r.Outcome == ccreplay.StateRefused })
+	held := result.Filter(func(r *Record) bool { return r.Outcome == ccreplay.StateRefused && r.Took > r.Objective })
+	if len(refused) == 0 || len(held) > len(refused)/2 {
+		t.Errorf("refused after their objective: %d of %d, want half at most", len(held), len(refused))
+	}
+	for _, r := range refused {
+		if r.RetryAfter <= 0 {
+			t.Fatalf("a refusal (%s) doesn't say when to come back", r.Reason)
+		}
+	}
+}
--- a/core/ccreplay/place.go
+++ b/core/ccreplay/place.go
@@ -255,6 +255,7 @@
 // placeTask places one task on an agent and adds the start to the agent's orders.
 func (s *Scheduler) placeTask(now time.Time, j *job, i int, a *agent) {
 	tk := &j.tasks[i]
+	s.placements.add(now, 1)
 	tk.state, tk.agent, tk.incarnation, tk.placedAt = taskPlaced, a.ref.ID, a.ref.Incarnation, now
 	tk.attempt++
 	tk.stopping, tk.lostAt = false, time.Time{}
--- a/core/ccreplay/scheduler.go
+++ b/core/ccreplay/scheduler.go
@@ -98,12 +98,19 @@
 	announcedAt time.Time
 	lateness    lateness
 	overload    overload
-	actions     Actions // What the next Take returns.
+	// placements and arrivals are the rates of placed tasks, and of the tasks of new jobs
+	// by their priority.
+	placements taskRate
+	arrivals   map[int]*taskRate
+	backlog    bool // Jobs were waiting at the last tick.
+	// hopelessCheckedAt is when refuseHopeless was last called.
+	hopelessCheckedAt time.Time
+	actions           Actions // What the next Take returns.
 }
 
 // New returns a scheduler without agents and without a plan.
 func New(cfg Config) *Scheduler {
-	return &Scheduler{cfg: cfg, agents: map[ccnode.ID]*agent{}, jobs: map[string]*job{}}
+	return &Scheduler{cfg: cfg, agents: map[ccnode.ID]*agent{}, jobs: map[string]*job{}, arrivals: map[int]*taskRate{}}
 }
 
 // Take returns the actions that are due since the last call, including heartbeats.
@@ -179,6 +186,10 @@
 	s.expireJobs(now)
 	s.refreshQueue(now)
 	s.schedule(now)
+	s.measureBacklog(now)
+	if now.Sub(s.hopelessCheckedAt) >= hopelessInterval {
+		s.refuseHopeless(now)
+	}
 	s.announceDemand(now)
 }
 
--- a/core/ccreplay/submit.go
+++ b/core/ccreplay/submit.go
@@ -95,6 +95,7 @@
 		cutoff:      now.Add(cutoffFactor * request.Route.Objective(expected)),
 		tasks:       make([]task, request.Tasks), queued: request.Tasks,
 	}
+	s.countArrival(now, j)
 	s.jobs[request.ID] = j
 	s.jobList = append(s.jobList, j)
 	s.enqueue(now, j)
@@ -182,7 +183,7 @@
 		Token: j.request.Token, ID: j.request.ID, State: state, Reason: reason, Took: now.Sub(j.arrived),
 	}
 	if state == StateRefused {
-		answer.RetryAfter = refusalRetryAfter
+		answer.RetryAfter = s.retryAfter(now, j.request.ID)
 	}
 	s.actions.Answers = append(s.actions.Answers, answer)
 	for _, token := range j.waiters {
