Prune an agent's state twice a second instead of with each tick

Ruled out: longer ticks, which the lease and the silence of an entry are judged by. Change: prune each 500 ms, while the retention is 15 s; the offers are summed once an event.

--- a/core/cclease/manager.go
+++ b/core/cclease/manager.go
@@ -87,6 +87,7 @@
 	runNumbers map[ccwire.TaskRef]lastRunNumber
 	reserved   ccresource.Amount
 	plan       *ccroute.Plan
+	prunedAt   time.Time // When prune was last called.
 	draining   bool
 	health     health
 	pace       pace
@@ -144,7 +145,9 @@
 	m.expireSilentOwners(now)
 	m.retryStops(now)
 	m.expireLease(now)
-	m.prune(now)
+	if now.Sub(m.prunedAt) >= pruneInterval {
+		m.prune(now)
+	}
 	m.poll(now)
 	m.sendDueReports(now)
 }
@@ -198,6 +201,7 @@
 // prune discards run numbers that no late call can refer to any more, old ends, and
 // entries that have been disconnected for longer than ownerRetention.
 func (m *Manager) prune(now time.Time) {
+	m.prunedAt = now
 	for task, used := range m.runNumbers {
 		if _, active := m.runs[task]; !active && now.Sub(used.at) > runNumberRetention {
 			delete(m.runNumbers, task)
@@ -215,3 +219,6 @@
 // runNumberRetention is how long the run number of an ended task is kept: longer than
 // the 12 s for which a worker may still execute a late call.
 const runNumberRetention = 15 * time.Second
+
+// pruneInterval is the time between two calls of prune.
+const pruneInterval = 500 * time.Millisecond
--- a/core/cclease/offer.go
+++ b/core/cclease/offer.go
@@ -24,17 +24,32 @@
 	until  time.Time
 }
 
-// freeFor returns the free capacity that is not reserved for other entries.
-func (m *Manager) freeFor(now time.Time, o *owner) ccresource.Amount {
+// unoffered returns the free capacity that is not reserved for any entry.
+func (m *Manager) unoffered(now time.Time) ccresource.Amount {
 	free := m.Free()
-	for _, other := range m.ownerList {
-		if other != o && now.Before(other.offer.until) {
-			free = free.Minus(other.offer.amount)
-		}
+	for _, o := range m.ownerList {
+		free = free.Minus(o.offered(now))
 	}
 	return free
 }
 
+// freeFor returns the free capacity that is not reserved for other entries. The owner may
+// be nil.
+func (m *Manager) freeFor(now time.Time, o *owner) ccresource.Amount {
+	if o == nil {
+		return m.unoffered(now)
+	}
+	return m.unoffered(now).Plus(o.offered(now))
+}
+
+// offered returns the capacity that is reserved for the entry.
+func (o *owner) offered(now time.Time) ccresource.Amount {
+	if !now.Before(o.offer.until) {
+		return ccresource.Amount{}
+	}
+	return o.offer.amount
+}
+
 // setDemand records what an entry would start if it had the capacity.
 func (m *Manager) setDemand(now time.Time, o *owner, demand *ccwire.Demand) {
 	o.demand, o.demandAt = demand, now
--- a/core/cclease/report.go
+++ b/core/cclease/report.go
@@ -41,13 +41,15 @@
 // which the free capacity has changed, or that got no report for maxReportInterval.
 func (m *Manager) sendDueReports(now time.Time) {
 	m.offerCapacity(now)
+	unoffered := m.unoffered(now)
 	for _, o := range m.ownerList {
 		id := o.ref.ID
 		if !o.connected {
 			continue
 		}
 		age := now.Sub(o.reportedAt)
-		cpuChange := m.freeFor(now, o).CPU - o.reportedCPU
+		free := unoffered.Plus(o.offered(now)).CPU
+		cpuChange := free - o.reportedCPU
 		if o.reportNow || age >= maxReportInterval || (age >= max(minCapacityInterval, o.capacityInterval) && (cpuChange >= cpuReportStep || cpuChange <= -cpuReportStep)) {
 			report := m.newReport(now, o, age >= progressInterval)
 			if o.wantsPlan && m.plan != nil && o.planRevision < m.plan.Revision {
@@ -59,7 +61,7 @@
 				report.Worker, o.sentInfo = m.workerInfo, m.workerInfo
 			}
 			m.actions.Reports = append(m.actions.Reports, Report{To: id, Report: report})
-			o.pendingEnds, o.reportNow, o.reportedAt, o.reportedCPU = nil, false, now, m.freeFor(now, o).CPU
+			o.pendingEnds, o.reportNow, o.reportedAt, o.reportedCPU = nil, false, now, free
 		}
 	}
 }
