--- a/core/cclease/offer.go
+++ b/core/cclease/offer.go
@@ -12,7 +12,7 @@
 const (
 	// offerTimeout is how long capacity is reserved for an entry that was offered it: two
 	// messages between failure domains and the entry's scheduling.
-	offerTimeout = 15 * time.Millisecond
+	offerTimeout = 20 * time.Millisecond
 	// demandTimeout is how long an entry's demand counts without a further message, a
 	// little more than the interval of its heartbeats.
 	demandTimeout = 330 * time.Millisecond
--- a/core/ccreplay/demand.go
+++ b/core/ccreplay/demand.go
@@ -11,7 +11,10 @@
 	// minDemandInterval is the shortest time between two announcements of demand to all
 	// agents. With more agents it grows, so that they cost demandMessagesPerSecond at most.
 	minDemandInterval       = 20 * time.Millisecond
-	demandMessagesPerSecond = 500
+	demandMessagesPerSecond = 250
+	// maxAnnounceLateness is the lateness above which an entry has no time for messages to
+	// all agents. The demand goes with those that it sends anyway.
+	maxAnnounceLateness = 20 * time.Millisecond
 	// maxDemandJobs is how many queued jobs are considered as the demand at an agent. Jobs
 	// that only few workers can run may be before the first one that this worker can run.
 	maxDemandJobs = 8
@@ -23,7 +26,7 @@
 func (s *Scheduler) announceDemand(now time.Time) {
 	demanding := s.hasDemand(now)
 	interval := max(minDemandInterval, time.Duration(s.attached)*time.Second/demandMessagesPerSecond)
-	if !demanding && !s.announced || now.Sub(s.announcedAt) < interval {
+	if !demanding && !s.announced || now.Sub(s.announcedAt) < interval || s.lateness.current() > maxAnnounceLateness {
 		return
 	}
 	s.announced, s.announcedAt = demanding, now
