--- /dev/null
+++ b/core/ccreplay/attach.go
@@ -0,0 +1,124 @@
+package ccreplay
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"camphorcroft/core/cclease"
+	"camphorcroft/core/ccnode"
+	"camphorcroft/core/ccsubset"
+	"camphorcroft/core/ccwire"
+)
+
+// Attach opens a session with an agent. Runs of the agent's current incarnation that
+// it does not list have ended.
+func (s *Scheduler) Attach(now time.Time, attach ccwire.Attach) {
+	a := s.agents[attach.Node.ID]
+	if a == nil {
+		a = s.addAgent(attach.Node)
+	}
+	if attach.Node.Incarnation < a.ref.Incarnation {
+		return
+	}
+	if !a.attached {
+		s.attached++
+	}
+	a.ref = attach.Node
+	a.entriesSent = attach.EntriesDigest == ccsubset.Digest(s.entries)
+	a.planRevision = 0
+	s.relay.stale = true
+	a.attached, a.sequence, a.inFlight, a.orders = true, 0, nil, ccwire.Orders{}
+	a.clockOffset.reset()
+	s.recordChange(Change{Message: "Agent attached.", Agent: a.ref.ID, Count: len(attach.Runs)})
+	s.handleReport(now, a, attach.Report)
+	alive := map[ccwire.TaskRef]bool{}
+	for _, ref := range attach.Runs {
+		alive[ref] = true
+		if !s.isPlacedOn(ref, a.ref.ID) {
+			a.orders.Stops = append(a.orders.Stops, ref)
+		}
+	}
+	s.reconcileRuns(now, a, alive, attach.Report.HandledSequence)
+	s.sendNow(a)
+	s.schedule(now)
+}
+
+func (s *Scheduler) addAgent(ref ccnode.Ref) *agent {
+	a := &agent{ref: ref, relayRank: relayRank(ref.ID)}
+	s.agents[ref.ID] = a
+	at, _ := slices.BinarySearchFunc(s.agentList, a, compareAgents)
+	s.agentList = slices.Insert(s.agentList, at, a)
+	return a
+}
+
+func compareAgents(a, b *agent) int { return strings.Compare(string(a.ref.ID), string(b.ref.ID)) }
+
+// reconcileRuns compares the tasks placed on an agent with the runs that it listed
+// when it attached. Listed runs continue, and missing runs of its current
+// incarnation have ended. Those whose orders the agent had not handled in the previous
+// session never started, since it drops the orders of a session that was replaced.
+//
+// An agent knows nothing of the runs of its earlier incarnations until it is settled:
+// those stay unresolved until then, or until cclease.RunsExpireAfter has passed.
+func (s *Scheduler) reconcileRuns(now time.Time, a *agent, alive map[ccwire.TaskRef]bool, handled uint64) {
+	for _, p := range slices.Clone(a.runs) {
+		tk := &p.job.tasks[p.index]
+		ref := ccwire.TaskRef{Job: p.job.request.ID, Index: p.index}
+		ended := ccwire.RunResult{Task: ref, Attempt: tk.attempt, Outcome: ccwire.RunLost, Reason: "agent attached without it"}
+		switch {
+		case tk.incarnation != a.ref.Incarnation:
+			if tk.lostAt.IsZero() {
+				tk.lostAt = now.Add(cclease.RunsExpireAfter)
+				a.lostAt = earliest(a.lostAt, tk.lostAt)
+			}
+		case alive[ref]:
+			tk.lostAt, tk.sequence = time.Time{}, 0
+			if tk.stopping {
+				a.orders.Stops = append(a.orders.Stops, ref)
+			}
+		case tk.sequence > handled:
+			ended.Outcome, ended.Reason = ccwire.RunRefused, "agent attached without having handled the order"
+			s.endRun(now, p.job, p.index, ended)
+		default:
+			s.endRun(now, p.job, p.index, ended)
+		}
+	}
+}
+
+// endEarlierRuns ends the runs of an agent's earlier incarnations once the agent has
+// reported that none of them is alive.
+func (s *Scheduler) endEarlierRuns(now time.Time, a *agent) {
+	for _, p := range slices.Clone(a.runs) {
+		if tk := &p.job.tasks[p.index]; tk.incarnation != a.ref.Incarnation {
+			s.endRun(now, p.job, p.index, ccwire.RunResult{Attempt: tk.attempt, Outcome: ccwire.RunLost, Reason: "agent has a new incarnation"})
+		}
+	}
+}
+
+// Detach ends a session. The agent's runs count as lost cclease.RunsExpireAfter
+// after its last report, unless it attaches again before then.
+func (s *Scheduler) Detach(now time.Time, id ccnode.ID) {
+	a := s.agents[id]
+	if a == nil || !a.attached {
+		return
+	}
+	a.attached = false
+	s.attached--
+	s.relay.stale = true
+	s.recordChange(Change{Message: "Agent detached.", Agent: id, Age: now.Sub(a.lastReport), Count: len(a.runs)})
+	lostAt := a.lastReport.Add(cclease.RunsExpireAfter)
+	a.lostAt = time.Time{}
+	for _, p := range a.runs {
+		p.job.tasks[p.index].lostAt = lostAt
+		a.lostAt = lostAt
+	}
+	s.schedule(now)
+}
+
+// forgetAgent deletes the state of an agent that has been detached for forgetAfter.
+func (s *Scheduler) forgetAgent(a *agent) {
+	delete(s.agents, a.ref.ID)
+	s.agentList = slices.DeleteFunc(s.agentList, func(other *agent) bool { return other == a })
+	s.recordChange(Change{Message: "Agent forgotten.", Agent: a.ref.ID})
+}
--- /dev/null
+++ b/core/ccreplay/tick.go
@@ -0,0 +1,87 @@
+package ccreplay
+
+import (
+	"slices"
+	"time"
+
+	"camphorcroft/core/ccwire"
+)
+
+// Tick handles timeouts and deadlines. It must be called at least every 25 ms while
+// there are jobs.
+func (s *Scheduler) Tick(now time.Time) {
+	s.lateness.tick(now)
+	s.updateOverload(now)
+	for _, a := range slices.Clone(s.agentList) {
+		s.tickAgent(now, a)
+	}
+	s.requestPlan(now)
+	s.expireJobs(now)
+	s.refreshQueue(now)
+	s.schedule(now)
+	s.measureBacklog(now)
+	if now.Sub(s.hopelessCheckedAt) >= hopelessInterval {
+		s.refuseHopeless(now)
+	}
+	s.announceDemand(now)
+}
+
+// tickAgent ends the runs of an agent that count as lost, closes the session of an agent
+// that is silent, and sends what is due to the others.
+func (s *Scheduler) tickAgent(now time.Time, a *agent) {
+	if !a.lostAt.IsZero() && !now.Before(a.lostAt) {
+		s.endLostRuns(now, a)
+	}
+	if !a.attached {
+		if len(a.runs) == 0 && now.Sub(a.lastReport) > forgetAfter {
+			s.forgetAgent(a)
+		}
+		return
+	}
+	if silence := s.silence(now, a); silence > suspectAfter && len(a.runs) > 0 || silence > idleSessionTimeout {
+		s.actions.CloseSessions = append(s.actions.CloseSessions, a.ref.ID)
+		s.Detach(now, a.ref.ID)
+		return
+	}
+	if now.Sub(a.lastSent) >= a.heartbeatPeriod() || s.planDue(now, a) {
+		s.sendNow(a)
+	}
+}
+
+// endLostRuns ends the agent's runs that count as lost.
+func (s *Scheduler) endLostRuns(now time.Time, a *agent) {
+	a.lostAt = time.Time{}
+	for _, p := range slices.Clone(a.runs) {
+		tk := &p.job.tasks[p.index]
+		switch {
+		case tk.lostAt.IsZero():
+		case now.Before(tk.lostAt):
+			a.lostAt = earliest(a.lostAt, tk.lostAt)
+		default:
+			s.endRun(now, p.job, p.index, ccwire.RunResult{Attempt: tk.attempt, Outcome: ccwire.RunLost, Reason: "agent is silent for longer than its runs can live"})
+		}
+	}
+}
+
+// earliest returns the earlier of two times. Zero stands for no time.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// expireJobs answers the jobs whose deadline has passed.
+func (s *Scheduler) expireJobs(now time.Time) {
+	var expired []*job
+	for _, j := range s.jobList {
+		if !j.answered && !now.Before(j.request.Deadline) {
+			expired = append(expired, j)
+		}
+	}
+	for _, j := range expired {
+		if !j.answered {
+			s.expire(now, j)
+		}
+	}
+}
