Bound what an entry's demand can make an agent do

Cause: a demand for no resources and a huge number of tasks kept the agent's control loop in offerCapacity for good, and a negative need made it reckon with more capacity than there is. Found when reading the code for malformed messages (one message must not take a process down). Change: offers are limited to 64 tasks, and a demand with a negative need is ignored. The test ran into its time limit before.

--- a/core/cclease/offer.go
+++ b/core/cclease/offer.go
@@ -13,6 +13,8 @@
 	// offerTimeout is how long capacity is reserved for an entry that was offered it: two
 	// messages between failure domains and the entry's scheduling.
 	offerTimeout = 20 * time.Millisecond
+	// maxOfferedTasks limits the tasks for which capacity is offered to one entry at once.
+	maxOfferedTasks = 64
 	// demandTimeout is how long an entry's demand counts without a further message, a
 	// little more than the interval of its heartbeats.
 	demandTimeout = 330 * time.Millisecond
@@ -50,8 +52,12 @@
 	return o.offer.amount
 }
 
-// setDemand records what an entry would start if it had the capacity.
+// setDemand records what an entry would start if it had the capacity. A demand that makes
+// no sense is ignored.
 func (m *Manager) setDemand(now time.Time, o *owner, demand *ccwire.Demand) {
+	if demand != nil && (demand.Need.CPU < 0 || demand.Need.Memory < 0 || demand.Need.Accelerators < 0) {
+		demand = nil
+	}
 	o.demand, o.demandAt = demand, now
 	if demand == nil {
 		o.offer = offer{}
@@ -78,7 +84,7 @@
 	slices.SortStableFunc(demanding, func(a, b *owner) int { return compareDemands(a.demand, b.demand) })
 	for _, o := range demanding {
 		offered := ccresource.Amount{}
-		for range o.demand.Tasks {
+		for range min(o.demand.Tasks, maxOfferedTasks) {
 			if !o.demand.Need.Fits(free) {
 				break
 			}
--- a/core/cclease/offer_test.go
+++ b/core/cclease/offer_test.go
@@ -1,6 +1,7 @@
 package cclease
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -99,6 +100,21 @@
 			t.Errorf("starts: got %d, want 1", len(out.Starts))
 		}
 	})
+	t.Run("a demand that makes no sense reserves nothing and ends at once", func(t *testing.T) {
+		for _, demand := range []ccwire.Demand{
+			{Need: ccresource.Amount{CPU: -4000}, Tasks: 1},
+			{Need: ccresource.Amount{CPU: 4000, Memory: -1}, Tasks: 1},
+			{Tasks: math.MaxInt},
+			{Need: ccresource.Amount{CPU: 4000}, Tasks: -1},
+		} {
+			f := newFullFixture(t)
+			f.sendOrders(entryB, ccwire.Orders{Demand: &demand})
+			f.endRunning()
+			if free := f.manager.unoffered(f.now); free.CPU != 4000 {
+				t.Errorf("%+v: free capacity is %d, want 4000", demand, free.CPU)
+			}
+		}
+	})
 	t.Run("without demand any entry may use all", func(t *testing.T) {
 		f := newFullFixture(t)
 		f.endRunning()
