--- a/core/cclab/collapse_test.go
+++ b/core/cclab/collapse_test.go
@@ -9,6 +9,9 @@
 // labSeeds is how many seeds each test simulates. A simulation takes some seconds.
 var labSeeds = flag.Uint64("labseeds", 1, "seeds for each test of a load pattern")
 
+// thinShare is the part of a core that each entry of thinFleet has.
+var thinShare = flag.Float64("labshare", 0.2, "part of a core of each entry in the tests of late entries")
+
 // deskClasses are three kinds of job that together keep about three quarters of 53
 // workers of 32 cores busy.
 func deskClasses() []Class {
@@ -25,7 +28,7 @@
 		Seed: seed, Domains: 5, Agents: 53, WorkerCPU: 32000, Speeds: []float64{0.7, 0.7, 1.7}, Classes: deskClasses(), Duration: 10 * time.Second,
 	}
 	for _, domain := range []int{0, 0, 1, 1, 2, 2, 3, 4} {
-		cfg.Entries = append(cfg.Entries, EntryConfig{Domain: domain, Share: 0.2})
+		cfg.Entries = append(cfg.Entries, EntryConfig{Domain: domain, Share: *thinShare})
 	}
 	return cfg
 }
