Log and count where a newer plan gets stuck on its way to an entry

An entry with an old plan answers 404 and says nothing of why it has it.

New metrics planReportedRevision and planBehindMs. No decision changes; the tests of both packages pass unchanged.

--- a/core/cclease/report.go
+++ b/core/cclease/report.go
@@ -55,6 +55,7 @@
 			if o.wantsPlan && m.plan != nil && o.planRevision < m.plan.Revision {
 				report.Plan = m.plan
 				o.planRevision = m.plan.Revision
+				m.actions.Changes = append(m.actions.Changes, Change{Message: "Plan sent.", Entry: id, Count: int(m.plan.Revision)})
 			}
 			o.wantsPlan = false
 			if m.workerInfo != nil && o.sentInfo != m.workerInfo {
--- a/core/ccreplay/relay.go
+++ b/core/ccreplay/relay.go
@@ -87,9 +87,20 @@
 			s.relay.heardAt = now
 		}
 		s.relay.heard = revision
+		s.recordChange(Change{Message: "Newer plan reported.", Agent: a.ref.ID, Count: int(revision)})
 	}
 }
 
+// PlanLag returns the highest revision of a plan that an agent has reported, and how long
+// ago the first report of a plan came that is newer than the current one. The time is zero
+// if there is none.
+func (s *Scheduler) PlanLag(now time.Time) (uint64, time.Duration) {
+	if s.relay.heard <= s.planRevision() {
+		return s.relay.heard, 0
+	}
+	return s.relay.heard, now.Sub(s.relay.heardAt)
+}
+
 // requestPlan asks an agent for its plan if the store has not sent it in time.
 func (s *Scheduler) requestPlan(now time.Time) {
 	own := s.planRevision()
@@ -110,6 +121,7 @@
 	s.relay.requests++
 	s.relay.askedAt = now
 	a.orders.WantPlan = true
+	s.recordChange(Change{Message: "Plan requested.", Agent: a.ref.ID, Age: now.Sub(s.relay.heardAt), Count: int(s.relay.heard)})
 	s.sendNow(a)
 }
 
@@ -123,6 +135,7 @@
 
 func (s *Scheduler) setPlan(now time.Time, plan *ccroute.Plan) {
 	plan.BuildIndex()
+	_, lag := s.PlanLag(now)
 	s.plan, s.planSetAt = plan, now
-	s.recordChange(Change{Message: "Plan in force.", Count: int(plan.Revision)})
+	s.recordChange(Change{Message: "Plan in force.", Age: lag, Count: int(plan.Revision)})
 }
--- a/core/ccreplay/scheduler.go
+++ b/core/ccreplay/scheduler.go
@@ -28,8 +28,8 @@
 	Index  int
 	Agent  ccnode.ID
 	Reason string
-	// Age is the age of the job, of the run or of the agent's last report, depending on
-	// Message.
+	// Age is the age of the job, of the run, of the agent's last report or of the first
+	// report of a newer plan, depending on Message.
 	Age   time.Duration
 	Count int
 	// Placements are the tasks of the job that were placed at once.
--- a/io/ccreplay/entry.go
+++ b/io/ccreplay/entry.go
@@ -73,6 +73,8 @@
 	usableAgents atomic.Int64
 	overloaded   atomic.Bool
 	lateness     atomic.Int64 // In nanoseconds.
+	planReported atomic.Uint64
+	planBehind   atomic.Int64 // In nanoseconds.
 	lastToken    atomic.Uint64
 
 	// The fields below are owned by the control goroutine.
@@ -239,6 +241,9 @@
 			e.usableAgents.Store(int64(e.scheduler.UsableAgents(now)))
 			e.overloaded.Store(e.scheduler.Overloaded())
 			e.lateness.Store(int64(e.scheduler.Lateness()))
+			reported, behind := e.scheduler.PlanLag(now)
+			e.planReported.Store(reported)
+			e.planBehind.Store(int64(behind))
 		case <-e.ctx.Done():
 			for _, s := range e.sessions {
 				s.conn.Close()
--- a/io/ccreplay/record.go
+++ b/io/ccreplay/record.go
@@ -31,6 +31,8 @@
 		}
 		return 0
 	})
+	set.Func("planReportedRevision", func() any { return e.planReported.Load() })
+	set.Func("planBehindMs", func() any { return time.Duration(e.planBehind.Load()).Milliseconds() })
 	set.Func("agentsUsable", func() any { return e.usableAgents.Load() })
 	set.Func("latenessMs", func() any { return time.Duration(e.lateness.Load()).Milliseconds() })
 	return metrics{
