Test that a plan whose copy was lost with its session is sent again (fails)

TestPlanIsRelayed, "an entry that asks again in a new session gets another copy": fails each time, since an agent keeps the note that it has sent a plan when the session in which it sent it is gone.

core/ccproof searches for the same from outside: real schedulers and lease managers in three domains, a store that turns entries away, cuts, restarts and freezes. The check is the promise itself, 2 s after acceptance (7 s at an entry without the store).

--- a/core/cclease/manager_test.go
+++ b/core/cclease/manager_test.go
@@ -446,6 +446,22 @@
 			t.Error("the other entry did not get the plan")
 		}
 	})
+	// Guards against an entry that keeps an old plan because the copy for it was lost with
+	// its session.
+	t.Run("an entry that asks again in a new session gets another copy", func(t *testing.T) {
+		f := newFixture(t)
+		f.sendOrders(entryA, ccwire.Orders{PlanRevision: 9, Plan: &ccroute.Plan{Revision: 9}})
+		f.sendOrders(entryB, ccwire.Orders{WantPlan: true})
+		if !receivesPlan(f) {
+			t.Fatal("the other entry did not get the plan")
+		}
+		f.manager.SessionClosed(entryB.ID)
+		f.manager.SessionOpened(f.now, entryB, f.now)
+		f.sendOrders(entryB, ccwire.Orders{WantPlan: true})
+		if !receivesPlan(f) {
+			t.Error("the other entry did not get another copy")
+		}
+	})
 	t.Run("an entry that doesn't ask gets no copy", func(t *testing.T) {
 		f := newFixture(t)
 		f.sendOrders(entryA, ccwire.Orders{PlanRevision: 9, Plan: &ccroute.Plan{Revision: 9}})
--- a/core/ccproof/replay_world_test.go
+++ b/core/ccproof/replay_world_test.go
@@ -82,7 +82,7 @@
 	manager     *cclease.Manager
 	frozenUntil time.Time
 	worker      *modelWorker
-	// links has one link for each entry.
+	// links has one link for each entry that the agent uses.
 	links map[ccnode.ID]*replayLink
 }
 
@@ -277,7 +277,7 @@
 // closeLink closes a session. Each side learns of it separately.
 func (w *replayWorld) closeLink(a *replayAgent, e *replayEntry) {
 	link := a.links[e.ref.ID]
-	if link.session == 0 {
+	if link == nil || link.session == 0 {
 		return
 	}
 	link.session = 0
@@ -301,7 +301,7 @@
 	for _, a := range w.agents {
 		for _, e := range w.entries {
 			link := a.links[e.ref.ID]
-			if link.session != 0 || w.now.Before(link.cutUntil) || w.now.Before(a.frozenUntil) || w.now.Before(e.frozenUntil) {
+			if link == nil || link.session != 0 || w.now.Before(link.cutUntil) || w.now.Before(a.frozenUntil) || w.now.Before(e.frozenUntil) {
 				continue
 			}
 			w.seq++
@@ -510,6 +510,12 @@
 	for range 14 {
 		w.schedule(time.Duration(500+w.rng.IntN(int(length.Milliseconds()*3/4)))*time.Millisecond, w.injectFault)
 	}
+	w.simulate(length)
+	return w.violation
+}
+
+// simulate runs the events up to the given length of time or the first violation.
+func (w *replayWorld) simulate(length time.Duration) {
 	end := w.start.Add(length)
 	for w.events.Len() > 0 && w.violation == "" {
 		next := heap.Pop(&w.events).(event)
@@ -519,5 +525,4 @@
 		w.now = next.at
 		next.run()
 	}
-	return w.violation
 }
