Answer each request for a plan by what the entry has, not by what was sent

What callers saw: 404 as an older version of the configuration says, from an entry that the store turned away, long after the newer version was accepted.

Cause: an agent noted the revision that it had sent to an entry when it queued the report, and kept the note when the session ended. A copy that was lost with its session was never sent again; later requests of that entry got reports without a plan, until there was a newer one.

Now the note is gone. An entry states its revision with each request, and the agent answers if its own plan is newer. Ruled out: clearing the note when a session opens. It would leave the same fault for a copy that is dropped without an end of the session at the agent.

--- a/core/cclease/manager_test.go
+++ b/core/cclease/manager_test.go
@@ -469,6 +469,14 @@
 			t.Error("the other entry got a copy")
 		}
 	})
+	t.Run("an entry that has the plan when it asks gets no copy", func(t *testing.T) {
+		f := newFixture(t)
+		f.sendOrders(entryA, ccwire.Orders{PlanRevision: 9, Plan: &ccroute.Plan{Revision: 9}})
+		f.sendOrders(entryB, ccwire.Orders{PlanRevision: 9, WantPlan: true})
+		if receivesPlan(f) {
+			t.Error("the other entry got a copy")
+		}
+	})
 	t.Run("an entry that got the plan from the store gets no copy", func(t *testing.T) {
 		f := newFixture(t)
 		f.sendOrders(entryA, ccwire.Orders{PlanRevision: 9, Plan: &ccroute.Plan{Revision: 9}})
--- a/core/cclease/order.go
+++ b/core/cclease/order.go
@@ -35,15 +35,13 @@
 }
 
 func (m *Manager) updatePlan(now time.Time, o *owner, orders ccwire.Orders) {
-	o.planRevision = max(o.planRevision, orders.PlanRevision)
-	if orders.WantPlan {
+	if orders.WantPlan && m.plan != nil && m.plan.Revision > orders.PlanRevision {
 		o.wantsPlan, o.reportNow = true, true
 	}
 	if !orders.Plan.Newer(m.plan) {
 		return
 	}
 	m.plan = orders.Plan
-	o.planRevision = max(o.planRevision, orders.Plan.Revision)
 	m.actions.Changes = append(m.actions.Changes, Change{Message: "Plan received.", Entry: o.ref.ID, Count: int(m.plan.Revision)})
 	// Entries that can't reach the store learn from the next report that they can ask for
 	// the plan here.
--- a/core/cclease/owner.go
+++ b/core/cclease/owner.go
@@ -16,9 +16,8 @@
 	// the last report that it certainly received.
 	lastHeard       time.Time
 	handledSequence uint64
-	planRevision    uint64 // The revision of the entry's plan.
-	wantsPlan       bool   // The entry has asked for the plan.
-	retiring        bool   // The session is about to be closed.
+	wantsPlan       bool // The entry has asked for the plan.
+	retiring        bool // The session is about to be closed.
 	sentInfo        *ccwire.WorkerInfo
 	pendingEnds     []ccwire.RunResult
 	recentEnds      []recentEnd
--- a/core/cclease/report.go
+++ b/core/cclease/report.go
@@ -52,9 +52,8 @@
 		cpuChange := free - o.reportedCPU
 		if o.reportNow || age >= maxReportInterval || (age >= max(minCapacityInterval, o.capacityInterval) && (cpuChange >= cpuReportStep || cpuChange <= -cpuReportStep)) {
 			report := m.newReport(now, o, age >= progressInterval)
-			if o.wantsPlan && m.plan != nil && o.planRevision < m.plan.Revision {
+			if o.wantsPlan {
 				report.Plan = m.plan
-				o.planRevision = m.plan.Revision
 				m.actions.Changes = append(m.actions.Changes, Change{Message: "Plan sent.", Entry: id, Count: int(m.plan.Revision)})
 			}
 			o.wantsPlan = false
