Adopt a plan ahead of an entry's queued events

Cause: a plan, from the store or from an agent, went into the queue of all events (4,096 of them). An entry that gets too little processor is late with that queue by as much as it is late at all, and routes by the old plan for that long.

Plans have a channel of their own that the control goroutine empties before it takes the next event, so a plan waits for one event at most. A plan in an agent's report goes the same way when it is decoded; the report itself keeps its place. Ruled out: storing the plan for the request handlers directly. The scheduler would place jobs by domains of the older plan meanwhile.

--- a/io/ccreplay/entry.go
+++ b/io/ccreplay/entry.go
@@ -64,6 +64,7 @@
 type Entry struct {
 	cfg          Config
 	events       chan func(now time.Time)
+	plans        chan *ccroute.Plan // Handled before events.
 	ctx          context.Context
 	cancel       context.CancelFunc
 	wg           sync.WaitGroup
@@ -89,7 +90,7 @@
 // New returns an entry that has not started.
 func New(cfg Config) *Entry {
 	e := &Entry{
-		cfg: cfg, events: make(chan func(time.Time), eventBuffer),
+		cfg: cfg, events: make(chan func(time.Time), eventBuffer), plans: make(chan *ccroute.Plan, 1),
 		scheduler: ccreplay.New(ccreplay.Config{Self: cfg.Node, Domain: cfg.Domain, AwayFactor: cfg.AwayFactor}),
 		sessions:  map[ccnode.ID]*session{}, pending: map[uint64]chan<- ccreplay.Answer{},
 	}
@@ -221,14 +222,40 @@
 	}
 }
 
-// control processes events and timer ticks until the entry is closed.
+// offerPlan passes a plan to the control goroutine, ahead of the queued events: an entry
+// that is late with those must still route by the newest plan. It drops the plan if the
+// entry is closed.
+func (e *Entry) offerPlan(plan *ccroute.Plan) {
+	select {
+	case e.plans <- plan:
+	case <-e.ctx.Done():
+	}
+}
+
+// applyPlan adopts a plan that was offered.
+func (e *Entry) applyPlan(plan *ccroute.Plan) {
+	now := time.Now()
+	e.scheduler.SetPlan(now, plan)
+	e.performActions(now)
+}
+
+// control processes plans, events and timer ticks until the entry is closed.
 func (e *Entry) control() {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	suspendDetector := ccclock.NewSuspendDetector()
 	for {
+		select {
+		case plan := <-e.plans:
+			e.applyPlan(plan)
+			continue
+		default:
+		}
 		var now time.Time
 		select {
+		case plan := <-e.plans:
+			e.applyPlan(plan)
+			continue
 		case event := <-e.events:
 			now = time.Now()
 			event(now)
--- a/io/ccreplay/follow.go
+++ b/io/ccreplay/follow.go
@@ -145,7 +145,7 @@
 		}
 		if plan != nil {
 			e.cfg.Log.Info("Plan read from the store.", "revision", plan.Revision, "version", plan.Version)
-			e.do(func(now time.Time) { e.scheduler.SetPlan(now, plan) })
+			e.offerPlan(plan)
 		}
 	})
 }
--- a/io/ccreplay/session.go
+++ b/io/ccreplay/session.go
@@ -62,6 +62,10 @@
 	if s == nil {
 		return
 	}
+	if report.Plan != nil {
+		h.entry.cfg.Log.Info("Plan received from an agent.", "agent", string(s.agent), "revision", report.Plan.Revision)
+		h.entry.offerPlan(report.Plan)
+	}
 	h.entry.do(func(now time.Time) {
 		if h.entry.sessions[s.agent] == s {
 			h.entry.scheduler.Report(now, s.agent, report)
