Report crashes of workers to all entries, with the tasks that were running

An agent now tells all its entries of a crash with the tasks that were running, how long they had run and their class; a crash is told again when a session opens within 10 s, so that it isn't lost with one. A worker that drains, leaves or is silent, and one that lost its power with its agent, has not crashed. core/cccrash counts: a task with two crashes after runs of the same length, or with three, is their cause; two such jobs of a class within 5 s accuse the class. The entry logs "Worker crashed.", "Task crashes workers.", "Jobs crash workers." and counts them as metrics.

No decision changes yet. Tests: core/cccrash, TestCrashIsReported in core/cclease.

--- /dev/null
+++ b/core/cccrash/doc.go
@@ -0,0 +1,19 @@
+// Package cccrash finds the tasks that crash the workers that run them.
+//
+// When a worker crashes, all tasks that were running there are suspects. A Ledger counts
+// the crashes of each task over all workers. A task that was in maxCrashes crashes, or in
+// two with runs of the same length, counts as their cause. If several jobs of one class
+// contain such tasks within a short time, the class is isolated: its tasks run on a small
+// part of the workers, which run nothing else, so that the others keep serving.
+//
+// The entries of a fleet reach the same verdicts, since agents report each crash to all of
+// them.
+//
+// # Usage
+//
+//	ledger := cccrash.NewLedger()
+//	findings, isNew := ledger.Record(now, agent, report)
+//	if ledger.IsCause(task) {
+//		// The task is not started again.
+//	}
+package cccrash
--- /dev/null
+++ b/core/cccrash/ledger.go
@@ -0,0 +1,134 @@
+package cccrash
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"camphorcroft/core/ccnode"
+	"camphorcroft/core/ccwire"
+)
+
+const (
+	// retention is how long a crash is kept: longer than any caller sends a job again.
+	retention = 2 * time.Minute
+	// maxTasks limits the tasks with a record. The oldest are dropped.
+	maxTasks = 8192
+)
+
+// Findings are what a crash has shown.
+type Findings struct {
+	// Causes are the tasks that count as the cause of crashes from now on.
+	Causes []ccwire.TaskRef
+	// Isolated are the classes that are isolated from now on.
+	Isolated []uint32
+}
+
+// crashID identifies a crash.
+type crashID struct {
+	agent  ccnode.Ref
+	number uint64
+}
+
+// Ledger counts crashes. It is not safe for concurrent use.
+type Ledger struct {
+	crashes map[crashID]time.Time
+	tasks   map[ccwire.TaskRef]*taskRecord
+	order   []*taskRecord // The records in the order in which they were added.
+	classes map[uint32]*classRecord
+}
+
+// NewLedger returns a ledger without crashes.
+func NewLedger() *Ledger {
+	return &Ledger{crashes: map[crashID]time.Time{}, tasks: map[ccwire.TaskRef]*taskRecord{}, classes: map[uint32]*classRecord{}}
+}
+
+// Record counts a crash that an agent has reported, unless it is known. It reports whether
+// it is new.
+func (l *Ledger) Record(now time.Time, agent ccnode.Ref, report ccwire.CrashReport) (Findings, bool) {
+	id := crashID{agent: agent, number: report.Number}
+	if _, known := l.crashes[id]; known {
+		return Findings{}, false
+	}
+	l.prune(now)
+	l.crashes[id] = now
+	var found Findings
+	for _, suspect := range report.Suspects {
+		class := l.class(suspect.Class)
+		if class.isolated(now) {
+			class.isolatedUntil = now.Add(quietTime)
+		}
+		if !l.record(suspect.Task).add(now, suspect) {
+			continue
+		}
+		found.Causes = append(found.Causes, suspect.Task)
+		if class.addCause(now, suspect.Task.Job) {
+			found.Isolated = append(found.Isolated, suspect.Class)
+		}
+	}
+	return found, true
+}
+
+// Crashes returns in how many crashes a task was running.
+func (l *Ledger) Crashes(task ccwire.TaskRef) int {
+	if r := l.tasks[task]; r != nil {
+		return r.crashes
+	}
+	return 0
+}
+
+// IsCause reports whether a task counts as the cause of crashes.
+func (l *Ledger) IsCause(task ccwire.TaskRef) bool {
+	r := l.tasks[task]
+	return r != nil && r.isCause
+}
+
+// Empty reports whether no crash is known, so that no task needs to be looked up.
+func (l *Ledger) Empty() bool { return len(l.tasks) == 0 }
+
+// Isolated returns the classes that are isolated, in ascending order.
+func (l *Ledger) Isolated(now time.Time) []uint32 {
+	var isolated []uint32
+	for _, id := range slices.Sorted(maps.Keys(l.classes)) {
+		if l.classes[id].isolated(now) {
+			isolated = append(isolated, id)
+		}
+	}
+	return isolated
+}
+
+func (l *Ledger) class(id uint32) *classRecord {
+	c := l.classes[id]
+	if c == nil {
+		c = &classRecord{}
+		l.classes[id] = c
+	}
+	return c
+}
+
+func (l *Ledger) record(task ccwire.TaskRef) *taskRecord {
+	r := l.tasks[task]
+	if r == nil {
+		r = &taskRecord{task: task}
+		l.tasks[task] = r
+		l.order = append(l.order, r)
+	}
+	return r
+}
+
+// prune drops what is older than retention, and the oldest records above maxTasks.
+func (l *Ledger) prune(now time.Time) {
+	maps.DeleteFunc(l.crashes, func(_ crashID, at time.Time) bool { return now.Sub(at) > retention })
+	maps.DeleteFunc(l.classes, func(_ uint32, c *classRecord) bool {
+		return len(c.causes) == 0 || now.Sub(c.causes[len(c.causes)-1].at) > retention && !c.isolated(now)
+	})
+	excess := len(l.order) - maxTasks
+	l.order = slices.DeleteFunc(l.order, func(r *taskRecord) bool {
+		excess--
+		if excess < 0 && now.Sub(r.at) <= retention {
+			return false
+		}
+		delete(l.tasks, r.task)
+		return true
+	})
+}
--- /dev/null
+++ b/core/cccrash/ledger_test.go
@@ -0,0 +1,143 @@
+package cccrash
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"camphorcroft/core/ccnode"
+	"camphorcroft/core/ccwire"
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+// fixture records crashes, each at a worker of its own.
+type fixture struct {
+	ledger *Ledger
+	now    time.Time
+	number uint64
+}
+
+func newFixture() *fixture { return &fixture{ledger: NewLedger(), now: start} }
+
+func (f *fixture) crash(suspects ...ccwire.CrashSuspect) Findings {
+	f.number++
+	f.now = f.now.Add(100 * time.Millisecond)
+	found, _ := f.ledger.Record(f.now, ccnode.Ref{ID: "agent", Incarnation: 1}, ccwire.CrashReport{Number: f.number, Suspects: suspects})
+	return found
+}
+
+func suspect(job string, ranMS int64) ccwire.CrashSuspect {
+	return ccwire.CrashSuspect{Task: ccwire.TaskRef{Job: job}, Class: 7, RanMS: ranMS}
+}
+
+func (f *fixture) wantCauses(t *testing.T, found Findings, jobs ...string) {
+	t.Helper()
+	var got []string
+	for _, task := range found.Causes {
+		got = append(got, task.Job)
+	}
+	if !slices.Equal(got, jobs) {
+		t.Errorf("causes: got %v, want %v", got, jobs)
+	}
+}
+
+func TestCause(t *testing.T) {
+	t.Run("one crash accuses no task", func(t *testing.T) {
+		f := newFixture()
+		f.wantCauses(t, f.crash(suspect("a", 12), suspect("b", 300)))
+	})
+	t.Run("a task that crashes its workers after the same time is the cause, and those beside it are not", func(t *testing.T) {
+		f := newFixture()
+		f.crash(suspect("a", 12), suspect("b", 300))
+		f.wantCauses(t, f.crash(suspect("a", 13), suspect("b", 20)), "a")
+	})
+	t.Run("a task in three crashes is given up whatever its runs were like", func(t *testing.T) {
+		f := newFixture()
+		f.crash(suspect("a", 100))
+		f.crash(suspect("a", 200))
+		f.wantCauses(t, f.crash(suspect("a", 400)), "a")
+	})
+	t.Run("a crash that is reported again does not count twice", func(t *testing.T) {
+		f := newFixture()
+		f.crash(suspect("a", 12))
+		f.number--
+		f.wantCauses(t, f.crash(suspect("a", 12)))
+	})
+	t.Run("crashes that only another entry knew of count", func(t *testing.T) {
+		f := newFixture()
+		s := suspect("a", 40)
+		s.Crashes = 2
+		f.wantCauses(t, f.crash(s), "a")
+	})
+	t.Run("crashes of long ago do not count", func(t *testing.T) {
+		f := newFixture()
+		f.crash(suspect("a", 12))
+		f.now = f.now.Add(2 * retention)
+		f.wantCauses(t, f.crash(suspect("a", 12)))
+	})
+}
+
+func TestIsolation(t *testing.T) {
+	// causes records jobs that each crash two workers.
+	causes := func(f *fixture, jobs ...string) []uint32 {
+		var isolated []uint32
+		for _, job := range jobs {
+			f.crash(suspect(job, 12))
+			isolated = append(isolated, f.crash(suspect(job, 12)).Isolated...)
+		}
+		return isolated
+	}
+	t.Run("one job does not isolate its class", func(t *testing.T) {
+		f := newFixture()
+		if got := causes(f, "a"); len(got) != 0 || len(f.ledger.Isolated(f.now)) != 0 {
+			t.Errorf("isolated: got %v, want none", got)
+		}
+	})
+	t.Run("two jobs do", func(t *testing.T) {
+		f := newFixture()
+		if got := causes(f, "a", "b"); !slices.Equal(got, []uint32{7}) {
+			t.Errorf("isolated: got %v, want class 7", got)
+		}
+	})
+	t.Run("two jobs far apart don't", func(t *testing.T) {
+		f := newFixture()
+		causes(f, "a")
+		f.now = f.now.Add(2 * causeWindow)
+		if got := causes(f, "b"); len(got) != 0 {
+			t.Errorf("isolated: got %v, want none", got)
+		}
+	})
+	t.Run("the class is released after a quiet time, and isolated again by one job", func(t *testing.T) {
+		f := newFixture()
+		causes(f, "a", "b")
+		f.now = f.now.Add(quietTime / 2)
+		f.crash(suspect("c", 12))
+		f.now = f.now.Add(quietTime / 2)
+		if len(f.ledger.Isolated(f.now)) != 1 {
+			t.Fatal("the class was released too early")
+		}
+		f.now = f.now.Add(quietTime)
+		if len(f.ledger.Isolated(f.now)) != 0 {
+			t.Fatal("the class was not released")
+		}
+		if got := causes(f, "d"); !slices.Equal(got, []uint32{7}) {
+			t.Errorf("isolated: got %v, want class 7", got)
+		}
+	})
+}
+
+// Guards against a ledger that grows without bound while workers crash.
+func TestLedgerIsBounded(t *testing.T) {
+	f := newFixture()
+	for i := range 3 * maxTasks {
+		f.crash(suspect(fmt.Sprint(i), int64(i)))
+	}
+	if got := len(f.ledger.tasks); got > maxTasks+1 {
+		t.Errorf("records: got %d, want %d at most", got, maxTasks+1)
+	}
+	if got, want := len(f.ledger.order), len(f.ledger.tasks); got != want {
+		t.Errorf("order: got %d records, want %d", got, want)
+	}
+}
--- /dev/null
+++ b/core/cclease/crash_test.go
@@ -0,0 +1,65 @@
+package cclease
+
+import (
+	"testing"
+	"time"
+
+	"camphorcroft/core/ccnode"
+	"camphorcroft/core/ccwire"
+)
+
+// crashesIn returns the reports of crashes to an entry.
+func crashesIn(out Actions, entry ccnode.Ref) []ccwire.CrashReport {
+	var reports []ccwire.CrashReport
+	for _, r := range out.Reports {
+		if r.To == entry.ID {
+			reports = append(reports, r.Report.Crashes...)
+		}
+	}
+	return reports
+}
+
+func wantSuspect(t *testing.T, reports []ccwire.CrashReport, job string) {
+	t.Helper()
+	if len(reports) != 1 || len(reports[0].Suspects) != 1 || reports[0].Suspects[0].Task.Job != job {
+		t.Errorf("crashes: got %+v, want one with %s", reports, job)
+	}
+}
+
+func TestCrashIsReported(t *testing.T) {
+	// crash starts a run and lets the worker refuse the next connection.
+	crash := func(f *fixture) Actions {
+		f.startRunning(entryA, "job")
+		f.take()
+		f.advance(12 * time.Millisecond)
+		f.completePoll(f.nextPoll(), PollResponse{Response: Response{Status: StatusConnRefused}})
+		return f.take()
+	}
+	t.Run("to all entries, with the runs that it ended", func(t *testing.T) {
+		out := crash(newFixture(t))
+		wantSuspect(t, crashesIn(out, entryA), "job")
+		wantSuspect(t, crashesIn(out, entryB), "job")
+	})
+	// Guards against a crash that an entry never hears of because its report was lost with
+	// the session.
+	t.Run("again in a new session", func(t *testing.T) {
+		f := newFixture(t)
+		crash(f)
+		f.manager.SessionClosed(entryB.ID)
+		attach := f.manager.AttachRequest(f.now, ccnode.Ref{ID: "agent"}, entryB.ID)
+		wantSuspect(t, attach.Report.Crashes, "job")
+		f.advance(crashRetention + time.Second)
+		if attach := f.manager.AttachRequest(f.now, ccnode.Ref{ID: "agent"}, entryB.ID); len(attach.Report.Crashes) != 0 {
+			t.Errorf("crashes after their retention: got %+v, want none", attach.Report.Crashes)
+		}
+	})
+	t.Run("not if the worker left", func(t *testing.T) {
+		f := newFixture(t)
+		f.startRunning(entryA, "job")
+		f.take()
+		f.manager.WorkerLeft(f.now, "w-1")
+		if got := crashesIn(f.take(), entryA); len(got) != 0 {
+			t.Errorf("crashes: got %+v, want none", got)
+		}
+	})
+}
--- a/core/cclease/lifecycle.go
+++ b/core/cclease/lifecycle.go
@@ -36,7 +36,7 @@
 // WorkerLeft processes the worker's notice that it is shutting down.
 func (m *Manager) WorkerLeft(now time.Time, id string) {
 	if m.worker != nil && m.worker.ID == id {
-		m.workerLost(now, "worker left")
+		m.workerLost(now, "worker left", false)
 	}
 }
 
@@ -44,7 +44,7 @@
 // ID, so the new one refuses them.
 func (m *Manager) replaceWorker(now time.Time, worker *Worker) {
 	if m.worker != nil {
-		m.workerLost(now, "another worker is here")
+		m.workerLost(now, "another worker is here", true)
 	}
 	m.worker = worker
 	m.pace = pace{}
@@ -79,6 +79,7 @@
 	worker.StartTime = startTime
 	m.worker = &worker
 	n := 0
+	m.recordCrash(now, listedRuns(m.runList))
 	for _, r := range slices.Clone(m.runList) {
 		if r.listed {
 			n++
@@ -94,9 +95,18 @@
 	m.reportAll(now)
 }
 
-// workerLost ends all runs, because the worker that executed them no longer exists.
-func (m *Manager) workerLost(now time.Time, reason string) {
+// listedRuns returns the runs that the worker has listed.
+func listedRuns(runs []*run) []*run {
+	return slices.DeleteFunc(slices.Clone(runs), func(r *run) bool { return !r.listed })
+}
+
+// workerLost ends all runs, because the worker that executed them no longer exists. It
+// either crashed or left.
+func (m *Manager) workerLost(now time.Time, reason string, crashed bool) {
 	n := len(m.runs)
+	if crashed {
+		m.recordCrash(now, m.runList)
+	}
 	for _, r := range slices.Clone(m.runList) {
 		m.endRun(now, r, ccwire.RunLost, reason)
 	}
--- a/core/cclease/manager.go
+++ b/core/cclease/manager.go
@@ -89,6 +89,8 @@
 	plan       *ccroute.Plan
 	prunedAt   time.Time // When prune was last called.
 	draining   bool
+	crashes    []crash // The crashes of the worker within crashRetention.
+	crashCount uint64
 	health     health
 	pace       pace
 	actions    Actions
@@ -202,6 +204,7 @@
 // entries that have been disconnected for longer than ownerRetention.
 func (m *Manager) prune(now time.Time) {
 	m.prunedAt = now
+	m.pruneCrashes(now)
 	for task, used := range m.runNumbers {
 		if _, active := m.runs[task]; !active && now.Sub(used.at) > runNumberRetention {
 			delete(m.runNumbers, task)
--- a/core/cclease/order.go
+++ b/core/cclease/order.go
@@ -84,7 +84,7 @@
 	r := &run{
 		task: order.Task, number: m.runNumbers[order.Task].number + 1, attempt: order.Attempt,
 		owner: o.ref.ID, need: order.Need, payload: order.Payload, started: now,
-		estimate: time.Duration(order.EstimateMS) * time.Millisecond,
+		estimate: time.Duration(order.EstimateMS) * time.Millisecond, class: order.Class, crashes: order.Crashes,
 	}
 	o.useOffer(order.Need)
 	m.addRun(r)
--- a/core/cclease/owner.go
+++ b/core/cclease/owner.go
@@ -21,6 +21,7 @@
 	sentInfo        *ccwire.WorkerInfo
 	pendingEnds     []ccwire.RunResult
 	recentEnds      []recentEnd
+	pendingCrashes  []ccwire.CrashReport
 	reportedAt      time.Time
 	reportNow       bool
 	demand          *ccwire.Demand // Nil is none.
@@ -62,6 +63,7 @@
 	}
 	attach.Report = m.newReport(now, o, false)
 	attach.Report.Worker = m.workerInfo
+	attach.Report.Crashes = m.crashesSince(now.Add(-crashRetention))
 	if o != nil {
 		attach.Report.Results = nil
 		o.pendingEnds = nil // They are also among the recent ends.
@@ -90,6 +92,8 @@
 	o.handledSequence = 0
 	o.reportNow = true
 	o.sentInfo = nil
+	// The request for the session has the earlier ones.
+	o.pendingCrashes = m.crashesSince(requestedAt)
 	o.retiring, o.wantsPlan = false, false
 	o.demand, o.offer = nil, offer{}
 	m.actions.Changes = append(m.actions.Changes, Change{Message: "Session opened.", Entry: entry.ID})
--- a/core/cclease/response.go
+++ b/core/cclease/response.go
@@ -90,10 +90,10 @@
 	}
 	switch {
 	case response.Status == StatusConnRefused:
-		m.workerLost(now, "nothing listens at the worker's address")
+		m.workerLost(now, "nothing listens at the worker's address", true)
 		return false
 	case response.Status == StatusWrongInstance:
-		m.workerLost(now, "another worker answered")
+		m.workerLost(now, "another worker answered", true)
 		return false
 	case !response.StartTime.IsZero() && !m.worker.StartTime.IsZero() && response.StartTime.After(m.worker.StartTime):
 		m.workerRestarted(now, response.StartTime)
--- a/core/cclease/run.go
+++ b/core/cclease/run.go
@@ -49,5 +49,8 @@
 	percentAt     time.Time
 	percentGrewAt time.Time
 	stalled       bool
-	retries       int
+	// class and crashes are those of the order, for reports of crashes.
+	class   uint32
+	crashes int
+	retries int
 }
--- a/core/ccreplay/agent.go
+++ b/core/ccreplay/agent.go
@@ -168,6 +168,9 @@
 		a.settledIncarnation = a.ref.Incarnation
 		s.endEarlierRuns(now, a)
 	}
+	for _, c := range report.Crashes {
+		s.handleCrash(now, a, c)
+	}
 	for _, p := range report.Progress {
 		s.handleProgress(now, a, p)
 	}
--- a/core/ccreplay/job.go
+++ b/core/ccreplay/job.go
@@ -99,6 +99,7 @@
 // job is a request that is not answered yet or whose runs have not all ended.
 type job struct {
 	request     Request
+	class       uint32 // See classOf.
 	arrived     time.Time
 	objectiveAt time.Time // The latest end that meets the latency objective.
 	cutoff      time.Time // The latest end at which the answer is still useful.
--- a/core/ccreplay/place.go
+++ b/core/ccreplay/place.go
@@ -264,9 +264,10 @@
 	tk.sequence = a.sequence + 1
 	a.addRun(j, i)
 	s.sendNow(a)
+	ref := ccwire.TaskRef{Job: j.request.ID, Index: i}
 	a.orders.Starts = append(a.orders.Starts, ccwire.StartOrder{
-		Task: ccwire.TaskRef{Job: j.request.ID, Index: i}, Attempt: tk.attempt, Payload: j.request.Payload, Need: j.request.Need,
-		EstimateMS: j.expected.Milliseconds(),
+		Task: ref, Attempt: tk.attempt, Payload: j.request.Payload, Need: j.request.Need,
+		EstimateMS: j.expected.Milliseconds(), Class: j.class, Crashes: s.crashes.Crashes(ref),
 	})
 	a.inFlight = append(a.inFlight, inFlightStart{sequence: a.sequence + 1, need: j.request.Need})
 	a.available = a.available.Minus(j.request.Need)
--- a/core/ccreplay/scheduler.go
+++ b/core/ccreplay/scheduler.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"camphorcroft/core/cccrash"
 	"camphorcroft/core/ccnode"
 	"camphorcroft/core/ccroute"
 	"camphorcroft/core/ccsubset"
@@ -88,6 +89,7 @@
 	// entries are those that have a record in the store.
 	entries []ccsubset.Entry
 	relay   planRelay
+	crashes *cccrash.Ledger
 	queue   []*job   // Jobs with tasks to place, in scheduling order.
 	open    []*agent // The result of the last openAgents, for reuse.
 	// leastNeed is at most the CPU that a task of any queued job needs.
@@ -109,7 +111,7 @@
 
 // New returns a scheduler without agents and without a plan.
 func New(cfg Config) *Scheduler {
-	return &Scheduler{cfg: cfg, agents: map[ccnode.ID]*agent{}, jobs: map[string]*job{}, arrivals: map[int]*taskRate{}}
+	return &Scheduler{cfg: cfg, agents: map[ccnode.ID]*agent{}, jobs: map[string]*job{}, arrivals: map[int]*taskRate{}, crashes: cccrash.NewLedger()}
 }
 
 // Take returns the actions that are due since the last call, including heartbeats.
--- a/core/ccreplay/submit.go
+++ b/core/ccreplay/submit.go
@@ -90,7 +90,7 @@
 	}
 	expected := request.Estimate
 	j := &job{
-		request: request, arrived: now, expected: expected,
+		request: request, class: classOf(request), arrived: now, expected: expected,
 		objectiveAt: now.Add(request.Route.Objective(expected)),
 		cutoff:      now.Add(cutoffFactor * request.Route.Objective(expected)),
 		tasks:       make([]task, request.Tasks), queued: request.Tasks,
--- a/core/ccwire/session.go
+++ b/core/ccwire/session.go
@@ -123,6 +123,8 @@
 	Progress     []Progress    `cbor:"9,keyasint,omitempty"`
 	PlanRevision uint64        `cbor:"10,keyasint,omitempty"`
 	Plan         *ccroute.Plan `cbor:"11,keyasint,omitempty"`
+	// Crashes are the crashes of the worker that the session has not been told of.
+	Crashes []CrashReport `cbor:"12,keyasint,omitempty"`
 }
 
 // StartOrder asks an agent to start a task.
@@ -135,6 +137,10 @@
 	Need    ccresource.Amount `cbor:"4,keyasint"`
 	// EstimateMS is the expected run time of the task, in milliseconds.
 	EstimateMS int64 `cbor:"5,keyasint,omitempty"`
+	// Class identifies the kind of job. Crashes is the number of crashes of workers in
+	// which the task was running. An agent only reports them when its worker crashes.
+	Class   uint32 `cbor:"6,keyasint,omitempty"`
+	Crashes int    `cbor:"7,keyasint,omitempty"`
 }
 
 // Demand tells an agent what an entry would start if it had the capacity. The agent offers
