--- a/core/ccproof/replay_worker_test.go
+++ b/core/ccproof/replay_worker_test.go
@@ -24,6 +24,7 @@
 	ended      []cclease.EndedRun
 	lastEnded  uint64
 	leaseEnd   time.Duration
+	onStart    func(task ccwire.TaskRef) // Called for each start. May be nil.
 }
 
 type modelRun struct {
@@ -99,6 +100,9 @@
 	}
 	m.runs[c.Task] = &modelRun{number: c.Run, remaining: time.Duration(30+m.w.rng.IntN(700)) * time.Millisecond, updatedAt: m.w.now}
 	m.w.starts++
+	if m.onStart != nil {
+		m.onStart(c.Task)
+	}
 	m.w.logf("worker %s: starts %v run %d", m.id, c.Task, c.Run)
 	m.w.check()
 	return m.response(cclease.StatusOK)
