Give up a task that was in two crashes of the same kind, or in three

What callers saw: one request took six workers of eleven down within 105 ms, and with them everything that ran there.

Cause: a run that ended with its worker counts neither as a failure nor at all, so the task was placed again at once, on the next worker, until its job's deadline. That the rule held was luck of deadlines of a second and a half.

A task that counts as the cause of crashes (core/cccrash) fails its job, also if the job is sent again, and at each entry that has a session with an agent of one of the crashes. An order carries the count, so it survives the entry that had the job. The tasks beside it are placed again: their runs were stopped at random, so they have no second crash of the same length, and fail only with a third.

--- a/core/cclease/lifecycle.go
+++ b/core/cclease/lifecycle.go
@@ -79,7 +79,7 @@
 	worker.StartTime = startTime
 	m.worker = &worker
 	n := 0
-	m.recordCrash(now, listedRuns(m.runList))
+	m.recordCrash(now, confirmedRuns(m.runList))
 	for _, r := range slices.Clone(m.runList) {
 		if r.listed {
 			n++
@@ -95,9 +95,11 @@
 	m.reportAll(now)
 }
 
-// listedRuns returns the runs that the worker has listed.
-func listedRuns(runs []*run) []*run {
-	return slices.DeleteFunc(slices.Clone(runs), func(r *run) bool { return !r.listed })
+// confirmedRuns returns the runs that the worker has listed or whose start it has answered.
+func confirmedRuns(runs []*run) []*run {
+	return slices.DeleteFunc(slices.Clone(runs), func(r *run) bool {
+		return !r.listed && (r.phase == phaseStarting || r.phase == phaseUnconfirmed)
+	})
 }
 
 // workerLost ends all runs, because the worker that executed them no longer exists. It
--- a/core/ccreplay/end.go
+++ b/core/ccreplay/end.go
@@ -39,11 +39,12 @@
 		tk.avoidAgent = a.ref.ID
 		s.recordChange(Change{Message: "Run is over.", Job: j.request.ID, Index: i, Agent: a.ref.ID, Reason: string(ended.Outcome) + " " + ended.Reason, Age: now.Sub(tk.placedAt)})
 	}
-	s.advanceJob(now, j, tk)
+	s.advanceJob(now, j, i)
 }
 
 // advanceJob releases, answers or requeues a job after the end of a task's run.
-func (s *Scheduler) advanceJob(now time.Time, j *job, tk *task) {
+func (s *Scheduler) advanceJob(now time.Time, j *job, i int) {
+	tk := &j.tasks[i]
 	switch {
 	case j.answered:
 		s.releaseIfDone(now, j)
@@ -51,6 +52,8 @@
 		s.answerJob(now, j, StateComplete, "")
 	case j.request.Route.MaxAttempts > 0 && tk.failures >= j.request.Route.MaxAttempts:
 		s.answerJob(now, j, StateFailed, "a task has failed as often as it may")
+	case tk.state == taskQueued && s.crashes.IsCause(ccwire.TaskRef{Job: j.request.ID, Index: i}):
+		s.answerJob(now, j, StateFailed, crashReason)
 	case tk.state == taskQueued && !slices.Contains(s.queue, j):
 		s.enqueue(now, j)
 	}
--- a/core/ccreplay/submit.go
+++ b/core/ccreplay/submit.go
@@ -84,6 +84,10 @@
 		s.refuse(request, "entry has as many jobs as it may")
 		return
 	}
+	if s.crashesWorkers(request) {
+		s.actions.Answers = append(s.actions.Answers, Answer{Token: request.Token, ID: request.ID, State: StateFailed, Reason: crashReason})
+		return
+	}
 	if !s.anyAgentFits(now, request) {
 		s.refuse(request, "no worker can ever run this job")
 		return
