Isolate a class of jobs whose tasks crash their workers

Cause: new jobs of the class keep coming, three or four a second with such a task, and each takes a worker away for 3.2 s; eleven workers are not enough.

Evidence: TestIsolation fails without this change; core/cclab has workers that crash, by a share of a class's jobs and by themselves.

Once a task counts as the cause of crashes, the jobs of its route run on a sixth of the workers, chosen by rendezvous hash so that all entries choose the same, and no others run there. The class is released when no worker has crashed under it for 5 s (10 s after several jobs), not counting the time for which its workers are all down. While they are, its jobs are refused at once, truthfully, with a time to come back. Before the verdict, tasks that were in a crash prefer those workers, so that the second crash takes no other worker down.

--- a/core/cccrash/doc.go
+++ b/core/cccrash/doc.go
@@ -2,9 +2,9 @@
 //
 // When a worker crashes, all tasks that were running there are suspects. A Ledger counts
 // the crashes of each task over all workers. A task that was in maxCrashes crashes, or in
-// two with runs of the same length, counts as their cause. If several jobs of one class
-// contain such tasks within a short time, the class is isolated: its tasks run on a small
-// part of the workers, which run nothing else, so that the others keep serving.
+// two with runs of the same length as the only one, counts as their cause. The class of
+// its job is then isolated until no worker has crashed under it for a while: its tasks run
+// on a small part of the workers, which run nothing else, so that the others keep serving.
 //
 // The entries of a fleet reach the same verdicts, since agents report each crash to all of
 // them.
--- a/core/cccrash/ledger.go
+++ b/core/cccrash/ledger.go
@@ -52,21 +52,47 @@
 	}
 	l.prune(now)
 	l.crashes[id] = now
-	var found Findings
+	var similar, accused []*taskRecord
 	for _, suspect := range report.Suspects {
-		class := l.class(suspect.Class)
-		if class.isolated(now) {
-			class.isolatedUntil = now.Add(quietTime)
+		if class := l.class(suspect.Class); class.isolated(now) {
+			class.extend(now)
+		}
+		r := l.record(suspect.Task)
+		if r.add(now, suspect) {
+			similar = append(similar, r)
 		}
-		if !l.record(suspect.Task).add(now, suspect) {
+		if r.crashes >= maxCrashes {
+			accused = append(accused, r)
+		}
+	}
+	if sameJob(similar) {
+		accused = append(accused, similar...)
+	}
+	return l.accuse(now, accused), true
+}
+
+// accuse makes tasks count as the cause of crashes. If they are of several jobs, most of
+// them were beside the cause, and their classes are not isolated.
+func (l *Ledger) accuse(now time.Time, accused []*taskRecord) Findings {
+	var found Findings
+	certain := sameJob(accused)
+	for _, r := range accused {
+		if r.isCause {
 			continue
 		}
-		found.Causes = append(found.Causes, suspect.Task)
-		if class.addCause(now, suspect.Task.Job) {
-			found.Isolated = append(found.Isolated, suspect.Class)
+		r.isCause = true
+		found.Causes = append(found.Causes, r.task)
+		if certain && l.class(r.class).addCause(now, r.task.Job) {
+			found.Isolated = append(found.Isolated, r.class)
 		}
 	}
-	return found, true
+	return found
+}
+
+// sameJob reports whether all records are of tasks of one job. If tasks of several jobs
+// were started together twice, the lengths of their runs don't tell them apart.
+func sameJob(records []*taskRecord) bool {
+	return !slices.ContainsFunc(records, func(r *taskRecord) bool { return r.task.Job != records[0].task.Job })
 }
 
 // Crashes returns in how many crashes a task was running.
@@ -86,6 +112,14 @@
 // Empty reports whether no crash is known, so that no task needs to be looked up.
 func (l *Ledger) Empty() bool { return len(l.tasks) == 0 }
 
+// Prolong restarts the quiet time of an isolated class, because none of the workers that
+// it may use is up: that no worker crashes shows nothing then.
+func (l *Ledger) Prolong(now time.Time, class uint32) {
+	if c := l.classes[class]; c != nil && c.isolated(now) {
+		c.extend(now)
+	}
+}
+
 // Isolated returns the classes that are isolated, in ascending order.
 func (l *Ledger) Isolated(now time.Time) []uint32 {
 	var isolated []uint32
--- a/core/cccrash/task.go
+++ b/core/cccrash/task.go
@@ -13,8 +13,8 @@
 	// runLengthTolerance and runLengthFactor bound by how much the lengths of two runs
 	// that crashed their workers differ: a task that fails always does so at the same
 	// point, while the others were stopped at random.
-	runLengthTolerance = 10 * time.Millisecond
-	runLengthFactor    = 4
+	runLengthTolerance = 3 * time.Millisecond
+	runLengthFactor    = 10
 )
 
 // taskRecord is what is known of a task that was running in a crash.
@@ -28,15 +28,13 @@
 	at      time.Time
 }
 
-// add counts a crash. It reports whether the task counts as its cause from now on.
+// add counts a crash. It reports whether the run lasted as long as that of the crash before.
 func (r *taskRecord) add(now time.Time, suspect ccwire.CrashSuspect) bool {
 	ran := time.Duration(suspect.RanMS) * time.Millisecond
 	similar := r.crashes > 0 && similarLengths(r.lastRun, ran)
 	r.crashes = max(r.crashes, suspect.Crashes) + 1
 	r.class, r.lastRun, r.at = suspect.Class, ran, now
-	wasCause := r.isCause
-	r.isCause = r.isCause || similar || r.crashes >= maxCrashes
-	return r.isCause && !wasCause
+	return similar
 }
 
 // similarLengths reports whether two runs lasted about equally long.
--- a/core/cclab/agent.go
+++ b/core/cclab/agent.go
@@ -39,13 +39,16 @@
 }
 
 func (a *agent) heartbeat() {
+	a.lab.clock.after(1500*time.Millisecond, a.heartbeat)
+	if a.worker.isDown() {
+		return
+	}
 	a.beats++
 	a.manager.Heartbeat(a.lab.clock.now, cclease.Worker{
 		ID: a.worker.id, StartTime: a.worker.born, Service: serviceName, Domain: a.domain, Capacity: a.worker.capacity,
 		Sequence: a.beats, Clock: a.worker.response(cclease.StatusOK).Clock,
 	})
 	a.flush()
-	a.lab.clock.after(1500*time.Millisecond, a.heartbeat)
 }
 
 func (a *agent) tick() {
--- a/core/cclab/caller.go
+++ b/core/cclab/caller.go
@@ -15,8 +15,9 @@
 
 // job is what the workers know of a job.
 type job struct {
-	work time.Duration
-	need ccresource.Amount
+	work    time.Duration
+	need    ccresource.Amount
+	crashes bool // Its first task crashes its worker.
 }
 
 // caller waits for the answer to one job.
@@ -53,9 +54,9 @@
 	tasks := min(max(1, int(math.Round(l.lognormal(float64(class.Tasks), 0.4)))), class.MaxTasks)
 	work := time.Duration(min(l.lognormal(float64(class.Work), 0.4), 4*float64(class.Work)))
 	need := ccresource.Amount{CPU: int64(float64(class.CPU) * (0.8 + 0.4*l.rng.Float64()))}
-	l.jobs[id] = &job{work: work, need: need}
+	l.jobs[id] = &job{work: work, need: need, crashes: l.crashes(class)}
 	c := &caller{lab: l, sent: l.clock.now, record: &Record{
-		Domain: DomainName(domain), Class: class.Name, Sent: l.clock.now.Sub(l.start), Tasks: tasks,
+		Crashes: l.jobs[id].crashes, Domain: DomainName(domain), Class: class.Name, Sent: l.clock.now.Sub(l.start), Tasks: tasks,
 		Objective: time.Duration(stretch*float64(work)) + allowance,
 	}}
 	l.result.Records = append(l.result.Records, c.record)
@@ -73,6 +74,12 @@
 	})
 }
 
+// crashes draws whether a job of the class crashes workers.
+func (l *Lab) crashes(class Class) bool {
+	elapsed := l.clock.now.Sub(l.start)
+	return class.Crashing > 0 && elapsed >= l.cfg.CrashFrom && elapsed < l.cfg.CrashUntil && l.rng.Float64() < class.Crashing
+}
+
 // leave ends the wait of a caller without an answer.
 func (c *caller) leave(e *entry, id string, token uint64) {
 	if c.done {
--- a/core/cclab/config.go
+++ b/core/cclab/config.go
@@ -25,7 +25,12 @@
 	Freezes       []Freeze
 	// DomainsOut are the domains that are taken out, by number.
 	DomainsOut []int
-	Duration   time.Duration
+	// CrashFrom and CrashUntil bound the time in which jobs crash workers, since the start
+	// of the load. CrashEvery is the mean time between crashes of workers that no job
+	// causes. Zero is none.
+	CrashFrom, CrashUntil time.Duration
+	CrashEvery            time.Duration
+	Duration              time.Duration
 	// MeasureProcessor adds the time that the scheduler really takes for an event to the
 	// event's cost. The result then depends on the machine.
 	MeasureProcessor bool
@@ -47,6 +52,9 @@
 	Work      time.Duration // Of a task on a worker of speed 1.
 	CPU       int64         // Of a task, in thousandths of a core.
 	Priority  int
+	// Crashing is the share of the jobs whose first task crashes its worker, from
+	// Config.CrashFrom until Config.CrashUntil.
+	Crashing float64
 }
 
 // Burst multiplies the rate of a class, or of all if Class is empty.
@@ -88,6 +96,10 @@
 	redialMax     = 400 * time.Millisecond
 	// callerTimeout is how long a caller waits for an answer.
 	callerTimeout = 1500 * time.Millisecond
+	// crashDelay is how long after its start a task crashes its worker, and crashDowntime
+	// how long the worker is then away.
+	crashDelay    = 12 * time.Millisecond
+	crashDowntime = 3200 * time.Millisecond
 	// stretch and allowance define the latency objective of all classes.
 	stretch   = 1.6
 	allowance = 60 * time.Millisecond
--- a/core/cclab/entry.go
+++ b/core/cclab/entry.go
@@ -42,6 +42,9 @@
 	e.sessions, e.callers = map[ccnode.ID]*session{}, map[uint64]*caller{}
 	e.inbox, e.tickPending = nil, false
 	plan := &ccroute.Plan{Revision: 1, DomainsOut: map[string]bool{}}
+	for _, class := range e.lab.cfg.Classes {
+		plan.Routes = append(plan.Routes, ccroute.Route{Name: class.Name, Service: serviceName})
+	}
 	for _, domain := range e.lab.cfg.DomainsOut {
 		plan.DomainsOut[DomainName(domain)] = true
 	}
--- a/core/cclab/lab.go
+++ b/core/cclab/lab.go
@@ -28,6 +28,7 @@
 	clock     clock
 	start     time.Time // Of the load.
 	entries   []*entry
+	agents    []*agent
 	byAddr    map[netip.AddrPort]*entry
 	jobs      map[string]*job
 	lastToken uint64
@@ -56,6 +57,9 @@
 				l.arrive(domain, class)
 			}
 		}
+		if l.cfg.CrashEvery > 0 {
+			l.crashAtRandom()
+		}
 		for _, f := range l.cfg.Freezes {
 			l.clock.after(f.At, func() { l.entries[f.Entry].freeze(f) })
 		}
@@ -76,6 +80,16 @@
 	}
 }
 
+// crashAtRandom crashes workers that run no crashing task.
+func (l *Lab) crashAtRandom() {
+	l.clock.after(time.Duration(l.rng.ExpFloat64()*float64(l.cfg.CrashEvery)), func() {
+		if l.clock.now.Sub(l.start) < l.cfg.Duration {
+			l.agents[l.rng.IntN(len(l.agents))].worker.crash()
+			l.crashAtRandom()
+		}
+	})
+}
+
 // freeze stops the process for a time.
 func (e *entry) freeze(f Freeze) {
 	e.frozenUntil = e.lab.clock.now.Add(f.For)
@@ -123,6 +137,7 @@
 		for n, e := range l.entries {
 			a.subset.Add(ccsubset.Entry{Addr: entryAddr(n), Domain: e.domain})
 		}
+		l.agents = append(l.agents, a)
 		a.start()
 	}
 }
--- a/core/cclab/result.go
+++ b/core/cclab/result.go
@@ -17,6 +17,7 @@
 	Sent      time.Duration // Since the start of the load.
 	Tasks     int
 	Objective time.Duration
+	Crashes   bool // The job crashes workers. It can't be served.
 	Outcome   ccreplay.State
 	Reason    string
 	Took      time.Duration
@@ -47,6 +48,8 @@
 	Messages, RemoteMessages int
 	// Processor is the processor time of all entries at full speed.
 	Processor time.Duration
+	// Crashes is the number of crashes of workers.
+	Crashes int
 }
 
 // Filter returns the records that keep accepts.
--- a/core/ccreplay/admission.go
+++ b/core/ccreplay/admission.go
@@ -112,7 +112,7 @@
 	ahead := 0
 	var hopeless []*job
 	for _, j := range s.queue {
-		if !s.isWaiting(now, j) {
+		if !s.isWaiting(now, j) || s.isIsolated(j) {
 			continue
 		}
 		priority := j.request.Route.Priority
--- a/core/ccreplay/agent.go
+++ b/core/ccreplay/agent.go
@@ -55,6 +55,7 @@
 	heldPlan           uint64            // Revision of the plan that the agent has.
 	relay              bool              // The agent relays plans.
 	relayRank          uint64
+	isolatedFor        uint32             // The isolated class that the agent is kept for, or 0.
 	settledIncarnation ccnode.Incarnation // The latest one whose predecessors have no runs left.
 	entriesSent        bool               // The agent has the current entries.
 	orders             ccwire.Orders      // Orders to send with the next message.
--- a/core/ccreplay/crash.go
+++ b/core/ccreplay/crash.go
@@ -1,31 +1,19 @@
 package ccreplay
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"camphorcroft/core/ccroute"
 	"camphorcroft/core/ccwire"
 )
 
 // crashReason is the reason of an answer to a job with a task that crashes workers.
 const crashReason = "a task crashes the workers that run it"
 
-// classOf identifies the kind of a job: all jobs of a route are alike.
-func classOf(request Request) uint32 { return uint32(xxhash.Sum64String(request.Route.Name)) }
-
-// className returns the name of the route whose jobs are of a class.
-func (s *Scheduler) className(class uint32) string {
-	if s.plan != nil {
-		for _, route := range s.plan.Routes {
-			if classOf(Request{Route: route}) == class {
-				return route.Name
-			}
-		}
-	}
-	return fmt.Sprintf("class %08x", class)
-}
+// classOf identifies the kind of a job: all jobs of a route are alike. It is not zero.
+func classOf(route ccroute.Route) uint32 { return max(1, uint32(xxhash.Sum64String(route.Name))) }
 
 // crashesWorkers reports whether any task of a request counts as the cause of crashes.
 func (s *Scheduler) crashesWorkers(request Request) bool {
@@ -40,6 +28,17 @@
 	return false
 }
 
+// markSuspect updates what a job knows of the crashes of one of its tasks.
+func (s *Scheduler) markSuspect(now time.Time, j *job, i int) {
+	if s.crashes.Empty() {
+		return
+	}
+	j.tasks[i].crashes = s.crashes.Crashes(ccwire.TaskRef{Job: j.request.ID, Index: i})
+	if j.tasks[i].crashes > 0 {
+		j.trial = s.trialAgents(now, j.request.Route)
+	}
+}
+
 // handleCrash records a crash of an agent's worker.
 func (s *Scheduler) handleCrash(now time.Time, a *agent, report ccwire.CrashReport) {
 	findings, isNew := s.crashes.Record(now, a.ref, report)
@@ -53,7 +52,7 @@
 			s.answerJob(now, j, StateFailed, crashReason)
 		}
 	}
-	for _, class := range findings.Isolated {
-		s.recordChange(Change{Message: "Jobs crash workers.", Reason: s.className(class), Agent: a.ref.ID})
+	if len(findings.Isolated) > 0 {
+		s.updateIsolation(now)
 	}
 }
--- a/core/ccreplay/crash_test.go
+++ b/core/ccreplay/crash_test.go
@@ -4,7 +4,9 @@
 	"testing"
 	"time"
 
+	"camphorcroft/core/ccnode"
 	"camphorcroft/core/ccresource"
+	"camphorcroft/core/ccroute"
 	"camphorcroft/core/ccwire"
 )
 
@@ -59,3 +61,74 @@
 		f.wantStarts(out, 1)
 	})
 }
+
+// otherRoute is a route whose jobs crash no workers.
+var otherRoute = ccroute.Route{Name: "other", Service: "proof", MaxAttempts: 3, Stretch: 1.6, Allowance: 60 * time.Millisecond}
+
+// isolate makes a job of route crash two workers.
+func (f *fixture) isolate() {
+	f.t.Helper()
+	f.s.SetPlan(f.now, &ccroute.Plan{Revision: 2, Routes: []ccroute.Route{route, otherRoute}})
+	f.submit("culprit", 1)
+	f.crashed(1, 12*time.Millisecond, f.wantStarts(f.take(), 1)...)
+	f.crashed(2, 12*time.Millisecond, f.wantStarts(f.take(), 1)...)
+	f.take()
+}
+
+// agentsOf returns the agents that the starts went to.
+func agentsOf(starts []start) map[ccnode.ID]bool {
+	agents := map[ccnode.ID]bool{}
+	for _, s := range starts {
+		agents[s.agent] = true
+	}
+	return agents
+}
+
+// Guards against a class of jobs that crashes worker after worker, beside all others.
+func TestIsolation(t *testing.T) {
+	ofOtherRoute := func(r *Request) { r.Route = otherRoute }
+	t.Run("jobs of the class and others share no worker", func(t *testing.T) {
+		f := newFixture(t, "north", "north", "north", "north")
+		f.isolate()
+		f.submit("same", 4)
+		isolated := agentsOf(f.wantStarts(f.take(), 4))
+		f.submit("other", 12, ofOtherRoute)
+		others := agentsOf(f.wantStarts(f.take(), 12))
+		if len(isolated) != 1 || len(others) != 3 {
+			t.Fatalf("agents: got %v for the class and %v for others, want one and three", isolated, others)
+		}
+		for id := range isolated {
+			if others[id] {
+				t.Errorf("both run at %s", id)
+			}
+		}
+	})
+	t.Run("jobs of the class are refused at once while their workers are down", func(t *testing.T) {
+		f := newFixture(t, "north", "north", "north", "north")
+		f.isolate()
+		f.submit("first", 4)
+		for id := range agentsOf(f.wantStarts(f.take(), 4)) {
+			f.s.Report(f.now, id, ccwire.RunReport{HandledSequence: f.handled[id], ClosedReason: "no heartbeat"})
+		}
+		token := f.submit("second", 1)
+		out := f.take()
+		f.wantAnswer(out, token, StateRefused)
+		f.submit("other", 4, ofOtherRoute)
+		f.wantStarts(f.take(), 4)
+	})
+	t.Run("they run everywhere again after a quiet time", func(t *testing.T) {
+		f := newFixture(t, "north", "north", "north", "north")
+		f.isolate()
+		for range 60 {
+			f.advance(100 * time.Millisecond)
+			for _, id := range []ccnode.ID{"agent-1", "agent-2", "agent-3", "agent-4"} {
+				f.report(id)
+			}
+			f.take()
+		}
+		f.submit("same", 16)
+		if got := agentsOf(f.wantStarts(f.take(), 16)); len(got) != 4 {
+			t.Errorf("agents: got %v, want all four", got)
+		}
+	})
+}
--- a/core/ccreplay/end.go
+++ b/core/ccreplay/end.go
@@ -37,6 +37,7 @@
 		tk.refusals++
 	case ccwire.RunStopped, ccwire.RunLost:
 		tk.avoidAgent = a.ref.ID
+		s.markSuspect(now, j, i)
 		s.recordChange(Change{Message: "Run is over.", Job: j.request.ID, Index: i, Agent: a.ref.ID, Reason: string(ended.Outcome) + " " + ended.Reason, Age: now.Sub(tk.placedAt)})
 	}
 	s.advanceJob(now, j, i)
--- a/core/ccreplay/job.go
+++ b/core/ccreplay/job.go
@@ -85,6 +85,7 @@
 	// notBefore is when the task may be placed again after a refusal.
 	notBefore time.Time
 	stopping  bool
+	crashes   int // Number of crashes of workers in which the task was running.
 	refusals  int // Number of start orders that were refused.
 	moves     int // Number of runs that were stopped in order to run elsewhere.
 	// avoidAgent is the agent of the last run that failed, was stopped or was lost.
@@ -111,6 +112,8 @@
 	done        int
 	started     bool // A run that had started, or may have, has ended.
 	answered    bool
+	// trial has the agents on which tasks that were in a crash run again.
+	trial       map[ccnode.ID]bool
 	waiters     []uint64 // Tokens of further requests for the same job.
 	nextRequest *Request // A request that arrived after the answer, while runs were stopping.
 }
--- a/core/ccreplay/move.go
+++ b/core/ccreplay/move.go
@@ -44,10 +44,10 @@
 	s.stopRun(j, p.Task.Index)
 }
 
-// otherAgentUsable reports whether an agent other than a can run the job's tasks.
+// otherAgentUsable reports whether an agent other than a can run a task of the job.
 func (s *Scheduler) otherAgentUsable(now time.Time, j *job, a *agent) bool {
 	for _, other := range s.agentList {
-		if other != a && s.usable(now, other) && s.compatible(other, j.request) {
+		if other != a && s.usable(now, other) && s.compatible(other, j.request) && s.isolationAllows(j, other) {
 			return true
 		}
 	}
--- a/core/ccreplay/place.go
+++ b/core/ccreplay/place.go
@@ -161,7 +161,7 @@
 		if !j.request.Need.Fits(a.available) || !s.mayPlace(now, j, i, a) {
 			continue
 		}
-		if c := s.newCandidate(now, j, a); best.agent == nil || c.better(best) {
+		if c := s.newCandidate(now, j, i, a); best.agent == nil || c.better(best) {
 			best = c
 		}
 	}
@@ -175,7 +175,7 @@
 // currently full.
 func (s *Scheduler) fasterAgentFull(now time.Time, j *job, i int) bool {
 	for _, a := range s.agentList {
-		if !j.request.Need.Fits(a.available) && s.usable(now, a) && s.mayPlace(now, j, i, a) && s.newCandidate(now, j, a).meetsObjective {
+		if !j.request.Need.Fits(a.available) && s.usable(now, a) && s.mayPlace(now, j, i, a) && s.newCandidate(now, j, i, a).meetsObjective {
 			return true
 		}
 	}
@@ -185,20 +185,21 @@
 // candidate is the predicted result of placing a task on an agent.
 type candidate struct {
 	agent *agent
+	trial bool // The task was in a crash, and the agent is one of those for its trial.
 	// meetsObjective is true if the task meets the objective both with the shortest and
 	// with the longest run time to expect.
 	meetsObjective bool
 	latency        time.Duration // From the job's arrival, with any remoteDomainPenalty.
 }
 
-func (s *Scheduler) newCandidate(now time.Time, j *job, a *agent) candidate {
+func (s *Scheduler) newCandidate(now time.Time, j *job, i int, a *agent) candidate {
 	slowdown := a.pace * s.localityFactor(j, a)
 	overhead := now.Sub(j.arrived)
 	if a.domain != s.cfg.Domain {
 		overhead += remoteDomainPenalty
 	}
 	return candidate{
-		agent: a, latency: overhead + time.Duration(slowdown*float64(j.expected)),
+		agent: a, trial: j.tasks[i].crashes > 0 && j.trial[a.ref.ID], latency: overhead + time.Duration(slowdown*float64(j.expected)),
 		meetsObjective: j.meetsObjective(minEstimateFactor, slowdown, overhead) && j.meetsObjective(maxEstimateFactor, slowdown, overhead),
 	}
 }
@@ -213,6 +214,9 @@
 // better reports whether c is preferred to other. On a tie of latency, the agent with more
 // free CPU is preferred.
 func (c candidate) better(other candidate) bool {
+	if c.trial != other.trial {
+		return c.trial
+	}
 	if c.meetsObjective != other.meetsObjective {
 		return c.meetsObjective
 	}
@@ -234,6 +238,8 @@
 	switch {
 	case !s.compatible(a, j.request), s.plan != nil && s.plan.DomainsOut[a.domain]:
 		return false
+	case !s.isolationAllows(j, a):
+		return false
 	case j.tasks[i].avoidAgent == a.ref.ID && s.otherAgentUsable(now, j, a):
 		return false
 	default:
--- a/core/ccreplay/scheduler.go
+++ b/core/ccreplay/scheduler.go
@@ -23,7 +23,7 @@
 // Change is a state change or decision of the scheduler, for the log and the counters.
 type Change struct {
 	Message string // The log message.
-	// Route is the name of the job's route. It is set when the job is taken.
+	// Route is the name of a route: the job's when it is taken, or that of isolated jobs.
 	Route  string
 	Job    string
 	Index  int
@@ -90,8 +90,10 @@
 	entries []ccsubset.Entry
 	relay   planRelay
 	crashes *cccrash.Ledger
-	queue   []*job   // Jobs with tasks to place, in scheduling order.
-	open    []*agent // The result of the last openAgents, for reuse.
+	// isolated has the names of the routes whose jobs are isolated, by their class.
+	isolated map[uint32]string
+	queue    []*job   // Jobs with tasks to place, in scheduling order.
+	open     []*agent // The result of the last openAgents, for reuse.
 	// leastNeed is at most the CPU that a task of any queued job needs.
 	leastNeed int64
 	// announced is whether the agents were last told of any demand.
@@ -111,7 +113,7 @@
 
 // New returns a scheduler without agents and without a plan.
 func New(cfg Config) *Scheduler {
-	return &Scheduler{cfg: cfg, agents: map[ccnode.ID]*agent{}, jobs: map[string]*job{}, arrivals: map[int]*taskRate{}, crashes: cccrash.NewLedger()}
+	return &Scheduler{cfg: cfg, agents: map[ccnode.ID]*agent{}, jobs: map[string]*job{}, arrivals: map[int]*taskRate{}, crashes: cccrash.NewLedger(), isolated: map[uint32]string{}}
 }
 
 // Take returns the actions that are due since the last call, including heartbeats.
--- a/core/ccreplay/submit.go
+++ b/core/ccreplay/submit.go
@@ -92,13 +92,22 @@
 		s.refuse(request, "no worker can ever run this job")
 		return
 	}
+	if s.isolationDown(now, classOf(request.Route)) {
+		s.actions.Answers = append(s.actions.Answers, Answer{
+			Token: request.Token, ID: request.ID, State: StateRefused, Reason: isolationReason, RetryAfter: isolationRetryAfter(request.ID),
+		})
+		return
+	}
 	expected := request.Estimate
 	j := &job{
-		request: request, class: classOf(request), arrived: now, expected: expected,
+		request: request, class: classOf(request.Route), arrived: now, expected: expected,
 		objectiveAt: now.Add(request.Route.Objective(expected)),
 		cutoff:      now.Add(cutoffFactor * request.Route.Objective(expected)),
 		tasks:       make([]task, request.Tasks), queued: request.Tasks,
 	}
+	for i := range j.tasks {
+		s.markSuspect(now, j, i)
+	}
 	s.countArrival(now, j)
 	s.jobs[request.ID] = j
 	s.jobList = append(s.jobList, j)
@@ -188,6 +197,9 @@
 	}
 	if state == StateRefused {
 		answer.RetryAfter = s.retryAfter(now, j.request.ID)
+		if s.isIsolated(j) {
+			answer.RetryAfter = isolationRetryAfter(j.request.ID)
+		}
 	}
 	s.actions.Answers = append(s.actions.Answers, answer)
 	for _, token := range j.waiters {
--- a/core/ccreplay/tick.go
+++ b/core/ccreplay/tick.go
@@ -16,6 +16,7 @@
 		s.tickAgent(now, a)
 	}
 	s.requestPlan(now)
+	s.updateIsolation(now)
 	s.expireJobs(now)
 	s.refreshQueue(now)
 	s.schedule(now)
--- a/io/ccreplay/record.go
+++ b/io/ccreplay/record.go
@@ -53,7 +53,7 @@
 	case c.Quiet:
 	case len(c.Placements) > 0:
 		e.log.Info(c.Message, placementFields(c)...)
-	case c.Route != "":
+	case c.Route != "" && c.Job != "":
 		e.log.Info(c.Message, "job", c.Job, "route", c.Route, "tasks", c.Count, "estimateMs", c.Age.Milliseconds())
 	default:
 		e.log.Info(c.Message, logFields(c)...)
@@ -83,6 +83,9 @@
 	if c.Job != "" {
 		fields = append(fields, "job", c.Job, "index", c.Index)
 	}
+	if c.Route != "" {
+		fields = append(fields, "route", c.Route)
+	}
 	if c.Agent != "" {
 		fields = append(fields, "agent", string(c.Agent))
 	}
