Tell entries of a worker's capacity when it changes

What callers would see: starts refused for want of room, or jobs refused as such that no worker can ever run, since entries knew the capacity that a worker had at its start.

Cause: the description of a worker went to entries only when it was new or had restarted. The agent's own account already followed each heartbeat, so a start that was accepted by an entry under the larger capacity was refused under the smaller one, also with more in use than there is, and offers made before; the tests for that passed.

Evidence: "entries are told of the new capacity" fails without the change (0 of 2).

--- a/core/cclease/lifecycle.go
+++ b/core/cclease/lifecycle.go
@@ -20,6 +20,11 @@
 		return // The heartbeat was delayed.
 	}
 	changed := current == nil || current.Draining != worker.Draining || !m.heartbeatSeen
+	if m.workerInfo.Capacity != worker.Capacity {
+		m.setWorkerInfo(&worker)
+		m.actions.Changes = append(m.actions.Changes, Change{Message: "Worker capacity changed.", Reason: worker.ID, Count: int(worker.Capacity.CPU)})
+		changed = true
+	}
 	m.worker = &worker
 	m.heartbeatSeen = true
 	m.heartbeatAt = now
