Release an isolated class after 5 s without a crash

Cause: several jobs that crashed workers made the quiet time 10 s instead of 5. It was meant to keep a class isolated at low shares, but quiet time isn't counted while the workers of the class are down, which does that already.

One quiet time of 5 s now, and no count of jobs.

--- a/core/cccrash/ledger.go
+++ b/core/cccrash/ledger.go
@@ -82,7 +82,7 @@
 		}
 		r.isCause = true
 		found.Causes = append(found.Causes, r.task)
-		if certain && l.class(r.class).addCause(now, r.task.Job) {
+		if certain && l.class(r.class).extend(now) {
 			found.Isolated = append(found.Isolated, r.class)
 		}
 	}
@@ -153,9 +153,7 @@
 // prune drops what is older than retention, and the oldest records above maxTasks.
 func (l *Ledger) prune(now time.Time) {
 	maps.DeleteFunc(l.crashes, func(_ crashID, at time.Time) bool { return now.Sub(at) > retention })
-	maps.DeleteFunc(l.classes, func(_ uint32, c *classRecord) bool {
-		return len(c.causes) == 0 || now.Sub(c.causes[len(c.causes)-1].at) > retention && !c.isolated(now)
-	})
+	maps.DeleteFunc(l.classes, func(_ uint32, c *classRecord) bool { return !c.isolated(now) })
 	excess := len(l.order) - maxTasks
 	l.order = slices.DeleteFunc(l.order, func(r *taskRecord) bool {
 		excess--
