Ignore a crash report that names a task with a negative index

What callers would see: one malformed report of a crash ends the entry, and every job that it has is answered late or not at all.

Cause: a report names tasks by job and index. The index was compared with the number of tasks only, not with zero. isPlacedOn checked both already; the two share hasTask now.

--- a/core/ccreplay/agent.go
+++ b/core/ccreplay/agent.go
@@ -127,7 +127,7 @@
 // isPlacedOn reports whether the task is placed on the agent.
 func (s *Scheduler) isPlacedOn(ref ccwire.TaskRef, id ccnode.ID) bool {
 	j := s.jobs[ref.Job]
-	if j == nil || ref.Index < 0 || ref.Index >= len(j.tasks) {
+	if j == nil || !j.hasTask(ref.Index) {
 		return false
 	}
 	return j.tasks[ref.Index].state == taskPlaced && j.tasks[ref.Index].agent == id
--- a/core/ccreplay/crash.go
+++ b/core/ccreplay/crash.go
@@ -48,7 +48,7 @@
 	s.recordChange(Change{Message: "Worker crashed.", Agent: a.ref.ID, Count: len(report.Suspects)})
 	for _, task := range findings.Causes {
 		s.recordChange(Change{Message: "Task crashes workers.", Job: task.Job, Index: task.Index, Agent: a.ref.ID, Count: s.crashes.Crashes(task)})
-		if j := s.jobs[task.Job]; j != nil && !j.answered && task.Index < len(j.tasks) && j.tasks[task.Index].state == taskQueued {
+		if j := s.jobs[task.Job]; j != nil && !j.answered && j.hasTask(task.Index) && j.tasks[task.Index].state == taskQueued {
 			s.answerJob(now, j, StateFailed, crashReason)
 		}
 	}
--- a/core/ccreplay/fuzz_test.go
+++ b/core/ccreplay/fuzz_test.go
@@ -58,6 +58,10 @@
 		Results:  []ccwire.RunResult{{Task: ref, Attempt: o.next(3), Outcome: ccwire.RunOutcome([]string{"done", "failed", "stopped", "lost", "noRoom", "refused", "?"}[o.next(7)])}},
 		Progress: []ccwire.Progress{{Task: ref, Percent: o.next(256) - 20, ElapsedMS: int64(o.next(256)) * 10}},
 	}
+	if o.next(3) == 0 {
+		suspect := ccwire.CrashSuspect{Task: ref, Class: classOf(route), RanMS: int64(o.next(256)) - 1, Crashes: o.next(4) - 1}
+		report.Crashes = []ccwire.CrashReport{{Number: uint64(o.next(256)), Suspects: []ccwire.CrashSuspect{suspect}}}
+	}
 	switch o.next(8) {
 	case 0, 1:
 		report.Results = nil
--- a/core/ccreplay/job.go
+++ b/core/ccreplay/job.go
@@ -172,5 +172,8 @@
 // that an agent refused never ran.
 func (j *job) mayHaveRun() bool { return j.started || j.placed > 0 }
 
+// hasTask reports whether the job has a task with this index, which another process named.
+func (j *job) hasTask(i int) bool { return i >= 0 && i < len(j.tasks) }
+
 // hasQueuedTasks reports whether the job is unanswered and has tasks to place.
 func (j *job) hasQueuedTasks() bool { return !j.answered && j.queued > 0 }
