Bound the count of crashes that a report states

What callers would see: a task whose order carries a count that makes no sense is never given up, so it may crash every worker.

Cause: the count in a report was added to without a bound and became negative. It is bounded by the count at which a task is given up.

Evidence: TestCause, "a count that makes no sense is bounded", gets no cause without the change.

--- a/core/cccrash/ledger_test.go
+++ b/core/cccrash/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -76,6 +77,12 @@
 		s.Crashes = 2
 		f.wantCauses(t, f.crash(s), "a")
 	})
+	t.Run("a count that makes no sense is bounded", func(t *testing.T) {
+		f := newFixture()
+		s := suspect("a", 40)
+		s.Crashes = math.MaxInt
+		f.wantCauses(t, f.crash(s), "a")
+	})
 	t.Run("crashes of long ago do not count", func(t *testing.T) {
 		f := newFixture()
 		f.crash(suspect("a", 12))
--- a/core/cccrash/task.go
+++ b/core/cccrash/task.go
@@ -32,7 +32,7 @@
 func (r *taskRecord) add(now time.Time, suspect ccwire.CrashSuspect) bool {
 	ran := time.Duration(suspect.RanMS) * time.Millisecond
 	similar := r.crashes > 0 && similarLengths(r.lastRun, ran)
-	r.crashes = max(r.crashes, suspect.Crashes) + 1
+	r.crashes = max(r.crashes, min(suspect.Crashes, maxCrashes)) + 1
 	r.class, r.lastRun, r.at = suspect.Class, ran, now
 	return similar
 }
