Build the worlds of core/ccproof from the same parts

newReplayWorld and newPlanWorld set up entries and agents in the same words. addEntry and addAgent serve both. No product code.

--- a/core/ccproof/plan_world_test.go
+++ b/core/ccproof/plan_world_test.go
@@ -6,9 +6,7 @@
 	"slices"
 	"time"
 
-	"camphorcroft/core/cclease"
 	"camphorcroft/core/ccnode"
-	"camphorcroft/core/ccreplay"
 	"camphorcroft/core/ccroute"
 )
 
@@ -52,33 +50,15 @@
 // newPlanWorld returns a world of entries and agents in three domains. Each agent has
 // sessions with the entries of its domain and with one of another domain.
 func newPlanWorld(seed uint64) *planWorld {
-	start := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
-	w := &planWorld{
-		replayWorld: &replayWorld{rng: rand.New(rand.NewPCG(seed, 3)), now: start, start: start, lastIncarnation: 100},
-		readers:     map[ccnode.ID]*planReader{},
-	}
 	const domains = 3
-	for i := range 2 * domains {
-		ref := ccnode.Ref{ID: ccnode.ID(fmt.Sprintf("entry-%d", i)), Incarnation: 1}
-		w.entries = append(w.entries, &replayEntry{
-			w: w.replayWorld, ref: ref, scheduler: ccreplay.New(ccreplay.Config{Self: ref, Domain: "d0"}), callers: map[uint64]func(ccreplay.Answer){},
-		})
-		w.readers[ref.ID] = &planReader{incarnation: 1, disturbedAt: start}
+	w := &planWorld{replayWorld: newEmptyWorld(seed), readers: map[ccnode.ID]*planReader{}}
+	w.rng = rand.New(rand.NewPCG(seed, 3))
+	for range 2 * domains {
+		w.readers[w.addEntry().ref.ID] = &planReader{incarnation: 1, disturbedAt: w.start}
 	}
 	for i := range 4 * domains {
-		a := &replayAgent{
-			w: w.replayWorld, ref: ccnode.Ref{ID: ccnode.ID(fmt.Sprintf("agent-%d", i)), Incarnation: 1}, links: map[ccnode.ID]*replayLink{},
-			manager: cclease.NewManager(cclease.Config{Token: 1, StartTime: start}),
-		}
-		a.worker = newModelWorker(w.replayWorld, i)
 		remote := (i + 1 + domains*(i/domains%2)) % len(w.entries)
-		for n, e := range w.entries {
-			if n%domains == i%domains || n == remote {
-				a.links[e.ref.ID] = &replayLink{}
-			}
-		}
-		w.agents = append(w.agents, a)
-		w.heartbeat(a, a.manager)
+		w.addAgent(func(entry int) bool { return entry%domains == i%domains || entry == remote })
 	}
 	return w
 }
--- a/core/ccproof/replay_world_test.go
+++ b/core/ccproof/replay_world_test.go
@@ -475,27 +475,46 @@
 
 // newReplayWorld returns a world of two entries and three agents.
 func newReplayWorld(t *testing.T, seed uint64) *replayWorld {
+	w := newEmptyWorld(seed)
+	w.t = t
+	for range 2 {
+		w.addEntry()
+	}
+	for range 3 {
+		w.addAgent(func(int) bool { return true })
+	}
+	return w
+}
+
+func newEmptyWorld(seed uint64) *replayWorld {
 	start := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
-	w := &replayWorld{t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: start, start: start, lastIncarnation: 100}
-	for i := range 2 {
-		ref := ccnode.Ref{ID: ccnode.ID(fmt.Sprintf("entry-%d", i)), Incarnation: 1}
-		w.entries = append(w.entries, &replayEntry{
-			w: w, ref: ref, scheduler: ccreplay.New(ccreplay.Config{Self: ref, Domain: "d0"}), callers: map[uint64]func(ccreplay.Answer){},
-		})
+	return &replayWorld{rng: rand.New(rand.NewPCG(seed, 1)), now: start, start: start, lastIncarnation: 100}
+}
+
+func (w *replayWorld) addEntry() *replayEntry {
+	ref := ccnode.Ref{ID: ccnode.ID(fmt.Sprintf("entry-%d", len(w.entries))), Incarnation: 1}
+	e := &replayEntry{
+		w: w, ref: ref, scheduler: ccreplay.New(ccreplay.Config{Self: ref, Domain: "d0"}), callers: map[uint64]func(ccreplay.Answer){},
 	}
-	for i := range 3 {
-		a := &replayAgent{
-			w: w, ref: ccnode.Ref{ID: ccnode.ID(fmt.Sprintf("agent-%d", i)), Incarnation: 1}, links: map[ccnode.ID]*replayLink{},
-			manager: cclease.NewManager(cclease.Config{Token: 1, StartTime: start}),
-		}
-		a.worker = newModelWorker(w, i)
-		for _, e := range w.entries {
+	w.entries = append(w.entries, e)
+	return e
+}
+
+// addAgent adds an agent that has sessions with the entries whose numbers uses accepts.
+func (w *replayWorld) addAgent(uses func(entry int) bool) {
+	i := len(w.agents)
+	a := &replayAgent{
+		w: w, ref: ccnode.Ref{ID: ccnode.ID(fmt.Sprintf("agent-%d", i)), Incarnation: 1}, links: map[ccnode.ID]*replayLink{},
+		manager: cclease.NewManager(cclease.Config{Token: 1, StartTime: w.start}),
+	}
+	a.worker = newModelWorker(w, i)
+	for n, e := range w.entries {
+		if uses(n) {
 			a.links[e.ref.ID] = &replayLink{}
 		}
-		w.agents = append(w.agents, a)
-		w.heartbeat(a, a.manager)
 	}
-	return w
+	w.agents = append(w.agents, a)
+	w.heartbeat(a, a.manager)
 }
 
 // run simulates the given length of time. It returns a message about the first
