--- a/core/cclease/report.go
+++ b/core/cclease/report.go
@@ -77,7 +77,7 @@
 		Pace:           m.pace.value(),
 	}
 	if m.plan != nil {
-		report.PlanRevision = m.plan.Revision
+		report.PlanRevision, report.PlanVersion = m.plan.Revision, m.plan.Version
 	}
 	if o == nil {
 		return report
--- a/core/ccreplay/agent.go
+++ b/core/ccreplay/agent.go
@@ -160,7 +160,7 @@
 	}
 	a.inFlight = slices.DeleteFunc(a.inFlight, func(f inFlightStart) bool { return f.sequence <= report.HandledSequence })
 	a.updateAvailable()
-	s.handlePlanRevision(now, a, report.PlanRevision)
+	s.handlePlanRevision(now, a, report.PlanRevision, report.PlanVersion)
 	if w := report.Worker; w != nil {
 		a.domain, a.service, a.labels, a.capacity = w.Domain, w.Service, w.Labels, w.Capacity
 	}
--- a/core/ccreplay/relay.go
+++ b/core/ccreplay/relay.go
@@ -33,10 +33,12 @@
 	stale bool
 	// heard is the highest revision that an agent has, and heardAt when an agent first
 	// had a newer plan than the entry.
-	heard    uint64
-	heardAt  time.Time
-	askedAt  time.Time
-	requests int
+	heard   uint64
+	heardAt time.Time
+	// heardVersion is the highest operators' version that an agent has had.
+	heardVersion uint64
+	askedAt      time.Time
+	requests     int
 }
 
 // planDue reports whether the agent must be sent the plan now.
@@ -78,9 +80,10 @@
 // all entries.
 func relayRank(id ccnode.ID) uint64 { return xxhash.Sum64String(string(id)) }
 
-// handlePlanRevision records the revision of the plan that an agent has.
-func (s *Scheduler) handlePlanRevision(now time.Time, a *agent, revision uint64) {
+// handlePlanRevision records the revision and the version of the plan that an agent has.
+func (s *Scheduler) handlePlanRevision(now time.Time, a *agent, revision, version uint64) {
 	a.heldPlan = revision
+	s.relay.heardVersion = max(s.relay.heardVersion, version)
 	a.planRevision = max(a.planRevision, revision)
 	if revision > s.planRevision() && revision > s.relay.heard {
 		if s.relay.heard <= s.planRevision() {
@@ -101,6 +104,10 @@
 	return s.relay.heard, now.Sub(s.relay.heardAt)
 }
 
+// PlanBehind reports whether a later version of the operators' configuration is known than
+// that of the current plan. A route that the plan lacks may then exist.
+func (s *Scheduler) PlanBehind() bool { return s.plan != nil && s.relay.heardVersion > s.plan.Version }
+
 // requestPlan asks an agent for its plan if the store has not sent it in time.
 func (s *Scheduler) requestPlan(now time.Time) {
 	own := s.planRevision()
--- a/core/ccreplay/relay_test.go
+++ b/core/ccreplay/relay_test.go
@@ -75,6 +75,28 @@
 			t.Errorf("asked: got %v and then %v, want two agents", first, second)
 		}
 	})
+	// Guards against a 404 for a route that was added by a version that the entry has heard
+	// of but can get from no one.
+	t.Run("is missed for as long as a later version is known", func(t *testing.T) {
+		f := newFixture(t, "north", "north")
+		f.s.Report(f.now, "agent-1", ccwire.RunReport{PlanRevision: 2, PlanVersion: 7})
+		f.s.Detach(f.now, "agent-1")
+		f.advance(planRequestDelay)
+		if !f.s.PlanBehind() {
+			t.Error("the later version was forgotten with the agent that had it")
+		}
+		f.s.SetPlan(f.now, &ccroute.Plan{Revision: 2, Version: 7})
+		if f.s.PlanBehind() {
+			t.Error("the plan in force is taken for an old one")
+		}
+	})
+	t.Run("that differs in its revision only is not missed", func(t *testing.T) {
+		f := newFixture(t, "north", "north")
+		f.s.Report(f.now, "agent-1", ccwire.RunReport{PlanRevision: 2})
+		if f.s.PlanBehind() {
+			t.Error("the plan in force is taken for an old one")
+		}
+	})
 	t.Run("is not asked for if the store has it in time", func(t *testing.T) {
 		f := newFixture(t, "north", "north")
 		newer(f, "agent-1", nil)
--- a/core/ccwire/session.go
+++ b/core/ccwire/session.go
@@ -125,6 +125,8 @@
 	Plan         *ccroute.Plan `cbor:"11,keyasint,omitempty"`
 	// Crashes are the crashes of the worker that the session has not been told of.
 	Crashes []CrashReport `cbor:"12,keyasint,omitempty"`
+	// PlanVersion is the operators' version of the plan that the agent has.
+	PlanVersion uint64 `cbor:"13,keyasint,omitempty"`
 }
 
 // StartOrder asks an agent to start a task.
--- a/io/ccreplay/entry.go
+++ b/io/ccreplay/entry.go
@@ -76,6 +76,7 @@
 	lateness     atomic.Int64 // In nanoseconds.
 	planReported atomic.Uint64
 	planBehind   atomic.Int64 // In nanoseconds.
+	outdated     atomic.Bool
 	lastToken    atomic.Uint64
 
 	// The fields below are owned by the control goroutine.
@@ -170,6 +171,10 @@
 // Plan returns the plan in force, or nil.
 func (e *Entry) Plan() *ccroute.Plan { return e.plan.Load() }
 
+// PlanBehind reports whether an agent has reported a later version of the operators'
+// configuration than that of Plan.
+func (e *Entry) PlanBehind() bool { return e.outdated.Load() }
+
 // Submit runs a job and waits for its answer. If ctx ends first, the caller has
 // disconnected, and the job's runs are stopped.
 func (e *Entry) Submit(ctx context.Context, request ccreplay.Request) ccreplay.Answer {
@@ -284,6 +289,7 @@
 // performActions carries out the actions that the scheduler has queued.
 func (e *Entry) performActions(now time.Time) {
 	out := e.scheduler.Take(now)
+	e.outdated.Store(e.scheduler.PlanBehind())
 	if plan := e.scheduler.Plan(); plan != nil && plan != e.plan.Load() {
 		e.plan.Store(plan)
 		e.planAppliedAt = now
