Blame a crash of a worker on one job only

Cause: a task's crashes counted for ever, also after another job was found to be their cause, so a task that ran beside two that crash their workers was given up with its third crash. And a run that was by chance as long as the one before it isolated its class, with nothing that could take the verdict back.

Now a crash has one cause. A verdict exonerates the tasks beside it, and a later one whose runs are more alike takes the place of an earlier one and releases its class. Four crashes end a task whatever their causes were: that is one start after the third crash, where the platform allows three.

Evidence: the first case fails without the change, as do the release and the verdict on the task beside.

--- a/core/cccrash/class.go
+++ b/core/cccrash/class.go
@@ -13,6 +13,9 @@
 
 func (c *classRecord) isolated(now time.Time) bool { return now.Before(c.isolatedUntil) }
 
+// release ends the isolation, because the task that it rests on was not the cause.
+func (c *classRecord) release(now time.Time) { c.isolatedUntil = now }
+
 // extend isolates the class from now until it is quiet. It reports whether it was not
 // isolated before.
 func (c *classRecord) extend(now time.Time) bool {
--- a/core/cccrash/doc.go
+++ b/core/cccrash/doc.go
@@ -2,9 +2,10 @@
 //
 // When a worker crashes, all tasks that were running there are suspects. A Ledger counts
 // the crashes of each task over all workers. A task that was in maxCrashes crashes, or in
-// two with runs of the same length as the only one, counts as their cause. The class of
-// its job is then isolated until no worker has crashed under it for a while: its tasks run
-// on a small part of the workers, which run nothing else, so that the others keep serving.
+// two with runs of the same length as the only one, counts as their cause, and the tasks
+// beside it do not: a crash has one cause. The class of its job is then isolated until no
+// worker has crashed under it for a while: its tasks run on a small part of the workers,
+// which run nothing else, so that the others keep serving.
 //
 // The entries of a fleet reach the same verdicts, since agents report each crash to all of
 // them.
--- a/core/cccrash/ledger.go
+++ b/core/cccrash/ledger.go
@@ -32,7 +32,7 @@
 
 // Ledger counts crashes. It is not safe for concurrent use.
 type Ledger struct {
-	crashes map[crashID]time.Time
+	crashes map[crashID]*crashRecord
 	tasks   map[ccwire.TaskRef]*taskRecord
 	order   []*taskRecord // The records in the order in which they were added.
 	classes map[uint32]*classRecord
@@ -40,7 +40,7 @@
 
 // NewLedger returns a ledger without crashes.
 func NewLedger() *Ledger {
-	return &Ledger{crashes: map[crashID]time.Time{}, tasks: map[ccwire.TaskRef]*taskRecord{}, classes: map[uint32]*classRecord{}}
+	return &Ledger{crashes: map[crashID]*crashRecord{}, tasks: map[ccwire.TaskRef]*taskRecord{}, classes: map[uint32]*classRecord{}}
 }
 
 // Record counts a crash that an agent has reported, unless it is known. It reports whether
@@ -51,42 +51,75 @@
 		return Findings{}, false
 	}
 	l.prune(now)
-	l.crashes[id] = now
-	var similar, accused []*taskRecord
+	c := &crashRecord{at: now}
+	l.crashes[id] = c
+	var similar []*taskRecord
 	for _, suspect := range report.Suspects {
 		if class := l.class(suspect.Class); class.isolated(now) {
 			class.extend(now)
 		}
 		r := l.record(suspect.Task)
-		if r.add(now, suspect) {
+		if r.add(now, c, suspect) {
 			similar = append(similar, r)
 		}
-		if r.crashes >= maxCrashes {
-			accused = append(accused, r)
-		}
 	}
+	var found Findings
 	if sameJob(similar) {
-		accused = append(accused, similar...)
+		l.accuse(now, similar, &found)
 	}
-	return l.accuse(now, accused), true
+	// What was found so far may explain crashes of the other tasks.
+	l.accuse(now, selectRecords(c.suspects, (*taskRecord).isAccused), &found)
+	l.giveUp(selectRecords(c.suspects, (*taskRecord).isExhausted), &found)
+	return found, true
 }
 
 // accuse makes tasks count as the cause of crashes. If they are of several jobs, most of
-// them were beside the cause, and their classes are not isolated.
-func (l *Ledger) accuse(now time.Time, accused []*taskRecord) Findings {
-	var found Findings
-	certain := sameJob(accused)
-	for _, r := range accused {
-		if r.isCause {
-			continue
+// them were beside the cause, and their classes are not isolated. If they are of one, the
+// tasks beside them were not the cause.
+func (l *Ledger) accuse(now time.Time, accused []*taskRecord, found *Findings) {
+	fresh := l.giveUp(accused, found)
+	if !sameJob(accused) {
+		return
+	}
+	for _, r := range fresh {
+		l.explain(now, r)
+		r.isolates = true
+		if l.class(r.class).extend(now) {
+			found.Isolated = append(found.Isolated, r.class)
 		}
+	}
+}
+
+// giveUp makes tasks count as the cause of crashes, and returns those that did not before.
+func (l *Ledger) giveUp(records []*taskRecord, found *Findings) []*taskRecord {
+	fresh := selectRecords(records, func(r *taskRecord) bool { return !r.isCause })
+	for _, r := range fresh {
 		r.isCause = true
 		found.Causes = append(found.Causes, r.task)
-		if certain && l.class(r.class).extend(now) {
-			found.Isolated = append(found.Isolated, r.class)
+	}
+	return fresh
+}
+
+func selectRecords(records []*taskRecord, match func(*taskRecord) bool) []*taskRecord {
+	return slices.DeleteFunc(slices.Clone(records), func(r *taskRecord) bool { return !match(r) })
+}
+
+// explain notes that a task was the cause of all crashes that it was in, and releases the
+// classes that were isolated because of a task beside it.
+func (l *Ledger) explain(now time.Time, cause *taskRecord) {
+	for _, c := range l.crashes {
+		if !slices.Contains(c.suspects, cause) {
+			continue
+		}
+		for _, r := range c.suspects {
+			others := r.task.Job != cause.task.Job && (c.cause == nil || r.task.Job == c.cause.task.Job)
+			if others && r.exonerate() && r.isolates {
+				r.isolates = false
+				l.class(r.class).release(now)
+			}
 		}
+		c.cause, c.gap = cause, cause.gap
 	}
-	return found
 }
 
 // sameJob reports whether all records are of tasks of one job. If tasks of several jobs
@@ -152,7 +185,7 @@
 
 // prune drops what is older than retention, and the oldest records above maxTasks.
 func (l *Ledger) prune(now time.Time) {
-	maps.DeleteFunc(l.crashes, func(_ crashID, at time.Time) bool { return now.Sub(at) > retention })
+	maps.DeleteFunc(l.crashes, func(_ crashID, c *crashRecord) bool { return now.Sub(c.at) > retention })
 	maps.DeleteFunc(l.classes, func(_ uint32, c *classRecord) bool { return !c.isolated(now) })
 	excess := len(l.order) - maxTasks
 	l.order = slices.DeleteFunc(l.order, func(r *taskRecord) bool {
--- a/core/cccrash/ledger_test.go
+++ b/core/cccrash/ledger_test.go
@@ -77,6 +77,20 @@
 		s.Crashes = 2
 		f.wantCauses(t, f.crash(s), "a")
 	})
+	// Guards against the failure of jobs that ran beside one that crashes its workers.
+	t.Run("crashes of which another job is the cause do not count", func(t *testing.T) {
+		f := newFixture()
+		f.crash(suspect("a", 12), suspect("b", 100))
+		f.wantCauses(t, f.crash(suspect("a", 12), suspect("b", 200)), "a")
+		f.wantCauses(t, f.crash(suspect("b", 400)))
+	})
+	t.Run("a task in four crashes is given up though they had other causes", func(t *testing.T) {
+		f := newFixture()
+		f.crash(suspect("a", 12), suspect("b", 100))
+		f.wantCauses(t, f.crash(suspect("a", 12), suspect("b", 200)), "a")
+		f.crash(suspect("c", 12), suspect("b", 300))
+		f.wantCauses(t, f.crash(suspect("c", 12), suspect("b", 600)), "c", "b")
+	})
 	t.Run("a count that makes no sense is bounded", func(t *testing.T) {
 		f := newFixture()
 		s := suspect("a", 40)
@@ -137,6 +151,22 @@
 			t.Errorf("isolated: got %v, want none and the jobs given up", got)
 		}
 	})
+	// Guards against the isolation of a class whose job ran beside the cause of a crash.
+	t.Run("a class is released when another job was the cause", func(t *testing.T) {
+		f := newFixture()
+		beside := suspect("b", 7)
+		beside.Class = 8
+		f.crash(beside, suspect("a", 12))
+		beside.RanMS = 5
+		f.crash(beside, suspect("c", 12))
+		if got := f.ledger.Isolated(f.now); !slices.Equal(got, []uint32{8}) {
+			t.Fatalf("isolated: got %v, want class 8", got)
+		}
+		f.crash(suspect("a", 12))
+		if got := f.ledger.Isolated(f.now); !slices.Equal(got, []uint32{7}) || f.ledger.IsCause(beside.Task) {
+			t.Errorf("isolated: got %v, want class 7, and no verdict on the task beside", got)
+		}
+	})
 	t.Run("a crash without a cause isolates nothing", func(t *testing.T) {
 		f := newFixture()
 		f.crash(suspect("a", 12), suspect("b", 500))
