Tell no demand while offers lapse before they are used

Cause: an entry tells its agents which job it would start next, and they reserve capacity for 20 ms and report it at once. An entry that is later than that reads the report when the offer has lapsed. The reports keep it late, and the reserved capacity idles.

An entry that is late by more than 20 ms tells no demand; it did not announce any before, but put it into each heartbeat.

--- a/core/cclab/collapse_test.go
+++ b/core/cclab/collapse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"testing"
 	"time"
 )
@@ -9,8 +10,8 @@
 // labSeeds is how many seeds each test simulates. A simulation takes some seconds.
 var labSeeds = flag.Uint64("labseeds", 1, "seeds for each test of a load pattern")
 
-// thinShare is the part of a core that each entry of thinFleet has.
-var thinShare = flag.Float64("labshare", 0.2, "part of a core of each entry in the tests of late entries")
+// thinShares are the parts of a core that the entries of thinFleet have.
+var thinShares = []float64{0.13, 0.2}
 
 // deskClasses are three kinds of job that together keep about three quarters of 53
 // workers of 32 cores busy.
@@ -22,17 +23,28 @@
 	}
 }
 
-// thinFleet is a fleet whose domains 3 and 4 have one thin entry each.
-func thinFleet(seed uint64) Config {
+// thinFleet is a fleet whose domains 3 and 4 have one entry each. Each entry has a share of a
+// core.
+func thinFleet(seed uint64, share float64) Config {
 	cfg := Config{
 		Seed: seed, Domains: 5, Agents: 53, WorkerCPU: 32000, Speeds: []float64{0.7, 0.7, 1.7}, Classes: deskClasses(), Duration: 10 * time.Second,
 	}
 	for _, domain := range []int{0, 0, 1, 1, 2, 2, 3, 4} {
-		cfg.Entries = append(cfg.Entries, EntryConfig{Domain: domain, Share: *thinShare})
+		cfg.Entries = append(cfg.Entries, EntryConfig{Domain: domain, Share: share})
 	}
 	return cfg
 }
 
+// eachThinFleet runs a test with each seed and share.
+func eachThinFleet(t *testing.T, test func(t *testing.T, cfg Config)) {
+	t.Helper()
+	for _, share := range thinShares {
+		for seed := range *labSeeds {
+			t.Run(fmt.Sprintf("share %g seed %d", share, seed), func(t *testing.T) { test(t, thinFleet(seed, share)) })
+		}
+	}
+}
+
 // wantRecovery checks that a domain is back at its credit from before a disturbance.
 func wantRecovery(t *testing.T, result *Result, domain int, from time.Duration) {
 	t.Helper()
@@ -46,25 +58,23 @@
 // The metastable failure of a late entry: a burst makes an entry late, it takes its agents
 // for silent, loses their runs, places them anew, and is later still.
 func TestEntryRecoversFromABurst(t *testing.T) {
-	for seed := range *labSeeds {
-		cfg := thinFleet(seed)
+	eachThinFleet(t, func(t *testing.T, cfg Config) {
 		cfg.Bursts = []Burst{{At: 2 * time.Second, For: 4 * time.Second, Factor: 1.6}}
 		result := New(cfg).Run()
 		for _, domain := range []int{3, 4} {
 			wantRecovery(t, result, domain, 8*time.Second)
 		}
-	}
+	})
 }
 
 // The same failure without a burst: one of two thin entries restarts while the other wakes
 // from a pause.
 func TestEntriesRecoverFromARestartAndAPause(t *testing.T) {
-	for seed := range *labSeeds {
-		cfg := thinFleet(seed)
+	eachThinFleet(t, func(t *testing.T, cfg Config) {
 		cfg.Freezes = []Freeze{
 			{At: 2 * time.Second, For: 2500 * time.Millisecond, Entry: 0},
 			{At: 4 * time.Second, For: 300 * time.Millisecond, Entry: 1, Restart: true},
 		}
 		wantRecovery(t, New(cfg).Run(), 0, 6500*time.Millisecond)
-	}
+	})
 }
--- a/core/ccreplay/demand.go
+++ b/core/ccreplay/demand.go
@@ -12,9 +12,9 @@
 	// agents. With more agents it grows, so that they cost demandMessagesPerSecond at most.
 	minDemandInterval       = 20 * time.Millisecond
 	demandMessagesPerSecond = 250
-	// maxAnnounceLateness is the lateness above which an entry has no time for messages to
-	// all agents. The demand goes with those that it sends anyway.
-	maxAnnounceLateness = 20 * time.Millisecond
+	// maxDemandLateness is the lateness above which an entry tells no demand: what it is
+	// offered lapses before it is used, and costs a report each time.
+	maxDemandLateness = 20 * time.Millisecond
 	// maxDemandJobs is how many queued jobs are considered as the demand at an agent. Jobs
 	// that only few workers can run may be before the first one that this worker can run.
 	maxDemandJobs = 8
@@ -26,7 +26,7 @@
 func (s *Scheduler) announceDemand(now time.Time) {
 	demanding := s.hasDemand(now)
 	interval := max(minDemandInterval, time.Duration(s.attached)*time.Second/demandMessagesPerSecond)
-	if !demanding && !s.announced || now.Sub(s.announcedAt) < interval || s.lateness.current() > maxAnnounceLateness {
+	if !demanding && !s.announced || now.Sub(s.announcedAt) < interval || s.lateness.current() > maxDemandLateness {
 		return
 	}
 	s.announced, s.announcedAt = demanding, now
@@ -48,6 +48,9 @@
 
 // demandFor returns the demand to announce to an agent, or nil.
 func (s *Scheduler) demandFor(now time.Time, a *agent) *ccwire.Demand {
+	if s.lateness.current() > maxDemandLateness {
+		return nil
+	}
 	considered := 0
 	for _, j := range s.queue {
 		if !s.isWaiting(now, j) {
