Take a negative progress of a run for none

What callers would see: an entry ends, with all the jobs that it has, when a worker says that a run is -1 percent done: agents pass the figure on as it is.

Cause: the rest of a run is predicted by a division by the percentage plus one.

Evidence: FuzzScheduler found an input within 15 s, which its corpus keeps; it panics with "integer divide by zero" in handleProgress without the change.

--- a/core/ccreplay/move.go
+++ b/core/ccreplay/move.go
@@ -34,7 +34,7 @@
 		return
 	}
 	// The worker rounds the percentage down, so the run may be almost one percent further.
-	remaining := ran*100/time.Duration(p.Percent+1) - ran
+	remaining := ran*100/time.Duration(max(p.Percent, 0)+1) - ran
 	restarted := j.expected + moveCost
 	if remaining < time.Duration(moveThreshold*float64(restarted)) || j.feasibilityIfEnded(now.Add(restarted)) >= j.feasibilityIfEnded(now.Add(remaining)) || !s.otherAgentUsable(now, j, a) {
 		return
