Don't repeat a start for which the worker has no room any more

Cause: a start that the worker refuses for its run number, token or lease is sent again. In between the worker may have said that its capacity is smaller; only new orders were compared with it.

Evidence: the case of TestCapacityChanges repeats the start without the change.

--- a/core/cclease/capacity_test.go
+++ b/core/cclease/capacity_test.go
@@ -55,6 +55,17 @@
 		out := f.orderStart(entryA, "a", 1000)
 		wantEnd(t, endsIn(out, entryA), "a", ccwire.RunNoCapacity)
 	})
+	t.Run("a start that the worker refused is not repeated when there is no room for it any more", func(t *testing.T) {
+		f := newFixture(t)
+		call := f.orderStart(entryA, "a", 2000).Starts[0]
+		f.resize(1000)
+		f.manager.StartCompleted(f.now, call, Response{Status: StatusLeaseExpired})
+		out := f.take()
+		wantEnd(t, endsIn(out, entryA), "a", ccwire.RunNoCapacity)
+		if len(out.Starts) != 0 {
+			t.Errorf("starts: got %+v, want none", out.Starts)
+		}
+	})
 	t.Run("starts are accepted again when it grows", func(t *testing.T) {
 		f := newFixture(t)
 		f.resize(0)
