Ignore heartbeats that a worker sent before it was lost

What callers would see: a worker that has left, or crashed, is used again for a moment. Starts go there and come back, and the refused connection counts as a second crash, with the tasks that were just ordered as suspects.

Cause: the agent forgot a worker when it lost it, so that a heartbeat that was delayed until then made it a new one. The agent now remembers the last worker: after it has left, none of its heartbeats count; after a refused connection only a later one than the last, since the worker may have been unreachable. Such a worker keeps its run numbers, below which it refuses starts. A new life, with a later start time, is another worker.

--- a/core/cclease/lifecycle.go
+++ b/core/cclease/lifecycle.go
@@ -10,6 +10,9 @@
 // Heartbeat processes a heartbeat of the worker.
 func (m *Manager) Heartbeat(now time.Time, worker Worker) {
 	current := m.worker
+	if current == nil && m.lost.sent(worker) {
+		return // The heartbeat was delayed until its sender was gone.
+	}
 	switch {
 	case current == nil || current.ID != worker.ID:
 		m.replaceWorker(now, &worker)
@@ -42,6 +45,7 @@
 func (m *Manager) WorkerLeft(now time.Time, id string) {
 	if m.worker != nil && m.worker.ID == id {
 		m.workerLost(now, "worker left", false)
+		m.lost.left = true
 	}
 }
 
@@ -54,7 +58,11 @@
 	m.worker = worker
 	m.pace = pace{}
 	m.setWorkerInfo(worker)
+	runNumbers := m.runNumbers
 	m.resetWorkerState()
+	if m.lost.isIncarnation(*worker) {
+		m.runNumbers = runNumbers
+	}
 }
 
 // setWorkerInfo sets the description of the worker that is sent to entries.
@@ -117,7 +125,7 @@
 	for _, r := range slices.Clone(m.runList) {
 		m.endRun(now, r, ccwire.RunLost, reason)
 	}
-	m.worker = nil
+	m.lost, m.worker = lostWorker{Worker: *m.worker}, nil
 	m.actions.Changes = append(m.actions.Changes, Change{Message: "Worker lost.", Reason: reason, Count: n})
 	m.reportAll(now)
 }
--- a/core/cclease/manager.go
+++ b/core/cclease/manager.go
@@ -57,6 +57,7 @@
 	cfg          Config
 	token        uint64
 	worker       *Worker
+	lost         lostWorker
 	workerInfo   *ccwire.WorkerInfo // The description of the worker that is sent to entries.
 	pausedReason string             // Why the worker gets no starts until pausedUntil.
 	pausedUntil  time.Time
