Blame no start that found its worker gone for the crash

Cause: two workers had just crashed by themselves. The agent notices by the next call, which is often a start: its connection is refused. All runs that the agent had then counted as suspects, also the starts in flight, which the worker never got. The task went to both workers, and two "runs" of a millisecond are alike, so it counted as the cause.

Only runs whose start has been answered, or was given up without an answer, are suspects of a crash that a refused connection shows. A start in flight came too late for the worker.

Evidence: two of the three new cases of TestCrashIsReported fail without the change.

--- a/core/cclease/crash_test.go
+++ b/core/cclease/crash_test.go
@@ -53,6 +53,30 @@
 			t.Errorf("crashes after their retention: got %+v, want none", attach.Report.Crashes)
 		}
 	})
+	// Guards against a job that fails because its starts met two workers that had crashed.
+	t.Run("without the starts that found the worker gone", func(t *testing.T) {
+		f := newFixture(t)
+		f.startRunning(entryA, "job")
+		f.orderStart(entryA, "late-1", 1000)
+		late := f.orderStart(entryA, "late-2", 1000).Starts[0]
+		f.manager.StartCompleted(f.now, late, Response{Status: StatusConnRefused})
+		wantSuspect(t, crashesIn(f.take(), entryA), "job")
+	})
+	t.Run("not if only starts found the worker gone", func(t *testing.T) {
+		f := newFixture(t)
+		late := f.orderStart(entryA, "late", 1000).Starts[0]
+		f.manager.StartCompleted(f.now, late, Response{Status: StatusConnRefused})
+		if got := crashesIn(f.take(), entryA); len(got) != 0 {
+			t.Errorf("crashes: got %+v, want none", got)
+		}
+	})
+	t.Run("with a start that got no response", func(t *testing.T) {
+		f := newFixture(t)
+		call := f.orderStart(entryA, "job", 1000).Starts[0]
+		f.manager.StartCompleted(f.now, call, Response{Status: StatusNoResponse})
+		f.completePoll(f.nextPoll(), PollResponse{Response: Response{Status: StatusConnRefused}})
+		wantSuspect(t, crashesIn(f.take(), entryA), "job")
+	})
 	t.Run("not if the worker left", func(t *testing.T) {
 		f := newFixture(t)
 		f.startRunning(entryA, "job")
--- a/core/cclease/lifecycle.go
+++ b/core/cclease/lifecycle.go
@@ -115,12 +115,18 @@
 	})
 }
 
+// answeredRuns returns the runs whose start is no longer in flight. A start that is, when
+// nothing listens at the worker's address any more, came too late for the worker.
+func answeredRuns(runs []*run) []*run {
+	return slices.DeleteFunc(slices.Clone(runs), func(r *run) bool { return r.phase == phaseStarting })
+}
+
 // workerLost ends all runs, because the worker that executed them no longer exists. It
 // either crashed or left.
 func (m *Manager) workerLost(now time.Time, reason string, crashed bool) {
 	n := len(m.runs)
 	if crashed {
-		m.recordCrash(now, m.runList)
+		m.recordCrash(now, answeredRuns(m.runList))
 	}
 	for _, r := range slices.Clone(m.runList) {
 		m.endRun(now, r, ccwire.RunLost, reason)
