Ignore heartbeats of a worker from before the current one

What callers would see: a task runs twice at once. An agent whose host has a new worker, under another ID, takes a delayed heartbeat of the one before for a third worker: all runs of the new one count as lost and are placed elsewhere, while they go on.

Cause: start times were compared between heartbeats of one ID only. A host has one worker at a time, so one that started before the current one is gone, whatever its ID. If a clock was set back and the later worker says an earlier time, the next call finds the current one gone, and the heartbeat after that is taken.

Evidence: the new case of TestDelayedHeartbeatOfALostWorker reports the run as lost without the change.

--- a/core/cclease/lifecycle.go
+++ b/core/cclease/lifecycle.go
@@ -10,10 +10,9 @@
 // Heartbeat processes a heartbeat of the worker.
 func (m *Manager) Heartbeat(now time.Time, worker Worker) {
 	current := m.worker
-	if current == nil && m.lost.sent(worker) {
-		return // The heartbeat was delayed until its sender was gone.
-	}
 	switch {
+	case current == nil && m.lost.sent(worker), current != nil && startedBefore(worker, *current):
+		return // The heartbeat was delayed until its sender was gone.
 	case current == nil || current.ID != worker.ID:
 		m.replaceWorker(now, &worker)
 	case worker.StartTime.After(current.StartTime):
@@ -41,6 +40,11 @@
 	m.poll(now)
 }
 
+// startedBefore reports whether a worker is from before the current one, under any ID.
+func startedBefore(worker, current Worker) bool {
+	return !worker.StartTime.IsZero() && worker.StartTime.Before(current.StartTime)
+}
+
 // WorkerLeft processes the worker's notice that it is shutting down.
 func (m *Manager) WorkerLeft(now time.Time, id string) {
 	if m.worker != nil && m.worker.ID == id {
--- a/core/cclease/lost_test.go
+++ b/core/cclease/lost_test.go
@@ -46,6 +46,19 @@
 			t.Errorf("starts: got %+v, want run 2", out.Starts)
 		}
 	})
+	// Guards against runs that are taken for lost, and run again elsewhere, because of the
+	// worker that was on the host before.
+	t.Run("from before the current worker is ignored, whatever its ID", func(t *testing.T) {
+		f := newFixture(t)
+		f.startRunning(entryA, "j1")
+		f.take()
+		earlier := f.worker()
+		earlier.ID, earlier.StartTime = "w-0", earlier.StartTime.Add(-time.Minute)
+		f.manager.Heartbeat(f.now, earlier)
+		if ends := endsIn(f.take(), entryA); len(ends) != 0 || f.manager.worker.ID != "w-1" {
+			t.Errorf("worker: got %s with ends %+v, want w-1 with its run", f.manager.worker.ID, ends)
+		}
+	})
 	t.Run("a new life is another worker", func(t *testing.T) {
 		f := left(t)
 		restarted := f.worker()
