--- a/core/cclease/crash_test.go
+++ b/core/cclease/crash_test.go
@@ -72,10 +72,10 @@
 	})
 	t.Run("with a start that got no response", func(t *testing.T) {
 		f := newFixture(t)
-		call := f.orderStart(entryA, "job", 1000).Starts[0]
+		call := f.orderStart(entryA, "unanswered", 1000).Starts[0]
 		f.manager.StartCompleted(f.now, call, Response{Status: StatusNoResponse})
 		f.completePoll(f.nextPoll(), PollResponse{Response: Response{Status: StatusConnRefused}})
-		wantSuspect(t, crashesIn(f.take(), entryA), "job")
+		wantSuspect(t, crashesIn(f.take(), entryA), "unanswered")
 	})
 	t.Run("not if the worker left", func(t *testing.T) {
 		f := newFixture(t)
