Log unanswered starts, dropped answers and raised fencing tokens

What callers saw: a task ran twice at the same time, and the agents' logs could not tell why: a start that never got an answer, an answer that was dropped, and a token that was or was not raised left no line.

Four lines now say so, each with the task, the run number, the token and the worker where there is one: "Start has no answer.", "Answer to a start dropped." with the reason, "Fencing token raised." with the reason, and "Starts may still arrive." with their number, when a worker is lost or restarts. checkResponse returns why it drops a response instead of a bool.

No decision changes.

--- a/core/cclease/fence.go
+++ b/core/cclease/fence.go
@@ -16,10 +16,16 @@
 // start once it has received the next call. It also keeps polling while the start may
 // still arrive, because a restarted worker knows no token before its first call.
 func (m *Manager) fenceLateStart(now time.Time) {
-	m.token++
+	m.raiseToken(1, "start has no answer")
 	m.lateStartUntil = now.Add(maxCallDelay)
 }
 
+// raiseToken raises the fencing token of all later calls.
+func (m *Manager) raiseToken(by uint64, reason string) {
+	m.token += by
+	m.actions.Changes = append(m.actions.Changes, Change{Message: "Fencing token raised.", Token: m.token, Reason: reason})
+}
+
 // lateStartPossible reports whether an unanswered start may still arrive at the
 // worker.
 func (m *Manager) lateStartPossible(now time.Time) bool { return now.Before(m.lateStartUntil) }
--- a/core/cclease/lifecycle.go
+++ b/core/cclease/lifecycle.go
@@ -90,7 +90,8 @@
 // reached the new incarnation, which accepts them; the next poll shows them. A higher
 // token fences off those that are still in transit.
 func (m *Manager) workerRestarted(now time.Time, startTime time.Time) {
-	m.token++
+	m.raiseToken(1, "worker has a new life")
+	m.recordLateStarts("worker has a new life")
 	m.resetWorkerState()
 	worker := *m.worker
 	worker.StartTime = startTime
@@ -112,6 +113,20 @@
 	m.reportAll(now)
 }
 
+// recordLateStarts records how many starts have no answer when the worker that they were
+// sent to is gone.
+func (m *Manager) recordLateStarts(reason string) {
+	n := 0
+	for _, r := range m.runList {
+		if r.phase == phaseStarting || r.phase == phaseUnconfirmed {
+			n++
+		}
+	}
+	if n > 0 {
+		m.actions.Changes = append(m.actions.Changes, Change{Message: "Starts may still arrive.", Worker: m.worker.ID, Reason: reason, Count: n})
+	}
+}
+
 // confirmedRuns returns the runs that the worker has listed or whose start it has answered.
 func confirmedRuns(runs []*run) []*run {
 	return slices.DeleteFunc(slices.Clone(runs), func(r *run) bool {
@@ -129,6 +144,7 @@
 // either crashed or left.
 func (m *Manager) workerLost(now time.Time, reason string, crashed bool) {
 	n := len(m.runs)
+	m.recordLateStarts(reason)
 	if crashed {
 		m.recordCrash(now, answeredRuns(m.runList))
 	}
--- a/core/cclease/manager.go
+++ b/core/cclease/manager.go
@@ -47,6 +47,9 @@
 	// End and Run describe a run that has ended.
 	End ccwire.RunOutcome
 	Run uint64
+	// Worker and Token are those of a call to a worker.
+	Worker string
+	Token  uint64
 	// Pace is the ratio of actual to estimated run time.
 	Pace float64
 }
--- a/core/cclease/poll.go
+++ b/core/cclease/poll.go
@@ -53,7 +53,7 @@
 	} else {
 		m.polling = false
 	}
-	if !m.checkResponse(now, call.Worker, call.Token, response.Response) {
+	if m.checkResponse(now, call.Worker, call.Token, response.Response) != "" {
 		return
 	}
 	if response.Status != StatusOK {
--- a/core/cclease/response.go
+++ b/core/cclease/response.go
@@ -17,11 +17,19 @@
 
 // StartCompleted processes the response to a StartCall.
 func (m *Manager) StartCompleted(now time.Time, call StartCall, response Response) {
-	if !m.checkResponse(now, call.Worker, call.Token, response) {
+	if response.Status == StatusNoResponse {
+		m.recordCall("Start has no answer.", call, "")
+	}
+	if dropped := m.checkResponse(now, call.Worker, call.Token, response); dropped != "" {
+		m.recordCall("Answer to a start dropped.", call, dropped)
 		return
 	}
 	r := m.runs[call.Task]
-	if r == nil || r.number != call.Run || r.phase != phaseStarting {
+	if r == nil || r.number != call.Run {
+		m.recordCall("Answer to a start dropped.", call, "run is over")
+		return
+	}
+	if r.phase != phaseStarting {
 		return
 	}
 	r.absentAfter = now
@@ -49,6 +57,13 @@
 	m.sendDueReports(now)
 }
 
+// recordCall records a change that concerns a start call.
+func (m *Manager) recordCall(message string, call StartCall, reason string) {
+	m.actions.Changes = append(m.actions.Changes, Change{
+		Message: message, Task: call.Task, Run: call.Run, Worker: call.Worker, Token: call.Token, Reason: reason,
+	})
+}
+
 // retryStart repeats a start that the worker refused because of its run number,
 // lease or token.
 func (m *Manager) retryStart(now time.Time, r *run, status Status) {
@@ -69,7 +84,7 @@
 
 // StopCompleted processes the response to a StopCall.
 func (m *Manager) StopCompleted(now time.Time, call StopCall, response Response) {
-	if !m.checkResponse(now, call.Worker, call.Token, response) {
+	if m.checkResponse(now, call.Worker, call.Token, response) != "" {
 		return
 	}
 	r := m.runs[call.Task]
@@ -86,34 +101,38 @@
 }
 
 // checkResponse handles what every response may reveal: the worker's clock, a
-// restart of the worker, or a fencing token that is too low. It reports whether the
-// response comes from the current incarnation of the current worker.
-func (m *Manager) checkResponse(now time.Time, worker string, token uint64, response Response) bool {
-	if m.worker == nil || m.worker.ID != worker {
-		return false
+// restart of the worker, or a fencing token that is too low. It returns why
+// the response must be dropped. Empty means that it comes from the current incarnation of
+// the current worker.
+func (m *Manager) checkResponse(now time.Time, worker string, token uint64, response Response) string {
+	switch {
+	case m.worker == nil:
+		return "worker is lost"
+	case m.worker.ID != worker:
+		return "worker has been replaced"
 	}
 	switch {
 	case response.Status == StatusConnRefused:
 		m.workerLost(now, "nothing listens at the worker's address", true)
-		return false
+		return "worker is gone"
 	case response.Status == StatusWrongInstance:
 		m.workerLost(now, "another worker answered", true)
-		return false
+		return "another worker answered"
 	case !response.StartTime.IsZero() && !m.worker.StartTime.IsZero() && response.StartTime.After(m.worker.StartTime):
 		m.workerRestarted(now, response.StartTime)
 		m.poll(now)
-		return false
+		return "worker has restarted"
 	case !response.StartTime.IsZero() && response.StartTime.Before(m.worker.StartTime):
-		return false // A late response of an earlier incarnation.
+		return "an earlier incarnation of the worker answered"
 	case response.Status == StatusFenced && token == m.token:
 		// A token below the current one was only overtaken by a later call of this
 		// agent incarnation, so it needs no increase.
-		m.token += tokenStep
+		m.raiseToken(tokenStep, "worker knows a higher one")
 	}
 	if response.Clock > 0 {
 		m.workerClock, m.workerClockAt = response.Clock, now
 	}
-	return true
+	return ""
 }
 
 // endRun removes a run, releases its capacity and queues its end for the owner.
--- a/io/cclease/record.go
+++ b/io/cclease/record.go
@@ -46,7 +46,16 @@
 // logFields returns the log fields of a change. It omits empty fields to keep log
 // lines short, since each line has a cost.
 func logFields(c cclease.Change) []any {
-	fields := make([]any, 0, 10)
+	fields := make([]any, 0, 16)
+	if c.Task.Job != "" {
+		fields = append(fields, "job", c.Task.Job, "index", c.Task.Index, "run", c.Run)
+	}
+	if c.Worker != "" {
+		fields = append(fields, "worker", c.Worker)
+	}
+	if c.Token != 0 {
+		fields = append(fields, "token", c.Token)
+	}
 	if c.Entry != "" {
 		fields = append(fields, "entry", string(c.Entry))
 	}
--- a/io/cclease/record_test.go
+++ b/io/cclease/record_test.go
@@ -38,6 +38,10 @@
 		{Message: "Worker rests.", Reason: "worker fails what it starts", Age: 500 * ms},
 		{Message: "Worker pace changed.", Pace: 6.5},
 		{Message: "Process was paused.", Count: 3},
+		{Message: "Start has no answer.", Task: task, Run: 2, Worker: "i-7f3a", Token: 9},
+		{Message: "Answer to a start dropped.", Task: task, Run: 2, Worker: "i-7f3a", Token: 9, Reason: "worker is lost"},
+		{Message: "Fencing token raised.", Token: 10, Reason: "start has no answer"},
+		{Message: "Starts may still arrive.", Worker: "i-7f3a", Count: 2, Reason: "worker has a new life"},
 	} {
 		agent.recordChange(c)
 	}
