Fence off each start that outlives its run or its worker

What callers saw: a task ran twice at the same time. A start was in flight when another call found the worker's connection refused; all runs ended as lost and were placed elsewhere, and the worker, which came back under its ID, executed the start seconds later.

Cause: that a start may still arrive was only noted when its missing answer came while its run was still in phase starting at the same worker. Every other end of the run, and every answer that checkResponse drops, forgot it, so the token stayed that of the lost start and the idle worker was not polled.

pendingStarts now records each start call from its sending until its answer, and without an answer for 12 s more, whatever became of the run, the worker or its incarnation. endRun, the one function that all twelve ends pass, raises the token if a start of the task may still arrive with the present one, and so does a start that is repeated under another run number. StartCompleted settles a call before it looks at the response. While a start may still arrive at the worker, it is polled.

Ruled out: a raise in workerLost alone. The lease's end and a worker that leaves or is replaced had the same hole. A start that an end lists stays pending too: a raise too many costs a repeated start at most.

--- a/core/cclease/fence.go
+++ b/core/cclease/fence.go
@@ -1,23 +1,22 @@
 package cclease
 
-import "time"
+import (
+	"time"
 
-const (
-	// maxCallDelay is how long after an unanswered call the worker may still execute
-	// it: the longest delay of the platform.
-	maxCallDelay = 12 * time.Second
-	// fencePollInterval is the longest time between two polls during maxCallDelay, the
-	// same as while runs are active: a poll whose response is lost costs a connection.
-	// It bounds how long a restarted worker can accept such a call as a new one.
-	fencePollInterval = pollWait
+	"camphorcroft/core/ccwire"
 )
 
-// fenceLateStart raises the fencing token, so that the worker refuses an unanswered
-// start once it has received the next call. It also keeps polling while the start may
-// still arrive, because a restarted worker knows no token before its first call.
-func (m *Manager) fenceLateStart(now time.Time) {
-	m.raiseToken(1, "start has no answer")
-	m.lateStartUntil = now.Add(maxCallDelay)
+// fencePollInterval is the longest time between two polls while a start may still arrive,
+// the same as while runs are active: a poll whose response is lost costs a connection. It
+// bounds how long a restarted worker can accept such a start.
+const fencePollInterval = pollWait
+
+// fenceTask raises the fencing token if a start of the task may still arrive and has the
+// present one, so that the worker refuses it once it has received the next call.
+func (m *Manager) fenceTask(now time.Time, task ccwire.TaskRef, reason string) {
+	if s, found := m.starts.ofTask(now, task); found && s.call.Token >= m.token {
+		m.raiseToken(s.call.Token+1-m.token, reason)
+	}
 }
 
 // raiseToken raises the fencing token of all later calls.
@@ -26,14 +25,17 @@
 	m.actions.Changes = append(m.actions.Changes, Change{Message: "Fencing token raised.", Token: m.token, Reason: reason})
 }
 
-// lateStartPossible reports whether an unanswered start may still arrive at the
-// worker.
-func (m *Manager) lateStartPossible(now time.Time) bool { return now.Before(m.lateStartUntil) }
+// lateStartPossible reports whether the worker may still execute a start without an
+// answer. A restarted worker knows no token before its first call, so it is polled until
+// then, even if it is idle.
+func (m *Manager) lateStartPossible(now time.Time) bool {
+	return m.worker != nil && m.starts.at(now, m.worker.ID) > 0
+}
 
 // pollDue reports whether the worker must be polled now.
 func (m *Manager) pollDue(now time.Time) bool {
 	if len(m.runs) > 0 || !m.runsListed || m.ackedEnd != m.lastEnd {
 		return true
 	}
-	return m.lateStartPossible(now) && now.Sub(m.polledAt) >= fencePollInterval
+	return now.Sub(m.polledAt) >= fencePollInterval && m.lateStartPossible(now)
 }
--- a/core/cclease/late_start_test.go
+++ b/core/cclease/late_start_test.go
@@ -32,3 +32,51 @@
 		t.Error("the new life is not polled, though the start may still arrive")
 	}
 }
+
+// Guards against a run that counts as ended, and is run again elsewhere, while nothing
+// fences its start, which has no answer yet: one case for each place that ends such a run.
+func TestRunThatEndsBeforeItsStartArrivesIsFenced(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  func(f *fixture)
+	}{
+		{"the connection of another call is refused", func(f *fixture) {
+			f.completePoll(f.nextPoll(), PollResponse{Response: Response{Status: StatusConnRefused}})
+		}},
+		{"another worker answers another call", func(f *fixture) {
+			f.completePoll(f.nextPoll(), PollResponse{Response: Response{Status: StatusWrongInstance}})
+		}},
+		{"the worker leaves", func(f *fixture) { f.manager.WorkerLeft(f.now, "w-1") }},
+		{"another worker is there", func(f *fixture) {
+			other := f.worker()
+			other.ID, other.StartTime = "w-2", f.now
+			f.manager.Heartbeat(f.now, other)
+		}},
+		{"the lease expires", func(f *fixture) {
+			for range maxMissedPolls + 1 {
+				f.completePoll(f.nextPoll(), PollResponse{Response: Response{Status: StatusNoResponse}})
+			}
+			f.now = f.now.Add(maxLeaseDuration)
+			f.advance(time.Millisecond)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t)
+			late := f.orderStart(entryA, "j1", 1000).Starts[0]
+			c.end(f)
+			if n := f.manager.ActiveRuns(); n != 0 {
+				t.Fatalf("active runs: got %d, want 0", n)
+			}
+			restarted := f.worker()
+			restarted.StartTime = f.now.Add(time.Second)
+			f.manager.Heartbeat(f.now, restarted)
+			if f.manager.token <= late.Token {
+				t.Errorf("token after the end: got %d, want above %d, that of the start", f.manager.token, late.Token)
+			}
+			f.manager.StartCompleted(f.now, late, Response{Status: StatusNoResponse})
+			if !f.manager.lateStartPossible(f.now.Add(maxCallDelay - time.Millisecond)) {
+				t.Error("the worker is not polled for as long as the start may arrive")
+			}
+		})
+	}
+}
--- a/core/cclease/lifecycle.go
+++ b/core/cclease/lifecycle.go
@@ -91,7 +91,7 @@
 // token fences off those that are still in transit.
 func (m *Manager) workerRestarted(now time.Time, startTime time.Time) {
 	m.raiseToken(1, "worker has a new life")
-	m.recordLateStarts("worker has a new life")
+	m.recordLateStarts(now, "worker has a new life")
 	m.resetWorkerState()
 	worker := *m.worker
 	worker.StartTime = startTime
@@ -113,16 +113,9 @@
 	m.reportAll(now)
 }
 
-// recordLateStarts records how many starts have no answer when the worker that they were
-// sent to is gone.
-func (m *Manager) recordLateStarts(reason string) {
-	n := 0
-	for _, r := range m.runList {
-		if r.phase == phaseStarting || r.phase == phaseUnconfirmed {
-			n++
-		}
-	}
-	if n > 0 {
+// recordLateStarts records how many starts the next incarnation of the worker may execute.
+func (m *Manager) recordLateStarts(now time.Time, reason string) {
+	if n := m.starts.at(now, m.worker.ID); n > 0 {
 		m.actions.Changes = append(m.actions.Changes, Change{Message: "Starts may still arrive.", Worker: m.worker.ID, Reason: reason, Count: n})
 	}
 }
@@ -144,7 +137,7 @@
 // either crashed or left.
 func (m *Manager) workerLost(now time.Time, reason string, crashed bool) {
 	n := len(m.runs)
-	m.recordLateStarts(reason)
+	m.recordLateStarts(now, reason)
 	if crashed {
 		m.recordCrash(now, answeredRuns(m.runList))
 	}
--- a/core/cclease/manager.go
+++ b/core/cclease/manager.go
@@ -77,8 +77,7 @@
 	polledAt    time.Time // When the last poll that may wait was sent.
 	pollingNow  bool
 	missedPolls int
-	// lateStartUntil is until when an unanswered start may still arrive at the worker.
-	lateStartUntil time.Time
+	starts      pendingStarts
 	// heartbeatSeen is set once the worker's current incarnation has sent a heartbeat.
 	heartbeatSeen bool
 	// runsListed is set once the worker's current incarnation has listed its runs.
@@ -209,6 +208,7 @@
 func (m *Manager) prune(now time.Time) {
 	m.prunedAt = now
 	m.pruneCrashes(now)
+	m.starts.prune(now)
 	for task, used := range m.runNumbers {
 		if _, active := m.runs[task]; !active && now.Sub(used.at) > runNumberRetention {
 			delete(m.runNumbers, task)
--- a/core/cclease/order.go
+++ b/core/cclease/order.go
@@ -101,9 +101,9 @@
 func (m *Manager) sendStart(now time.Time, r *run) {
 	r.phase = phaseStarting
 	m.runNumbers[r.task] = lastRunNumber{number: r.number, at: now}
-	m.actions.Starts = append(m.actions.Starts, StartCall{
+	m.actions.Starts = append(m.actions.Starts, m.starts.add(now, StartCall{
 		Worker: m.worker.ID, Task: r.task, Run: r.number, Payload: r.payload, Token: m.token, LeaseEnd: m.extendLease(now),
-	})
+	}))
 }
 
 // extendLease returns the end of a lease that starts now, on the worker's clock, and
--- a/core/cclease/response.go
+++ b/core/cclease/response.go
@@ -17,8 +17,11 @@
 
 // StartCompleted processes the response to a StartCall.
 func (m *Manager) StartCompleted(now time.Time, call StartCall, response Response) {
+	// The start outlives its run and its worker, so it is settled whatever became of them.
+	m.starts.complete(now, call, response.Status)
 	if response.Status == StatusNoResponse {
 		m.recordCall("Start has no answer.", call, "")
+		m.fenceTask(now, call.Task, "start has no answer")
 	}
 	if dropped := m.checkResponse(now, call.Worker, call.Token, response); dropped != "" {
 		m.recordCall("Answer to a start dropped.", call, dropped)
@@ -38,7 +41,6 @@
 		r.phase = phaseRunning
 	case StatusNoResponse:
 		r.phase = phaseUnconfirmed
-		m.fenceLateStart(now)
 		m.pollNow(now)
 	case StatusNoCapacity:
 		m.endRun(now, r, ccwire.RunNoCapacity, "worker has no room")
@@ -77,6 +79,7 @@
 		return
 	}
 	if status == StatusStaleRun {
+		m.fenceTask(now, r.task, "task is started with another run number")
 		r.number *= 2
 	}
 	m.sendStart(now, r)
@@ -135,8 +138,10 @@
 	return ""
 }
 
-// endRun removes a run, releases its capacity and queues its end for the owner.
+// endRun removes a run, releases its capacity and queues its end for the owner. A start
+// of it that may still arrive is fenced off, since the owner may rerun the task elsewhere.
 func (m *Manager) endRun(now time.Time, r *run, end ccwire.RunOutcome, reason string) {
+	m.fenceTask(now, r.task, "run ended while its start may still arrive")
 	delete(m.runs, r.task)
 	m.runList = slices.DeleteFunc(m.runList, func(other *run) bool { return other == r })
 	m.reserved = m.reserved.Minus(r.need)
--- a/core/cclease/worker.go
+++ b/core/cclease/worker.go
@@ -55,6 +55,8 @@
 
 // StartCall requests the start of a run.
 type StartCall struct {
+	// Number distinguishes the calls of one agent incarnation.
+	Number  uint64
 	Worker  string
 	Task    ccwire.TaskRef
 	Run     uint64
