Expect late starts of an agent's earlier incarnation

What callers would see: a task runs twice at the same time. An agent is killed while a start has no answer and starts again; its entry places the task elsewhere once the new incarnation has listed the worker's runs. The worker crashes, returns under its ID and executes the start before the new incarnation, which knows of no start, has any reason to call it.

Cause: a start outlives the agent that sent it, but what is known of it does not. For the first 12 s after its start an agent now assumes that one may still arrive, so it polls the idle worker at least every 60 ms; a call with the new incarnation's higher token reaches a restarted worker that soon, and a list shows a start that was quicker.

Cost: at most 17 calls a second to the worker of the same machine, 200 in all for each start of an agent whose worker is idle. With runs it is polled in any case.

Evidence: TestStartsOfAnEarlierIncarnationAreExpected fails without the change (no poll after 60 ms) and passes now.

--- a/core/cclease/fence.go
+++ b/core/cclease/fence.go
@@ -26,10 +26,11 @@
 }
 
 // lateStartPossible reports whether the worker may still execute a start without an
-// answer. A restarted worker knows no token before its first call, so it is polled until
-// then, even if it is idle.
+// answer, of this incarnation of the agent or of an earlier one, which left no record. A
+// restarted worker knows no token before its first call, so it is polled until then, even
+// if it is idle.
 func (m *Manager) lateStartPossible(now time.Time) bool {
-	return m.worker != nil && m.starts.at(now, m.worker.ID) > 0
+	return now.Sub(m.cfg.StartTime) < maxCallDelay || m.worker != nil && m.starts.at(now, m.worker.ID) > 0
 }
 
 // pollDue reports whether the worker must be polled now.
--- a/core/cclease/late_start_test.go
+++ b/core/cclease/late_start_test.go
@@ -80,3 +80,22 @@
 		})
 	}
 }
+
+// Guards against a start of the agent's earlier incarnation that a restarted worker
+// executes, because the new incarnation knows nothing of it and leaves the worker alone.
+func TestStartsOfAnEarlierIncarnationAreExpected(t *testing.T) {
+	f := newFixture(t)
+	for end := epoch.Add(maxCallDelay - fencePollInterval); f.now.Before(end); {
+		f.keepAlive(entryA, entryB)
+		f.advance(fencePollInterval)
+		f.take()
+		if len(f.pendingPolls) == 0 {
+			t.Fatalf("no poll of an idle worker %v after the start of the agent", f.now.Sub(epoch))
+		}
+		f.completePoll(f.nextPoll(), okPollResponse(nil, nil))
+	}
+	f.advance(time.Second)
+	if f.take(); len(f.pendingPolls) != 0 {
+		t.Errorf("polls after the starts can no longer arrive: got %d, want 0", len(f.pendingPolls))
+	}
+}
