Raise an agent's token above those that entries know of it

What callers would see: a task runs twice at the same time. An agent's clock is set back while it restarts, so its first fencing token is lower than that of a start of its earlier incarnation that is still in transit. A worker of the same life refuses the agent's calls and the token rises by a step; a worker that restarted knows no token and accepts both.

Cause: the token comes from the wall clock, and nothing but the worker remembers it. Entries now do: reports carry the token when it has changed, and the reply to a session request has the highest one of the agent's other incarnations, which the agent's token is raised above. No disk and no service is needed. Two fields are new, both left out while they are zero: key 20 of RunReport and key 10 of AttachReply, which is sent after the scheduler has taken the request and, as before, before the first orders.

Ruled out: raising the token by a step at each start, since it would drift away from the clock. What is left: the calls before the first session opens have the lower token.

In the model, tokens of restarted agents now come from its clock, as those of the product do: they were small counts, which the new margin of a second would exceed.

--- a/core/cclease/fence.go
+++ b/core/cclease/fence.go
@@ -19,6 +19,19 @@
 	}
 }
 
+// tokenMargin is added to the highest token that an entry has known of an earlier
+// incarnation. It is one second in microseconds: that incarnation may have raised its token
+// by one for each start without an answer since its last report.
+const tokenMargin = 1_000_000
+
+// RaiseTokenAbove raises the fencing token above the highest one of an earlier incarnation
+// of the agent, whose starts may still arrive. Zero is none.
+func (m *Manager) RaiseTokenAbove(prior uint64) {
+	if prior > 0 && m.token <= prior+tokenMargin {
+		m.raiseToken(prior+tokenMargin+1-m.token, "an earlier incarnation of the agent had a higher one")
+	}
+}
+
 // raiseToken raises the fencing token of all later calls.
 func (m *Manager) raiseToken(by uint64, reason string) {
 	m.token += by
--- a/core/cclease/owner.go
+++ b/core/cclease/owner.go
@@ -19,6 +19,7 @@
 	wantsPlan       bool // The entry has asked for the plan.
 	retiring        bool // The session is about to be closed.
 	sentInfo        *ccwire.WorkerInfo
+	sentToken       uint64
 	pendingEnds     []ccwire.RunResult
 	recentEnds      []recentEnd
 	pendingCrashes  []ccwire.CrashReport
@@ -63,6 +64,7 @@
 	}
 	attach.Report = m.newReport(now, o, false)
 	attach.Report.Worker = m.workerInfo
+	attach.Report.Token = m.token
 	attach.Report.Crashes = m.crashesSince(now.Add(-crashRetention))
 	if o != nil {
 		attach.Report.Results = nil
@@ -91,7 +93,7 @@
 	o.lastHeard = requestedAt
 	o.handledSequence = 0
 	o.reportNow = true
-	o.sentInfo = nil
+	o.sentInfo, o.sentToken = nil, 0
 	// The request for the session has the earlier ones.
 	o.pendingCrashes = m.crashesSince(requestedAt)
 	o.retiring, o.wantsPlan = false, false
--- a/core/cclease/report.go
+++ b/core/cclease/report.go
@@ -61,6 +61,9 @@
 			if m.workerInfo != nil && o.sentInfo != m.workerInfo {
 				report.Worker, o.sentInfo = m.workerInfo, m.workerInfo
 			}
+			if o.sentToken != m.token {
+				report.Token, o.sentToken = m.token, m.token
+			}
 			m.actions.Reports = append(m.actions.Reports, Report{To: id, Report: report})
 			o.pendingEnds, o.reportNow, o.reportedAt, o.reportedCPU = nil, false, now, free
 		}
--- a/core/ccproof/replay_world_test.go
+++ b/core/ccproof/replay_world_test.go
@@ -311,6 +311,7 @@
 			attach := a.manager.AttachRequest(w.now, a.ref, e.ref.ID)
 			link.session = session
 			e.scheduler.Attach(w.now, attach)
+			a.manager.RaiseTokenAbove(e.scheduler.PriorToken(a.ref.ID))
 			a.manager.SessionOpened(w.now, e.ref, asked)
 			a.flush()
 			e.flush()
@@ -453,7 +454,7 @@
 	}
 	w.lastIncarnation++
 	a.ref.Incarnation = w.lastIncarnation
-	a.manager = cclease.NewManager(cclease.Config{Token: uint64(w.lastIncarnation), StartTime: w.now})
+	a.manager = cclease.NewManager(cclease.Config{Token: uint64(w.now.UnixMicro()), StartTime: w.now})
 	a.frozenUntil = w.now.Add(200 * time.Millisecond)
 	w.heartbeat(a, a.manager)
 }
--- a/core/ccreplay/agent.go
+++ b/core/ccreplay/agent.go
@@ -66,6 +66,8 @@
 	// known.
 	lostAt time.Time
 	pace   float64 // Actual run time as a multiple of the estimate.
+	// knownToken is the highest fencing token that it has reported.
+	knownToken knownToken
 }
 
 // placedTask is a task of a job that is placed on an agent.
@@ -145,6 +147,7 @@
 
 func (s *Scheduler) handleReport(now time.Time, a *agent, report ccwire.RunReport) {
 	a.lastReport, a.stalledAtReport = now, s.lateness.stalled
+	a.knownToken.observe(a.ref.Incarnation, report.Token)
 	s.lateness.observe(a.clockOffset.delay(now, report.ClockMS))
 	a.clockMS = max(a.clockMS, report.ClockMS)
 	if report.ClockMS < a.clockMS {
--- a/core/ccreplay/attach.go
+++ b/core/ccreplay/attach.go
@@ -18,6 +18,7 @@
 	if a == nil {
 		a = s.addAgent(attach.Node)
 	}
+	a.knownToken.observe(attach.Node.Incarnation, attach.Report.Token)
 	if attach.Node.Incarnation < a.ref.Incarnation {
 		return
 	}
--- a/core/ccwire/session.go
+++ b/core/ccwire/session.go
@@ -71,6 +71,9 @@
 // AttachReply accepts a session.
 type AttachReply struct {
 	Node ccnode.Ref `cbor:"1,keyasint"`
+	// PriorToken is the highest fencing token that the entry knows of the agent's other
+	// incarnations. Zero is none.
+	PriorToken uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // RunResult tells an entry that a run of its task has ended.
@@ -127,6 +130,9 @@
 	Crashes []CrashReport `cbor:"12,keyasint,omitempty"`
 	// PlanVersion is the operators' version of the plan that the agent has.
 	PlanVersion uint64 `cbor:"13,keyasint,omitempty"`
+	// Token is the agent's fencing token. Zero means that it has not changed since the
+	// report before.
+	Token uint64 `cbor:"20,keyasint,omitempty"`
 }
 
 // StartOrder asks an agent to start a task.
--- a/io/cclease/session.go
+++ b/io/cclease/session.go
@@ -172,6 +172,7 @@
 	a.do(func(now time.Time) {
 		a.sessions[s.entry] = s
 		a.subset.Reached(addr)
+		a.manager.RaiseTokenAbove(attached.PriorToken)
 		a.manager.SessionOpened(now, attached.Node, sentAt)
 		close(s.opened)
 	})
--- a/io/ccreplay/session.go
+++ b/io/ccreplay/session.go
@@ -88,8 +88,8 @@
 			previous.conn.Close()
 		}
 		e.sessions[s.agent] = s
-		conn.Send(ccwire.MessageAttachReply, ccwire.AttachReply{Node: e.cfg.Node})
-		e.scheduler.Attach(now, attach)
+		e.scheduler.Attach(now, attach) // The orders that it queues are sent later.
+		conn.Send(ccwire.MessageAttachReply, ccwire.AttachReply{Node: e.cfg.Node, PriorToken: e.scheduler.PriorToken(s.agent)})
 	})
 }
 
