--- a/core/cclease/fence.go
+++ b/core/cclease/fence.go
@@ -1,33 +1,55 @@
 package cclease
 
-import "time"
-
-const (
-	// maxCallDelay is how long after an unanswered call the worker may still execute
-	// it: the longest delay of the platform.
-	maxCallDelay = 12 * time.Second
-	// fencePollInterval is the longest time between two polls during maxCallDelay, the
-	// same as while runs are active: a poll whose response is lost costs a connection.
-	// It bounds how long a restarted worker can accept such a call as a new one.
-	fencePollInterval = pollWait
+import (
+	"time"
+
+	"camphorcroft/core/ccwire"
 )
 
-// fenceLateStart raises the fencing token, so that the worker refuses an unanswered
-// start once it has received the next call. It also keeps polling while the start may
-// still arrive, because a restarted worker knows no token before its first call.
-func (m *Manager) fenceLateStart(now time.Time) {
-	m.token++
-	m.lateStartUntil = now.Add(maxCallDelay)
+// fencePollInterval is the longest time between two polls while a start may still arrive,
+// the same as while runs are active: a poll whose response is lost costs a connection. It
+// bounds how long a restarted worker can accept such a start.
+const fencePollInterval = pollWait
+
+// fenceTask raises the fencing token if a start of the task may still arrive and has the
+// present one, so that the worker refuses it once it has received the next call.
+func (m *Manager) fenceTask(now time.Time, task ccwire.TaskRef, reason string) {
+	if s, found := m.starts.ofTask(now, task); found && s.call.Token >= m.token {
+		m.raiseToken(s.call.Token+1-m.token, reason)
+	}
+}
+
+// tokenMargin is added to the highest token that an entry has known of an earlier
+// incarnation. It is one second in microseconds: that incarnation may have raised its token
+// by one for each start without an answer since its last report.
+const tokenMargin = 1_000_000
+
+// RaiseTokenAbove raises the fencing token above the highest one of an earlier incarnation
+// of the agent, whose starts may still arrive. Zero is none.
+func (m *Manager) RaiseTokenAbove(prior uint64) {
+	if prior > 0 && m.token <= prior+tokenMargin {
+		m.raiseToken(prior+tokenMargin+1-m.token, "an earlier incarnation of the agent had a higher one")
+	}
 }
 
-// lateStartPossible reports whether an unanswered start may still arrive at the
-// worker.
-func (m *Manager) lateStartPossible(now time.Time) bool { return now.Before(m.lateStartUntil) }
+// raiseToken raises the fencing token of all later calls.
+func (m *Manager) raiseToken(by uint64, reason string) {
+	m.token += by
+	m.actions.Changes = append(m.actions.Changes, Change{Message: "Fencing token raised.", Token: m.token, Reason: reason})
+}
+
+// lateStartPossible reports whether the worker may still execute a start without an
+// answer, of this incarnation of the agent or of an earlier one, which left no record. A
+// restarted worker knows no token before its first call, so it is polled until then, even
+// if it is idle.
+func (m *Manager) lateStartPossible(now time.Time) bool {
+	return now.Sub(m.cfg.StartTime) < maxCallDelay || m.worker != nil && m.starts.at(now, m.worker.ID) > 0
+}
 
 // pollDue reports whether the worker must be polled now.
 func (m *Manager) pollDue(now time.Time) bool {
 	if len(m.runs) > 0 || !m.runsListed || m.ackedEnd != m.lastEnd {
 		return true
 	}
-	return m.lateStartPossible(now) && now.Sub(m.polledAt) >= fencePollInterval
+	return now.Sub(m.polledAt) >= fencePollInterval && m.lateStartPossible(now)
 }
