Log which run an end is about and which request opened a session

What callers saw: a task ran twice at the same time, and the logs could not tell why. An entry dropped an end that did not match the task's current run without a word, its "Agent attached." did not say when the request was made, and the agent's "Run ended." did not name the start order that it belongs to.

"Agent attached." has the agent's incarnation and clock now, and the agent's "Session opened." the same clock, so that a request that the agent had given up shows.

No decision changes.

--- a/core/cclease/manager.go
+++ b/core/cclease/manager.go
@@ -47,6 +47,10 @@
 	// End and Run describe a run that has ended.
 	End ccwire.RunOutcome
 	Run uint64
+	// Attempt says which start order of the entry the change is about.
+	Attempt int
+	// Clock is the agent's clock, from its start, in the request for the session.
+	Clock time.Duration
 	// Pace is the ratio of actual to estimated run time.
 	Pace float64
 }
--- a/core/cclease/order.go
+++ b/core/cclease/order.go
@@ -75,7 +75,7 @@
 
 // refuseOrder returns an order to its entry.
 func (m *Manager) refuseOrder(now time.Time, entry ccnode.ID, order ccwire.StartOrder, end ccwire.RunOutcome, reason string) {
-	m.actions.Changes = append(m.actions.Changes, Change{Message: "Order refused.", Entry: entry, Task: order.Task, Reason: reason, End: end})
+	m.actions.Changes = append(m.actions.Changes, Change{Message: "Order refused.", Entry: entry, Task: order.Task, Reason: reason, End: end, Attempt: order.Attempt})
 	m.queueEnd(now, entry, ccwire.RunResult{Task: order.Task, Attempt: order.Attempt, Outcome: end, Reason: reason}, true)
 }
 
--- a/core/cclease/owner.go
+++ b/core/cclease/owner.go
@@ -96,7 +96,7 @@
 	o.pendingCrashes = m.crashesSince(requestedAt)
 	o.retiring, o.wantsPlan = false, false
 	o.demand, o.offer = nil, offer{}
-	m.actions.Changes = append(m.actions.Changes, Change{Message: "Session opened.", Entry: entry.ID})
+	m.actions.Changes = append(m.actions.Changes, Change{Message: "Session opened.", Entry: entry.ID, Clock: requestedAt.Sub(m.cfg.StartTime)})
 	m.sendDueReports(now)
 }
 
--- a/core/ccreplay/agent.go
+++ b/core/ccreplay/agent.go
@@ -175,13 +175,7 @@
 	for _, p := range report.Progress {
 		s.handleProgress(now, a, p)
 	}
-	for _, ended := range report.Results {
-		j := s.jobs[ended.Task.Job]
-		if j == nil || !s.isPlacedOn(ended.Task, a.ref.ID) || j.tasks[ended.Task.Index].attempt != ended.Attempt {
-			continue
-		}
-		s.endRun(now, j, ended.Task.Index, ended)
-	}
+	s.handleResults(now, a, report.Results)
 }
 
 func openOrClosed(closed string) string {
--- a/core/ccreplay/attach.go
+++ b/core/ccreplay/attach.go
@@ -30,7 +30,10 @@
 	s.relay.stale = true
 	a.attached, a.sequence, a.inFlight, a.orders = true, 0, nil, ccwire.Orders{}
 	a.clockOffset.reset()
-	s.recordChange(Change{Message: "Agent attached.", Agent: a.ref.ID, Count: len(attach.Runs)})
+	s.recordChange(Change{
+		Message: "Agent attached.", Agent: a.ref.ID, Count: len(attach.Runs), Incarnation: a.ref.Incarnation,
+		Clock: time.Duration(attach.Report.ClockMS) * time.Millisecond,
+	})
 	s.handleReport(now, a, attach.Report)
 	alive := map[ccwire.TaskRef]bool{}
 	for _, ref := range attach.Runs {
--- a/core/ccreplay/end.go
+++ b/core/ccreplay/end.go
@@ -25,7 +25,7 @@
 	case ccwire.RunFailed:
 		tk.failures++
 		tk.avoidAgent = a.ref.ID
-		s.recordChange(Change{Message: "Run failed.", Job: j.request.ID, Index: i, Agent: a.ref.ID, Reason: ended.Reason, Age: now.Sub(tk.placedAt), Count: tk.failures})
+		s.recordChange(Change{Message: "Run failed.", Job: j.request.ID, Index: i, Agent: a.ref.ID, Reason: ended.Reason, Age: now.Sub(tk.placedAt), Count: tk.failures, Attempt: tk.attempt})
 	case ccwire.RunNoCapacity, ccwire.RunRefused:
 		// The report with a RunNoCapacity also has the current free capacity. After a
 		// refusal for another reason, the agent's state may not be in a report yet, so
@@ -38,7 +38,7 @@
 	case ccwire.RunStopped, ccwire.RunLost:
 		tk.avoidAgent = a.ref.ID
 		s.markSuspect(now, j, i)
-		s.recordChange(Change{Message: "Run is over.", Job: j.request.ID, Index: i, Agent: a.ref.ID, Reason: string(ended.Outcome) + " " + ended.Reason, Age: now.Sub(tk.placedAt)})
+		s.recordChange(Change{Message: "Run is over.", Job: j.request.ID, Index: i, Agent: a.ref.ID, Reason: string(ended.Outcome) + " " + ended.Reason, Age: now.Sub(tk.placedAt), Attempt: tk.attempt})
 	}
 	s.advanceJob(now, j, i)
 }
--- a/core/ccreplay/scheduler.go
+++ b/core/ccreplay/scheduler.go
@@ -33,6 +33,12 @@
 	// report of a newer plan, depending on Message.
 	Age   time.Duration
 	Count int
+	// Attempt says which run of the task the change is about. Zero is none.
+	Attempt int
+	// Incarnation and Clock are those of the agent: Clock is the time from its start to
+	// its report.
+	Incarnation ccnode.Incarnation
+	Clock       time.Duration
 	// Placements are the tasks of the job that were placed at once.
 	Placements []Placement
 	// Quiet is true for a repeated change that is counted but not logged.
--- a/core/ccreplay/scheduler_test.go
+++ b/core/ccreplay/scheduler_test.go
@@ -657,3 +657,45 @@
 		}
 	})
 }
+
+// TestIgnoredResults guards against logs that don't tell an ignored end of a run from one
+// that never arrived, and against floods of them when an agent repeats its ends.
+func TestIgnoredResults(t *testing.T) {
+	ignored := func(out Actions) (logged, quiet []Change) {
+		for _, c := range out.Changes {
+			switch {
+			case c.Message != "Result ignored.":
+			case c.Quiet:
+				quiet = append(quiet, c)
+			default:
+				logged = append(logged, c)
+			}
+		}
+		return logged, quiet
+	}
+	t.Run("an end of an earlier run is logged with its attempt", func(t *testing.T) {
+		f := newFixture(t, "north", "south")
+		f.submit("j1", 1)
+		first := f.wantStarts(f.take(), 1)[0]
+		f.report(first.agent, endOf(first, ccwire.RunLost))
+		f.wantStarts(f.take(), 1)
+		f.report(first.agent, endOf(first, ccwire.RunDone))
+		logged, _ := ignored(f.take())
+		if len(logged) != 1 || logged[0].Attempt != first.order.Attempt || logged[0].Agent != first.agent || logged[0].Reason == "" {
+			t.Errorf("got %+v, want one line that names the run", logged)
+		}
+	})
+	t.Run("ends of unknown jobs and many ends are only counted", func(t *testing.T) {
+		f := newFixture(t, "north")
+		f.submit("j1", 8)
+		f.wantStarts(f.take(), 4)
+		results := []ccwire.RunResult{{Task: ccwire.TaskRef{Job: "j9"}, Attempt: 1, Outcome: ccwire.RunDone}}
+		for i := range 8 {
+			results = append(results, ccwire.RunResult{Task: ccwire.TaskRef{Job: "j1", Index: i}, Attempt: 7, Outcome: ccwire.RunDone})
+		}
+		f.report("agent-1", results...)
+		if logged, quiet := ignored(f.take()); len(logged) != maxIgnoredLogged || len(quiet) != 9-maxIgnoredLogged {
+			t.Errorf("got %d lines and %d counted, want %d and %d", len(logged), len(quiet), maxIgnoredLogged, 9-maxIgnoredLogged)
+		}
+	})
+}
--- a/io/ccreplay/record.go
+++ b/io/ccreplay/record.go
@@ -79,7 +79,7 @@
 // logFields returns the log fields of a change. It omits empty fields to keep log
 // lines short, since each line has a cost.
 func logFields(c ccreplay.Change) []any {
-	fields := make([]any, 0, 12)
+	fields := make([]any, 0, 18)
 	if c.Job != "" {
 		fields = append(fields, "job", c.Job, "index", c.Index)
 	}
@@ -98,6 +98,12 @@
 	if c.Count != 0 {
 		fields = append(fields, "count", c.Count)
 	}
+	if c.Attempt != 0 {
+		fields = append(fields, "attempt", c.Attempt)
+	}
+	if c.Incarnation != 0 {
+		fields = append(fields, "incarnation", uint64(c.Incarnation), "clockMs", c.Clock.Milliseconds())
+	}
 	return fields
 }
 
