Tests: a late session request and a repeated end start a task twice

What callers saw: a task ran twice at the same time.

A request for a session that the agent has given up arrives after the later one: its list lacks the run that was placed since, and the task is started at the other agent at once.

The same job is handed in again within a second, and the agent repeats the end of the first run when it opens a session: both runs are attempt 1, so the new one counts as ended and the task is started elsewhere.

--- /dev/null
+++ b/core/ccreplay/identity_test.go
@@ -0,0 +1,77 @@
+package ccreplay
+
+import (
+	"testing"
+	"time"
+
+	"camphorcroft/core/ccnode"
+	"camphorcroft/core/ccresource"
+	"camphorcroft/core/ccwire"
+)
+
+// sessionRequest returns a request for a session that an agent makes now. It may be
+// delivered at any later time.
+func (f *fixture) sessionRequest(id ccnode.ID, incarnation ccnode.Incarnation, runs ...ccwire.TaskRef) ccwire.Attach {
+	capacity := ccresource.Amount{CPU: 4000}
+	return ccwire.Attach{
+		Node: ccnode.Ref{ID: id, Incarnation: incarnation}, Runs: runs,
+		Report: ccwire.RunReport{
+			ClockMS: f.now.Sub(epoch).Milliseconds(), HandledSequence: f.handled[id], PriorRunsEnded: true, Free: capacity,
+			Worker: &ccwire.WorkerInfo{Domain: "north", Service: "proof", Capacity: capacity},
+		},
+	}
+}
+
+// runOf returns what an agent lists of a run when it opens a session.
+func runOf(s start) ccwire.TaskRef { return s.order.Task }
+
+// slow gives a request an estimate and a deadline that no test reaches.
+func slow(r *Request) { r.Estimate, r.Deadline = 5*time.Second, epoch.Add(time.Minute) }
+
+// TestLateSessionRequest guards against a task that runs twice at once: a request for a
+// session that an agent has given up arrives after a later one, and its list lacks the runs
+// that were placed since.
+func TestLateSessionRequest(t *testing.T) {
+	f := newFixture(t, "north", "south")
+	older := f.sessionRequest("agent-1", 1)
+	older.Report.HandledSequence = 9 // Of the session before.
+	f.now = f.now.Add(500 * time.Millisecond)
+	f.s.Attach(f.now, f.sessionRequest("agent-1", 1))
+	f.report("agent-2")
+	f.submit("j1", 1, slow)
+	if placed := f.wantStarts(f.take(), 1)[0]; placed.agent != "agent-1" {
+		t.Fatalf("placed on %s, want agent-1", placed.agent)
+	}
+	f.now = f.now.Add(100 * time.Millisecond)
+	f.report("agent-1")
+	f.report("agent-2")
+	f.s.Attach(f.now, older)
+	f.wantStarts(f.take(), 0)
+	f.advance(10 * time.Millisecond)
+	f.wantStarts(f.take(), 0)
+}
+
+// TestRepeatedEndOfAnEarlierRequest guards against a task that runs twice at once: the same
+// job is handed in again, and the agent repeats the end of the first run when it opens a
+// session.
+func TestRepeatedEndOfAnEarlierRequest(t *testing.T) {
+	f := newFixture(t, "north", "south")
+	token := f.submit("j1", 1, slow)
+	first := f.wantStarts(f.take(), 1)[0]
+	f.s.Cancel(f.now, "j1", token)
+	f.take()
+	stopped := endOf(first, ccwire.RunStopped)
+	f.report(first.agent, stopped)
+	f.submit("j1", 1, slow)
+	second := f.wantStarts(f.take(), 1)[0]
+	if second.agent != first.agent {
+		t.Fatalf("placed on %s, want %s", second.agent, first.agent)
+	}
+	f.now = f.now.Add(100 * time.Millisecond)
+	f.report("agent-1")
+	f.report("agent-2")
+	again := f.sessionRequest(first.agent, 1, runOf(second))
+	again.Report.Results = []ccwire.RunResult{stopped}
+	f.s.Attach(f.now, again)
+	f.wantStarts(f.take(), 0)
+}
