Refuse a session request that arrives after a later one

What callers saw: a task ran twice at the same time. An agent's request for a session was delivered after a later one of the same agent; its list lacks what was placed since, so those tasks counted as ended and started elsewhere.

Cause: nothing in a request said which of two is the later one. The agent's clock in the report would not do: it starts again with each incarnation.

The entry numbers the sessions now. It issues a number when it is asked to identify itself, and the agent names it in the request. An agent gives up a request before it begins the next one, and can name a number only after it has been issued, so the entry's own order is that in which the lists were made, whatever the clocks and incarnations say. The scheduler refuses a number that is not above the latest one of that agent, also after it was detached or forgotten, and logs both numbers. io/ccreplay takes a number only on the connection for which it was issued, and replaces the agent's session only after the scheduler has accepted; the connection of a refused request is closed, which detaches nothing.

Agents and entries of before and after this change can't open sessions with each other.

--- a/core/cclab/agent.go
+++ b/core/cclab/agent.go
@@ -75,6 +75,8 @@
 		}
 	})
 	e.receive(costMessage, func() {
+		e.lastSession++
+		number := e.lastSession
 		a.lab.clock.after(netDelay, func() {
 			if s.closed {
 				return
@@ -84,8 +86,11 @@
 				a.sessionClosed(previous)
 			}
 			attach := a.manager.AttachRequest(now, a.ref, e.ref.ID)
+			attach.Session = number
 			e.receive(costAttach, func() {
-				e.attach(s, attach)
+				if !e.attach(s, attach) {
+					return
+				}
 				a.lab.clock.after(netDelay, func() {
 					if !s.closed && ref == e.ref {
 						s.opened = true
--- a/core/cclab/entry.go
+++ b/core/cclab/entry.go
@@ -18,6 +18,7 @@
 
 	scheduler   *ccreplay.Scheduler
 	sessions    map[ccnode.ID]*session
+	lastSession uint64 // The last session number that was issued.
 	callers     map[uint64]*caller
 	inbox       []inboxEvent
 	busy        bool
@@ -110,12 +111,13 @@
 	return time.Duration(float64(cost) / e.cfg.Share)
 }
 
-func (e *entry) attach(s *session, attach ccwire.Attach) {
-	if s.closed {
-		return
+// attach reports whether the session is accepted.
+func (e *entry) attach(s *session, attach ccwire.Attach) bool {
+	if s.closed || !e.scheduler.Attach(e.lab.clock.now, attach) {
+		return false
 	}
 	e.sessions[s.agent.ref.ID] = s
-	e.scheduler.Attach(e.lab.clock.now, attach)
+	return true
 }
 
 func (e *entry) report(s *session, report ccwire.RunReport) {
--- a/core/ccproof/replay_world_test.go
+++ b/core/ccproof/replay_world_test.go
@@ -309,6 +309,7 @@
 			asked := w.now
 			a.manager.SessionClosed(e.ref.ID)
 			attach := a.manager.AttachRequest(w.now, a.ref, e.ref.ID)
+			attach.Session = uint64(session)
 			link.session = session
 			e.scheduler.Attach(w.now, attach)
 			a.manager.SessionOpened(w.now, e.ref, asked)
--- a/core/ccreplay/agent.go
+++ b/core/ccreplay/agent.go
@@ -40,6 +40,7 @@
 	capacity ccresource.Amount
 	// attached is true while the agent has a session with this entry.
 	attached   bool
+	session    uint64 // The number of the latest session.
 	lastReport time.Time
 	// stalledAtReport is how long the entry had been stalled in all at the last report.
 	stalledAtReport time.Duration
--- a/core/ccreplay/attach.go
+++ b/core/ccreplay/attach.go
@@ -12,14 +12,27 @@
 )
 
 // Attach opens a session with an agent. Runs of the agent's current incarnation that
-// it does not list have ended.
-func (s *Scheduler) Attach(now time.Time, attach ccwire.Attach) {
+// it does not list have ended. It reports false, and changes nothing, if the agent has
+// opened a later session before: the request was delayed, and its list is outdated.
+func (s *Scheduler) Attach(now time.Time, attach ccwire.Attach) bool {
 	a := s.agents[attach.Node.ID]
+	latest := s.forgottenSession
+	if a != nil {
+		latest = a.session
+	}
+	if attach.Session <= latest {
+		s.recordChange(Change{
+			Message: "Session request refused.", Agent: attach.Node.ID, Incarnation: attach.Node.Incarnation,
+			Clock: time.Duration(attach.Report.ClockMS) * time.Millisecond, Session: attach.Session, LatestSession: latest,
+		})
+		return false
+	}
 	if a == nil {
 		a = s.addAgent(attach.Node)
 	}
+	a.session = attach.Session
 	if attach.Node.Incarnation < a.ref.Incarnation {
-		return
+		return true
 	}
 	if !a.attached {
 		s.attached++
@@ -32,7 +45,7 @@
 	a.clockOffset.reset()
 	s.recordChange(Change{
 		Message: "Agent attached.", Agent: a.ref.ID, Count: len(attach.Runs), Incarnation: a.ref.Incarnation,
-		Clock: time.Duration(attach.Report.ClockMS) * time.Millisecond,
+		Clock: time.Duration(attach.Report.ClockMS) * time.Millisecond, Session: a.session,
 	})
 	s.handleReport(now, a, attach.Report)
 	alive := map[ccwire.TaskRef]bool{}
@@ -45,6 +58,7 @@
 	s.reconcileRuns(now, a, alive, attach.Report.HandledSequence)
 	s.sendNow(a)
 	s.schedule(now)
+	return true
 }
 
 func (s *Scheduler) addAgent(ref ccnode.Ref) *agent {
@@ -122,6 +136,7 @@
 // forgetAgent deletes the state of an agent that has been detached for forgetAfter.
 func (s *Scheduler) forgetAgent(a *agent) {
 	delete(s.agents, a.ref.ID)
+	s.forgottenSession = max(s.forgottenSession, a.session)
 	s.agentList = slices.DeleteFunc(s.agentList, func(other *agent) bool { return other == a })
 	s.recordChange(Change{Message: "Agent forgotten.", Agent: a.ref.ID})
 }
--- a/core/ccreplay/cost_bench_test.go
+++ b/core/ccreplay/cost_bench_test.go
@@ -35,8 +35,12 @@
 
 func attachBenchAgent(s *Scheduler, now time.Time, i int, runs ...ccwire.TaskRef) {
 	capacity := ccresource.Amount{CPU: 4000}
+	session := uint64(1)
+	if a := s.agents[benchAgentID(i)]; a != nil {
+		session = a.session + 1
+	}
 	s.Attach(now, ccwire.Attach{
-		Node: ccnode.Ref{ID: benchAgentID(i), Incarnation: 1}, Runs: runs,
+		Node: ccnode.Ref{ID: benchAgentID(i), Incarnation: 1}, Session: session, Runs: runs,
 		Report: ccwire.RunReport{PriorRunsEnded: true, Free: capacity, Worker: &ccwire.WorkerInfo{Domain: "north", Service: "proof", Capacity: capacity}},
 	})
 }
--- a/core/ccreplay/fuzz_test.go
+++ b/core/ccreplay/fuzz_test.go
@@ -66,7 +66,7 @@
 	case 0, 1:
 		report.Results = nil
 		report.Worker = &ccwire.WorkerInfo{Domain: "north", Service: "proof", Capacity: ccresource.Amount{CPU: 4000}}
-		s.Attach(now, ccwire.Attach{Node: ccnode.Ref{ID: agent, Incarnation: ccnode.Incarnation(o.next(3))}, Runs: []ccwire.TaskRef{ref}, Report: report})
+		s.Attach(now, ccwire.Attach{Node: ccnode.Ref{ID: agent, Incarnation: ccnode.Incarnation(o.next(3))}, Session: token - min(token, report.HandledSequence/3), Runs: []ccwire.TaskRef{ref}, Report: report})
 	case 2:
 		s.Submit(now, Request{
 			Token: token, ID: job, Route: route, Tasks: 1 + o.next(5), Need: ccresource.Amount{CPU: 1000}, MaxPerWorker: o.next(3),
--- a/core/ccreplay/identity_test.go
+++ b/core/ccreplay/identity_test.go
@@ -11,10 +11,11 @@
 
 // sessionRequest returns a request for a session that an agent makes now. It may be
 // delivered at any later time.
-func (f *fixture) sessionRequest(id ccnode.ID, incarnation ccnode.Incarnation, runs ...ccwire.TaskRef) ccwire.Attach {
+func (f *fixture) sessionRequest(id ccnode.ID, runs ...ccwire.TaskRef) ccwire.Attach {
 	capacity := ccresource.Amount{CPU: 4000}
+	f.session++
 	return ccwire.Attach{
-		Node: ccnode.Ref{ID: id, Incarnation: incarnation}, Runs: runs,
+		Node: ccnode.Ref{ID: id, Incarnation: 1}, Session: f.session, Runs: runs,
 		Report: ccwire.RunReport{
 			ClockMS: f.now.Sub(epoch).Milliseconds(), HandledSequence: f.handled[id], PriorRunsEnded: true, Free: capacity,
 			Worker: &ccwire.WorkerInfo{Domain: "north", Service: "proof", Capacity: capacity},
@@ -33,10 +34,10 @@
 // that were placed since.
 func TestLateSessionRequest(t *testing.T) {
 	f := newFixture(t, "north", "south")
-	older := f.sessionRequest("agent-1", 1)
+	older := f.sessionRequest("agent-1")
 	older.Report.HandledSequence = 9 // Of the session before.
 	f.now = f.now.Add(500 * time.Millisecond)
-	f.s.Attach(f.now, f.sessionRequest("agent-1", 1))
+	f.s.Attach(f.now, f.sessionRequest("agent-1"))
 	f.report("agent-2")
 	f.submit("j1", 1, slow)
 	if placed := f.wantStarts(f.take(), 1)[0]; placed.agent != "agent-1" {
@@ -70,8 +71,56 @@
 	f.now = f.now.Add(100 * time.Millisecond)
 	f.report("agent-1")
 	f.report("agent-2")
-	again := f.sessionRequest(first.agent, 1, runOf(second))
+	again := f.sessionRequest(first.agent, runOf(second))
 	again.Report.Results = []ccwire.RunResult{stopped}
 	f.s.Attach(f.now, again)
 	f.wantStarts(f.take(), 0)
 }
+
+// TestRefusedSessionRequest guards against a refused request that changes anything, and
+// against one that leaves no trace in the log.
+func TestRefusedSessionRequest(t *testing.T) {
+	refused := func(out Actions) []Change {
+		var refused []Change
+		for _, c := range out.Changes {
+			if c.Message == "Session request refused." {
+				refused = append(refused, c)
+			}
+		}
+		return refused
+	}
+	t.Run("an older one and a repeated one", func(t *testing.T) {
+		f := newFixture(t)
+		older, latest := f.sessionRequest("agent-1"), f.sessionRequest("agent-1")
+		for i, attach := range []ccwire.Attach{latest, older, latest} {
+			if got := f.s.Attach(f.now, attach); got != (i == 0) {
+				t.Errorf("request %d: got %v", i, got)
+			}
+		}
+		if got := refused(f.take()); len(got) != 2 || got[0].Session != older.Session || got[0].LatestSession != latest.Session {
+			t.Errorf("got %+v, want one line for each refused request, with both numbers", got)
+		}
+	})
+	t.Run("one of an agent that is detached", func(t *testing.T) {
+		f := newFixture(t)
+		older, latest := f.sessionRequest("agent-1"), f.sessionRequest("agent-1")
+		f.s.Attach(f.now, latest)
+		f.s.Detach(f.now, "agent-1")
+		if f.s.Attach(f.now, older) || f.s.UsableAgents(f.now) != 0 {
+			t.Error("an older request opened a session")
+		}
+	})
+	t.Run("one of an agent that is forgotten", func(t *testing.T) {
+		f := newFixture(t)
+		older, latest := f.sessionRequest("agent-1"), f.sessionRequest("agent-1")
+		f.s.Attach(f.now, latest)
+		f.s.Detach(f.now, "agent-1")
+		f.advance(forgetAfter + time.Second)
+		if f.s.Attach(f.now, older) || len(f.s.agents) != 0 {
+			t.Error("an older request opened a session")
+		}
+		if !f.s.Attach(f.now, f.sessionRequest("agent-1")) {
+			t.Error("a later request was refused")
+		}
+	})
+}
--- a/core/ccreplay/lateness_test.go
+++ b/core/ccreplay/lateness_test.go
@@ -101,8 +101,9 @@
 		token := f.submit("j1", 1, func(r *Request) { r.Deadline = f.now.Add(100 * time.Millisecond) })
 		f.wantStarts(f.take(), 1)
 		f.s.Detach(f.now, "agent-1")
+		f.session++
 		f.s.Attach(f.now, ccwire.Attach{
-			Node:   f.s.agents["agent-1"].ref,
+			Node: f.s.agents["agent-1"].ref, Session: f.session,
 			Report: ccwire.RunReport{HandledSequence: 9, PriorRunsEnded: true, ClosedReason: "worker is draining"},
 		})
 		f.take()
--- a/core/ccreplay/relay_test.go
+++ b/core/ccreplay/relay_test.go
@@ -128,8 +128,9 @@
 		t.Errorf("changes: got %v, %v and %v, want entry 3 joined and entry 1 left", got.Entries, got.EntriesJoined, got.EntriesLeft)
 	}
 	t.Run("an agent that knows the entries is not sent them", func(t *testing.T) {
+		f.session++
 		f.s.Attach(f.now, ccwire.Attach{
-			Node: ccnode.Ref{ID: "agent-1", Incarnation: 1}, EntriesDigest: ccsubset.Digest([]ccsubset.Entry{entry(3), entry(2)}),
+			Node: ccnode.Ref{ID: "agent-1", Incarnation: 1}, Session: f.session, EntriesDigest: ccsubset.Digest([]ccsubset.Entry{entry(3), entry(2)}),
 		})
 		if got := f.take().Messages[0].Orders; len(got.Entries) != 0 || len(got.EntriesJoined) != 0 {
 			t.Errorf("entries: got %v and %v, want none", got.Entries, got.EntriesJoined)
--- a/core/ccreplay/scheduler.go
+++ b/core/ccreplay/scheduler.go
@@ -39,6 +39,9 @@
 	// its report.
 	Incarnation ccnode.Incarnation
 	Clock       time.Duration
+	// Session is the number of a session, and LatestSession that of the agent's latest one.
+	Session       uint64
+	LatestSession uint64
 	// Placements are the tasks of the job that were placed at once.
 	Placements []Placement
 	// Quiet is true for a repeated change that is counted but not logged.
@@ -82,9 +85,11 @@
 	agents    map[ccnode.ID]*agent
 	agentList []*agent // Sorted by ID, so that decisions are reproducible.
 	attached  int      // Number of agents with a session.
-	outbox    []*agent // Agents with a message to send.
-	jobs      map[string]*job
-	jobList   []*job // In order of arrival.
+	// forgottenSession is the highest number of a session of the agents that were forgotten.
+	forgottenSession uint64
+	outbox           []*agent // Agents with a message to send.
+	jobs             map[string]*job
+	jobList          []*job // In order of arrival.
 	// lastEvent is the time of the last event. holdUntil is when jobs from before a
 	// pause of this process may be placed again.
 	lastEvent  time.Time
--- a/core/ccreplay/scheduler_test.go
+++ b/core/ccreplay/scheduler_test.go
@@ -25,6 +25,7 @@
 	free    map[ccnode.ID]int64
 	handled map[ccnode.ID]uint64
 	token   uint64
+	session uint64 // The last session number that was issued.
 }
 
 // newFixture returns a fixture with one agent in each of the given domains. Each agent
@@ -45,9 +46,10 @@
 
 func (f *fixture) attach(id ccnode.ID, incarnation ccnode.Incarnation, domain string, runs ...ccwire.TaskRef) {
 	f.free[id] = 4000
+	f.session++
 	capacity := ccresource.Amount{CPU: 4000}
 	f.s.Attach(f.now, ccwire.Attach{
-		Node: ccnode.Ref{ID: id, Incarnation: incarnation}, Runs: runs,
+		Node: ccnode.Ref{ID: id, Incarnation: incarnation}, Session: f.session, Runs: runs,
 		Report: ccwire.RunReport{PriorRunsEnded: true, Free: capacity, Worker: &ccwire.WorkerInfo{Domain: domain, Service: "proof", Capacity: capacity}},
 	})
 }
@@ -305,7 +307,8 @@
 	t.Run("a new incarnation that is not settled requeues nothing", func(t *testing.T) {
 		f := newFixture(t, "north", "south")
 		lastReport, _ := loseAgent(f)
-		f.s.Attach(f.now, ccwire.Attach{Node: ccnode.Ref{ID: "agent-1", Incarnation: 2}})
+		f.session++
+		f.s.Attach(f.now, ccwire.Attach{Node: ccnode.Ref{ID: "agent-1", Incarnation: 2}, Session: f.session})
 		f.wantStarts(f.take(), 0)
 		f.now = lastReport.Add(200 * time.Millisecond)
 		f.s.Report(f.now, "agent-1", ccwire.RunReport{PriorRunsEnded: true})
--- a/core/ccwire/session.go
+++ b/core/ccwire/session.go
@@ -61,16 +61,25 @@
 	// EntriesDigest is the ccsubset.Digest of the entries that the agent knows. An entry
 	// that knows the same ones need not send them.
 	EntriesDigest uint64 `cbor:"4,keyasint"`
+	// Session is that of the IdentifyReply.
+	Session uint64 `cbor:"5,keyasint"`
 }
 
 // IdentifyReply names the entry that answers at an address.
 type IdentifyReply struct {
 	Node ccnode.Ref `cbor:"1,keyasint"`
+	// Session is the number of the session that the agent may open on this connection. It
+	// rises within an incarnation of the entry, and is at least 1. An agent gives up a
+	// request for a session before it begins the next one, so of two requests of an agent,
+	// the one with the higher number is the later one, whichever arrives first.
+	Session uint64 `cbor:"2,keyasint"`
 }
 
 // AttachReply accepts a session.
 type AttachReply struct {
 	Node ccnode.Ref `cbor:"1,keyasint"`
+	// Session is that of the Attach.
+	Session uint64 `cbor:"2,keyasint"`
 }
 
 // RunResult tells an entry that a run of its task has ended.
--- a/io/cclease/session.go
+++ b/io/cclease/session.go
@@ -155,6 +155,7 @@
 		s.entry = identity.Node.ID
 		attach := a.manager.AttachRequest(now, a.cfg.Node, identity.Node.ID)
 		attach.EntriesDigest = a.subset.Digest()
+		attach.Session = identity.Session
 		request <- attach
 	})
 	var attach ccwire.Attach
--- a/io/ccreplay/entry.go
+++ b/io/ccreplay/entry.go
@@ -76,6 +76,7 @@
 	planBehind   atomic.Int64 // In nanoseconds.
 	outdated     atomic.Bool
 	lastToken    atomic.Uint64
+	lastSession  atomic.Uint64 // The last session number that was issued.
 
 	// The fields below are owned by the control goroutine.
 	scheduler     *ccreplay.Scheduler
--- a/io/ccreplay/record.go
+++ b/io/ccreplay/record.go
@@ -79,7 +79,7 @@
 // logFields returns the log fields of a change. It omits empty fields to keep log
 // lines short, since each line has a cost.
 func logFields(c ccreplay.Change) []any {
-	fields := make([]any, 0, 18)
+	fields := make([]any, 0, 22)
 	if c.Job != "" {
 		fields = append(fields, "job", c.Job, "index", c.Index)
 	}
@@ -104,6 +104,12 @@
 	if c.Incarnation != 0 {
 		fields = append(fields, "incarnation", uint64(c.Incarnation), "clockMs", c.Clock.Milliseconds())
 	}
+	if c.Session != 0 {
+		fields = append(fields, "session", c.Session)
+	}
+	if c.LatestSession != 0 {
+		fields = append(fields, "latestSession", c.LatestSession)
+	}
 	return fields
 }
 
--- a/io/ccreplay/session.go
+++ b/io/ccreplay/session.go
@@ -9,10 +9,11 @@
 	"camphorcroft/io/ccsession"
 )
 
-// session is the connection of an attached agent.
+// session is the connection of an agent that has identified this entry.
 type session struct {
-	agent ccnode.ID
-	conn  *ccsession.Conn
+	number uint64
+	agent  ccnode.ID // Empty until the agent has requested the session.
+	conn   *ccsession.Conn
 }
 
 // connHandler handles the messages of all connections from agents.
@@ -22,7 +23,23 @@
 	sessions map[*ccsession.Conn]*session
 }
 
-// session returns the session on a connection, or nil before the agent has attached.
+// identify issues a session number for a connection.
+func (h *connHandler) identify(conn *ccsession.Conn) {
+	s := &session{number: h.entry.lastSession.Add(1), conn: conn}
+	h.mu.Lock()
+	if h.sessions == nil {
+		h.sessions = map[*ccsession.Conn]*session{}
+	}
+	if h.sessions[conn] == nil {
+		h.sessions[conn] = s
+	}
+	s = h.sessions[conn]
+	h.mu.Unlock()
+	conn.Send(ccwire.MessageIdentifyReply, ccwire.IdentifyReply{Node: h.entry.cfg.Node, Session: s.number})
+}
+
+// session returns the session on a connection, or nil before the agent has identified this
+// entry.
 func (h *connHandler) session(conn *ccsession.Conn) *session {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -34,7 +51,7 @@
 	var err error
 	switch message {
 	case ccwire.MessageIdentify:
-		conn.Send(ccwire.MessageIdentifyReply, ccwire.IdentifyReply{Node: h.entry.cfg.Node})
+		h.identify(conn)
 	case ccwire.MessageAttach:
 		var attach ccwire.Attach
 		if err = ccsession.Decode(body, &attach); err == nil {
@@ -73,23 +90,26 @@
 	})
 }
 
-// handleAttach registers the agent's session, closes its previous one and replies.
+// handleAttach registers the agent's session, closes its previous one and replies. A
+// request that the scheduler does not accept gets no reply: its connection is closed.
 func (h *connHandler) handleAttach(conn *ccsession.Conn, attach ccwire.Attach) {
 	e := h.entry
-	s := &session{agent: attach.Node.ID, conn: conn}
-	h.mu.Lock()
-	if h.sessions == nil {
-		h.sessions = map[*ccsession.Conn]*session{}
+	s := h.session(conn)
+	if s == nil || attach.Session != s.number || s.agent != "" {
+		conn.Close()
+		return
 	}
-	h.sessions[conn] = s
-	h.mu.Unlock()
+	s.agent = attach.Node.ID
 	e.do(func(now time.Time) {
+		if !e.scheduler.Attach(now, attach) {
+			conn.Close()
+			return
+		}
 		if previous := e.sessions[s.agent]; previous != nil {
 			previous.conn.Close()
 		}
 		e.sessions[s.agent] = s
-		conn.Send(ccwire.MessageAttachReply, ccwire.AttachReply{Node: e.cfg.Node})
-		e.scheduler.Attach(now, attach)
+		conn.Send(ccwire.MessageAttachReply, ccwire.AttachReply{Node: e.cfg.Node, Session: s.number})
 	})
 }
 
