Follow an agent that starts again with a lower incarnation

What callers saw: jobs that were not finished in time after an agent's host had set its clock back and started again. An incarnation is a time, so the new one is lower than the one before it. The scheduler returned from Attach without a word, while io/ccreplay took the session over and replied: the agent counted as attached with its earlier incarnation, its lists were ignored, and the runs of the earlier one never ended, since their agent was never lost.

The number of the session says which request is the later one, so an incarnation only has to be another one to be new. Ruled out: comparing the clocks in the reports, which start again with each incarnation.

--- a/core/ccreplay/attach.go
+++ b/core/ccreplay/attach.go
@@ -12,8 +12,11 @@
 )
 
 // Attach opens a session with an agent. Runs of the agent's current incarnation that
-// it does not list have ended. It reports false, and changes nothing, if the agent has
-// opened a later session before: the request was delayed, and its list is outdated.
+// it does not list have ended. Any other incarnation in a later session is a newer one,
+// also if its number is lower because the agent's clock was set back.
+//
+// Attach reports false, and changes nothing, if the agent has opened a later session
+// before: the request was delayed, and its list is outdated.
 func (s *Scheduler) Attach(now time.Time, attach ccwire.Attach) bool {
 	a := s.agents[attach.Node.ID]
 	latest := s.forgottenSession
@@ -31,9 +34,6 @@
 		a = s.addAgent(attach.Node)
 	}
 	a.session = attach.Session
-	if attach.Node.Incarnation < a.ref.Incarnation {
-		return true
-	}
 	if !a.attached {
 		s.attached++
 	}
--- a/core/ccreplay/identity_test.go
+++ b/core/ccreplay/identity_test.go
@@ -11,11 +11,11 @@
 
 // sessionRequest returns a request for a session that an agent makes now. It may be
 // delivered at any later time.
-func (f *fixture) sessionRequest(id ccnode.ID, runs ...ccwire.TaskRef) ccwire.Attach {
+func (f *fixture) sessionRequest(id ccnode.ID, incarnation ccnode.Incarnation, runs ...ccwire.TaskRef) ccwire.Attach {
 	capacity := ccresource.Amount{CPU: 4000}
 	f.session++
 	return ccwire.Attach{
-		Node: ccnode.Ref{ID: id, Incarnation: 1}, Session: f.session, Runs: runs,
+		Node: ccnode.Ref{ID: id, Incarnation: incarnation}, Session: f.session, Runs: runs,
 		Report: ccwire.RunReport{
 			ClockMS: f.now.Sub(epoch).Milliseconds(), HandledSequence: f.handled[id], PriorRunsEnded: true, Free: capacity,
 			Worker: &ccwire.WorkerInfo{Domain: "north", Service: "proof", Capacity: capacity},
@@ -34,10 +34,10 @@
 // that were placed since.
 func TestLateSessionRequest(t *testing.T) {
 	f := newFixture(t, "north", "south")
-	older := f.sessionRequest("agent-1")
+	older := f.sessionRequest("agent-1", 1)
 	older.Report.HandledSequence = 9 // Of the session before.
 	f.now = f.now.Add(500 * time.Millisecond)
-	f.s.Attach(f.now, f.sessionRequest("agent-1"))
+	f.s.Attach(f.now, f.sessionRequest("agent-1", 1))
 	f.report("agent-2")
 	f.submit("j1", 1, slow)
 	if placed := f.wantStarts(f.take(), 1)[0]; placed.agent != "agent-1" {
@@ -71,7 +71,7 @@
 	f.now = f.now.Add(100 * time.Millisecond)
 	f.report("agent-1")
 	f.report("agent-2")
-	again := f.sessionRequest(first.agent, runOf(second))
+	again := f.sessionRequest(first.agent, 1, runOf(second))
 	again.Report.Results = []ccwire.RunResult{stopped}
 	f.s.Attach(f.now, again)
 	f.wantStarts(f.take(), 0)
@@ -91,7 +91,7 @@
 	}
 	t.Run("an older one and a repeated one", func(t *testing.T) {
 		f := newFixture(t)
-		older, latest := f.sessionRequest("agent-1"), f.sessionRequest("agent-1")
+		older, latest := f.sessionRequest("agent-1", 1), f.sessionRequest("agent-1", 1)
 		for i, attach := range []ccwire.Attach{latest, older, latest} {
 			if got := f.s.Attach(f.now, attach); got != (i == 0) {
 				t.Errorf("request %d: got %v", i, got)
@@ -103,7 +103,7 @@
 	})
 	t.Run("one of an agent that is detached", func(t *testing.T) {
 		f := newFixture(t)
-		older, latest := f.sessionRequest("agent-1"), f.sessionRequest("agent-1")
+		older, latest := f.sessionRequest("agent-1", 1), f.sessionRequest("agent-1", 1)
 		f.s.Attach(f.now, latest)
 		f.s.Detach(f.now, "agent-1")
 		if f.s.Attach(f.now, older) || f.s.UsableAgents(f.now) != 0 {
@@ -112,15 +112,52 @@
 	})
 	t.Run("one of an agent that is forgotten", func(t *testing.T) {
 		f := newFixture(t)
-		older, latest := f.sessionRequest("agent-1"), f.sessionRequest("agent-1")
+		older, latest := f.sessionRequest("agent-1", 1), f.sessionRequest("agent-1", 1)
 		f.s.Attach(f.now, latest)
 		f.s.Detach(f.now, "agent-1")
 		f.advance(forgetAfter + time.Second)
 		if f.s.Attach(f.now, older) || len(f.s.agents) != 0 {
 			t.Error("an older request opened a session")
 		}
-		if !f.s.Attach(f.now, f.sessionRequest("agent-1")) {
+		if !f.s.Attach(f.now, f.sessionRequest("agent-1", 1)) {
 			t.Error("a later request was refused")
 		}
 	})
 }
+
+// TestAgentClockSetBack guards against a session of an agent that has started again with a
+// lower incarnation, because its clock was set back, and is taken for its earlier self: the
+// runs of that one would never end, and the lists of the new one would be ignored.
+func TestAgentClockSetBack(t *testing.T) {
+	start := func(t *testing.T) (*fixture, ccwire.Attach) {
+		f := newFixture(t)
+		f.s.Attach(f.now, f.sessionRequest("agent-1", 5))
+		f.submit("j1", 1, slow)
+		f.wantStarts(f.take(), 1)
+		f.attach("agent-2", 1, "south")
+		f.now = f.now.Add(100 * time.Millisecond)
+		f.report("agent-2")
+		return f, f.sessionRequest("agent-1", 3)
+	}
+	t.Run("its earlier runs are settled by the new incarnation", func(t *testing.T) {
+		f, later := start(t)
+		later.Report.PriorRunsEnded = false
+		if !f.s.Attach(f.now, later) {
+			t.Fatal("the session was refused")
+		}
+		f.wantStarts(f.take(), 0)
+		f.s.Report(f.now, "agent-1", ccwire.RunReport{PriorRunsEnded: true})
+		f.wantStarts(f.take(), 1)
+	})
+	t.Run("its list of runs is followed", func(t *testing.T) {
+		f, later := start(t)
+		f.s.Attach(f.now, later)
+		f.wantStarts(f.take(), 1)
+		f.submit("j2", 4, slow)
+		f.wantStarts(f.take(), 4)
+		f.s.Attach(f.now, f.sessionRequest("agent-1", 3, ccwire.TaskRef{Job: "j9"}))
+		if stops := stopsIn(f.take()); len(stops) != 1 || stops[0].Job != "j9" {
+			t.Errorf("stops: got %v, want j9", stops)
+		}
+	})
+}
