Open a session only for the reply to the agent's latest request

What callers saw: a task may run twice at the same time if an agent reaches one entry under two addresses, or if a reply comes after the agent has turned to another request. The reply to the earlier one opened its session at the agent, and the orders in it were followed, while the entry had the later request, whose list lacks what they start.

The manager keeps its latest request to each entry. Only the reply to that one, and only the first, opens a session; a later request closes the session before, so that its queued orders are dropped; and a request whose number is below that of one made before is not made at all, so that it can't close the later session. A restarted entry counts anew. "Session reply ignored." names the number of a reply that was not followed.

Evidence: with the comparison and the closing put off, the first two cases of TestReplyToAnEarlierRequest fail, with a start in the session of the earlier request.

The fixtures of core/cclease open sessions with a request now, as an agent does.

--- a/core/cclab/agent.go
+++ b/core/cclab/agent.go
@@ -85,17 +85,18 @@
 			if previous := a.sessions[e.ref.ID]; previous != nil {
 				a.sessionClosed(previous)
 			}
-			attach := a.manager.AttachRequest(now, a.ref, e.ref.ID)
-			attach.Session = number
+			attach, ok := a.manager.AttachRequest(now, a.ref, ref, number)
+			if !ok {
+				return
+			}
 			e.receive(costAttach, func() {
 				if !e.attach(s, attach) {
 					return
 				}
 				a.lab.clock.after(netDelay, func() {
-					if !s.closed && ref == e.ref {
+					if !s.closed && ref == e.ref && a.manager.SessionOpened(a.lab.clock.now, ref, number) {
 						s.opened = true
 						a.sessions[e.ref.ID] = s
-						a.manager.SessionOpened(a.lab.clock.now, ref, now)
 						a.flush()
 					}
 				})
--- a/core/cclease/crash_test.go
+++ b/core/cclease/crash_test.go
@@ -46,10 +46,10 @@
 		f := newFixture(t)
 		crash(f)
 		f.manager.SessionClosed(entryB.ID)
-		attach := f.manager.AttachRequest(f.now, ccnode.Ref{ID: "agent"}, entryB.ID)
+		attach := f.attachRequest(entryB)
 		wantSuspect(t, attach.Report.Crashes, "job")
 		f.advance(crashRetention + time.Second)
-		if attach := f.manager.AttachRequest(f.now, ccnode.Ref{ID: "agent"}, entryB.ID); len(attach.Report.Crashes) != 0 {
+		if attach := f.attachRequest(entryB); len(attach.Report.Crashes) != 0 {
 			t.Errorf("crashes after their retention: got %+v, want none", attach.Report.Crashes)
 		}
 	})
--- a/core/cclease/fixture_test.go
+++ b/core/cclease/fixture_test.go
@@ -21,6 +21,7 @@
 	manager      *Manager
 	now          time.Time
 	seq          uint64
+	session      uint64     // The last session number that was issued.
 	pendingPolls []PollCall // Polls without a response so far.
 }
 
@@ -38,12 +39,31 @@
 	f := &fixture{t: t, manager: NewManager(Config{Token: 7, StartTime: epoch}), now: epoch}
 	f.manager.Heartbeat(f.now, f.worker())
 	f.completePoll(f.nextPoll(), PollResponse{Response: Response{Status: StatusOK, Clock: time.Second}})
-	f.manager.SessionOpened(f.now, entryA, f.now)
-	f.manager.SessionOpened(f.now, entryB, f.now)
+	f.openSession(entryA)
+	f.openSession(entryB)
 	f.take()
 	return f
 }
 
+// attachRequest returns a request for a session with an entry.
+func (f *fixture) attachRequest(entry ccnode.Ref) ccwire.Attach {
+	f.t.Helper()
+	f.session++
+	attach, ok := f.manager.AttachRequest(f.now, ccnode.Ref{ID: "agent"}, entry, f.session)
+	if !ok {
+		f.t.Fatalf("session %d of %s: no request", f.session, entry)
+	}
+	return attach
+}
+
+// openSession requests a session that the entry accepts.
+func (f *fixture) openSession(entry ccnode.Ref) {
+	f.t.Helper()
+	if attach := f.attachRequest(entry); !f.manager.SessionOpened(f.now, entry, attach.Session) {
+		f.t.Fatalf("session %d of %s was not opened", attach.Session, entry)
+	}
+}
+
 func (f *fixture) worker() Worker {
 	return Worker{
 		ID: "w-1", StartTime: epoch.Add(-time.Hour), Service: "proof", Domain: "north", Sequence: 1,
--- a/core/cclease/identity_test.go
+++ b/core/cclease/identity_test.go
@@ -13,7 +13,7 @@
 func TestNewEntryIsNotToldOfEarlierRuns(t *testing.T) {
 	f := newFixture(t)
 	f.startRunning(entryA, "j1")
-	f.manager.SessionOpened(f.now, ccnode.Ref{ID: entryA.ID, Incarnation: 2}, f.now)
+	f.openSession(ccnode.Ref{ID: entryA.ID, Incarnation: 2})
 	f.manager.StopCompleted(f.now, f.take().Stops[0], Response{Status: StatusOK})
 	f.completePoll(f.nextPoll(), okPollResponse(nil, []EndedRun{{Number: 1, Task: ccwire.TaskRef{Job: "j1"}, Run: 1, End: ccwire.RunStopped}}))
 	if f.manager.ActiveRuns() != 0 {
@@ -23,3 +23,49 @@
 		t.Errorf("ends told to the new incarnation: got %+v, want none", ends)
 	}
 }
+
+// TestReplyToAnEarlierRequest guards against a task that runs twice at once: the agent has
+// turned to another request, whose list lacks what the orders of the earlier session start.
+func TestReplyToAnEarlierRequest(t *testing.T) {
+	wantNoStart := func(t *testing.T, f *fixture) {
+		t.Helper()
+		if out := f.orderStart(entryA, "j1", 1000); len(out.Starts) != 0 || f.manager.ActiveRuns() != 0 {
+			t.Errorf("starts: got %v, want none", out.Starts)
+		}
+	}
+	t.Run("opens no session", func(t *testing.T) {
+		f := newFixture(t)
+		earlier, latest := f.attachRequest(entryA), f.attachRequest(entryA)
+		if f.manager.SessionOpened(f.now, entryA, earlier.Session) || f.manager.Connected(entryA.ID) {
+			t.Error("the reply to an earlier request opened a session")
+		}
+		wantNoStart(t, f)
+		if !f.manager.SessionOpened(f.now, entryA, latest.Session) {
+			t.Fatal("the reply to the latest request opened no session")
+		}
+		if f.manager.SessionOpened(f.now, entryA, latest.Session) || f.manager.SessionOpened(f.now, entryA, earlier.Session) {
+			t.Error("a repeated or late reply opened a session")
+		}
+		if f.manager.SessionOpened(f.now, ccnode.Ref{ID: entryA.ID, Incarnation: 2}, latest.Session) {
+			t.Error("the reply of another incarnation opened a session")
+		}
+		if out := f.orderStart(entryA, "j1", 1000); len(out.Starts) != 1 {
+			t.Errorf("starts in the latest session: got %v, want 1", out.Starts)
+		}
+	})
+	t.Run("orders of the session before are dropped", func(t *testing.T) {
+		f := newFixture(t)
+		f.attachRequest(entryA)
+		wantNoStart(t, f)
+	})
+	t.Run("an earlier handshake does not close a later session", func(t *testing.T) {
+		f := newFixture(t)
+		f.openSession(entryA)
+		if _, ok := f.manager.AttachRequest(f.now, ccnode.Ref{ID: "agent"}, entryA, f.session-1); ok || !f.manager.Connected(entryA.ID) {
+			t.Error("a request with an earlier number was made")
+		}
+		if _, ok := f.manager.AttachRequest(f.now, ccnode.Ref{ID: "agent"}, ccnode.Ref{ID: entryA.ID, Incarnation: 2}, 1); !ok {
+			t.Error("the numbers of another incarnation count anew, and the request was not made")
+		}
+	})
+}
--- a/core/cclease/manager.go
+++ b/core/cclease/manager.go
@@ -51,6 +51,8 @@
 	Attempt int
 	// Clock is the agent's clock, from its start, in the request for the session.
 	Clock time.Duration
+	// Session is the number of a session.
+	Session uint64
 	// Pace is the ratio of actual to estimated run time.
 	Pace float64
 }
@@ -87,6 +89,7 @@
 
 	owners     map[ccnode.ID]*owner
 	ownerList  []*owner // In the order in which they were added.
+	requests   map[ccnode.ID]sessionRequest
 	runs       map[ccwire.TaskRef]*run
 	runList    []*run // In the order in which they were added.
 	runNumbers map[ccwire.TaskRef]lastRunNumber
@@ -114,6 +117,7 @@
 		cfg:        cfg,
 		token:      cfg.Token,
 		owners:     map[ccnode.ID]*owner{},
+		requests:   map[ccnode.ID]sessionRequest{},
 		runs:       map[ccwire.TaskRef]*run{},
 		runNumbers: map[ccwire.TaskRef]lastRunNumber{},
 	}
@@ -206,7 +210,8 @@
 }
 
 // prune discards run numbers that no late call can refer to any more, old ends, and
-// entries that have been disconnected for longer than ownerRetention.
+// entries that have been disconnected for longer than ownerRetention, with their requests
+// for sessions.
 func (m *Manager) prune(now time.Time) {
 	m.prunedAt = now
 	m.pruneCrashes(now)
@@ -222,6 +227,11 @@
 			m.ownerList = slices.DeleteFunc(m.ownerList, func(other *owner) bool { return other == o })
 		}
 	}
+	for id, request := range m.requests {
+		if m.owners[id] == nil && now.Sub(request.at) > ownerRetention {
+			delete(m.requests, id)
+		}
+	}
 }
 
 // runNumberRetention is how long the run number of an ended task is kept: longer than
--- a/core/cclease/manager_test.go
+++ b/core/cclease/manager_test.go
@@ -187,7 +187,7 @@
 		f := newFixture(t)
 		f.startRunning(entryA, "j1")
 		f.manager.SessionClosed(entryA.ID)
-		f.manager.SessionOpened(f.now, ccnode.Ref{ID: entryA.ID, Incarnation: 2}, f.now)
+		f.openSession(ccnode.Ref{ID: entryA.ID, Incarnation: 2})
 		wantStops(t, f.take(), "j1")
 	})
 	t.Run("the same incarnation gets its runs and recent ends back", func(t *testing.T) {
@@ -198,7 +198,7 @@
 		f.completePoll(PollCall{Worker: "w-1", Wait: pollWait, Sent: f.now}, okPollResponse(
 			[]ActiveRun{{Task: ccwire.TaskRef{Job: "j1"}, Run: 1}},
 			[]EndedRun{{Number: 1, Task: ccwire.TaskRef{Job: "j2"}, Run: 1, End: ccwire.RunDone}}))
-		attach := f.manager.AttachRequest(f.now, ccnode.Ref{ID: "agent"}, entryA.ID)
+		attach := f.attachRequest(entryA)
 		if len(attach.Runs) != 1 || attach.Runs[0].Job != "j1" {
 			t.Errorf("runs: got %v, want j1", attach.Runs)
 		}
@@ -308,7 +308,7 @@
 		f := &fixture{t: t, manager: NewManager(Config{Token: 8, StartTime: epoch}), now: epoch}
 		f.manager.Heartbeat(f.now, f.worker())
 		call := f.nextPoll()
-		f.manager.SessionOpened(f.now, entryA, f.now)
+		f.openSession(entryA)
 		f.take()
 		if out := f.orderStart(entryA, "j2", 1000); len(out.Starts) != 0 {
 			t.Errorf("starts before the first poll response: got %v", out.Starts)
@@ -412,7 +412,7 @@
 	f := newFixture(t)
 	// An entry needs the capacity of an agent that accepts starts as soon as the session
 	// opens.
-	if attach := f.manager.AttachRequest(f.now, ccnode.Ref{ID: "agent"}, "entry-c"); attach.Report.Worker == nil || attach.Report.Worker.Capacity.CPU != 4000 {
+	if attach := f.attachRequest(ccnode.Ref{ID: "entry-c"}); attach.Report.Worker == nil || attach.Report.Worker.Capacity.CPU != 4000 {
 		t.Errorf("worker: got %+v", attach.Report.Worker)
 	}
 }
@@ -456,7 +456,7 @@
 			t.Fatal("the other entry did not get the plan")
 		}
 		f.manager.SessionClosed(entryB.ID)
-		f.manager.SessionOpened(f.now, entryB, f.now)
+		f.openSession(entryB)
 		f.sendOrders(entryB, ccwire.Orders{WantPlan: true})
 		if !receivesPlan(f) {
 			t.Error("the other entry did not get another copy")
--- a/core/cclease/owner.go
+++ b/core/cclease/owner.go
@@ -33,6 +33,14 @@
 	capacityInterval time.Duration
 }
 
+// sessionRequest is the agent's latest request for a session with an entry.
+type sessionRequest struct {
+	entry   ccnode.Ref
+	session uint64
+	at      time.Time
+	opened  bool
+}
+
 // recentEnd is the end of a run, kept for a while for an entry that reconnects.
 type recentEnd struct {
 	ended ccwire.RunResult
@@ -49,14 +57,20 @@
 	o.recentEnds = kept
 }
 
-// AttachRequest returns the request that opens a session with an entry. It replaces
-// the entry's previous session.
-func (m *Manager) AttachRequest(now time.Time, self ccnode.Ref, entry ccnode.ID) ccwire.Attach {
-	attach := ccwire.Attach{Node: self, Runs: []ccwire.TaskRef{}}
-	o := m.owners[entry]
+// AttachRequest returns the request for a session with an entry, with the number that the
+// entry has issued. It closes the entry's previous session. It reports false, and changes
+// nothing, if a later session of the same entry has been requested before.
+func (m *Manager) AttachRequest(now time.Time, self, entry ccnode.Ref, session uint64) (ccwire.Attach, bool) {
+	if latest := m.requests[entry.ID]; latest.entry == entry && session <= latest.session {
+		return ccwire.Attach{}, false
+	}
+	m.requests[entry.ID] = sessionRequest{entry: entry, session: session, at: now}
+	m.SessionClosed(entry.ID)
+	attach := ccwire.Attach{Node: self, Session: session, Runs: []ccwire.TaskRef{}}
+	o := m.owners[entry.ID]
 	if o != nil {
 		for _, r := range m.runList {
-			if r.owner == entry {
+			if r.owner == entry.ID {
 				attach.Runs = append(attach.Runs, r.task)
 			}
 		}
@@ -71,12 +85,22 @@
 			attach.Report.Results = append(attach.Report.Results, end.ended)
 		}
 	}
-	return attach
+	return attach, true
 }
 
-// SessionOpened records a session that the agent requested at requestedAt. The runs
-// of an earlier incarnation of the entry are stopped.
-func (m *Manager) SessionOpened(now time.Time, entry ccnode.Ref, requestedAt time.Time) {
+// SessionOpened records a session that the entry has accepted. The runs of an earlier
+// incarnation of the entry are stopped. It reports false, and changes nothing, unless the
+// session is that of the latest request to the entry and is opened for the first time: the
+// agent has turned to another one, whose request lists the runs without those that the
+// orders of this one would start.
+func (m *Manager) SessionOpened(now time.Time, entry ccnode.Ref, session uint64) bool {
+	request := m.requests[entry.ID]
+	if request.entry != entry || request.session != session || request.opened {
+		m.actions.Changes = append(m.actions.Changes, Change{Message: "Session reply ignored.", Entry: entry.ID, Session: session})
+		return false
+	}
+	request.opened = true
+	m.requests[entry.ID] = request
 	o := m.owners[entry.ID]
 	if o == nil || o.ref != entry {
 		if o != nil {
@@ -88,16 +112,17 @@
 		m.ownerList = append(m.ownerList, o)
 	}
 	o.connected = true
-	o.lastHeard = requestedAt
+	o.lastHeard = request.at
 	o.handledSequence = 0
 	o.reportNow = true
 	o.sentInfo = nil
 	// The request for the session has the earlier ones.
-	o.pendingCrashes = m.crashesSince(requestedAt)
+	o.pendingCrashes = m.crashesSince(request.at)
 	o.retiring, o.wantsPlan = false, false
 	o.demand, o.offer = nil, offer{}
-	m.actions.Changes = append(m.actions.Changes, Change{Message: "Session opened.", Entry: entry.ID, Clock: requestedAt.Sub(m.cfg.StartTime)})
+	m.actions.Changes = append(m.actions.Changes, Change{Message: "Session opened.", Entry: entry.ID, Clock: request.at.Sub(m.cfg.StartTime), Session: session})
 	m.sendDueReports(now)
+	return true
 }
 
 // SessionClosed records that the session has ended. The entry's runs continue until
--- a/core/cclease/walk_test.go
+++ b/core/cclease/walk_test.go
@@ -32,6 +32,7 @@
 	now      time.Time
 	worker   Worker
 	sequence uint64
+	session  uint64 // The last session number that was issued.
 	starts   []StartCall
 	stops    []StopCall
 	polls    []PollCall
@@ -96,6 +97,14 @@
 	w.manager.OrdersReceived(w.now, entry.ID, orders)
 }
 
+// openSession requests a session that the entry accepts.
+func (w *walk) openSession(entry ccnode.Ref) {
+	w.session++
+	if _, ok := w.manager.AttachRequest(w.now, ccnode.Ref{ID: "agent"}, entry, w.session); !ok || !w.manager.SessionOpened(w.now, entry, w.session) {
+		w.t.Fatalf("session %d of %s was not opened", w.session, entry)
+	}
+}
+
 func (w *walk) response() Response {
 	return Response{
 		Status: statuses[w.draw(len(statuses), "status")], Clock: w.now.Sub(epoch) + time.Second,
@@ -153,7 +162,7 @@
 			w.manager.PollCompleted(w.now, call, w.pollResponse())
 		}
 	case 8:
-		w.manager.SessionOpened(w.now, w.entry(), w.now)
+		w.openSession(w.entry())
 	case 9:
 		w.manager.SessionClosed(w.entry().ID)
 	case 10:
@@ -195,8 +204,8 @@
 		worker: Worker{ID: "w-1", StartTime: epoch.Add(-time.Hour), Service: "proof", Domain: "north", Clock: time.Second, Capacity: ccresource.Amount{CPU: 4000, Memory: 4000}},
 	}
 	w.manager.Heartbeat(w.now, w.worker)
-	w.manager.SessionOpened(w.now, entryA, w.now)
-	w.manager.SessionOpened(w.now, entryB, w.now)
+	w.openSession(entryA)
+	w.openSession(entryB)
 	for range walkSteps {
 		w.step()
 		w.check()
--- a/core/ccproof/replay_world_test.go
+++ b/core/ccproof/replay_world_test.go
@@ -306,13 +306,11 @@
 			}
 			w.seq++
 			session := w.seq
-			asked := w.now
-			a.manager.SessionClosed(e.ref.ID)
-			attach := a.manager.AttachRequest(w.now, a.ref, e.ref.ID)
-			attach.Session = uint64(session)
+			attach, requested := a.manager.AttachRequest(w.now, a.ref, e.ref, uint64(session))
+			if !requested || !e.scheduler.Attach(w.now, attach) || !a.manager.SessionOpened(w.now, e.ref, attach.Session) {
+				w.violation = fmt.Sprintf("session %d of %s and %s was refused", session, a.ref, e.ref)
+			}
 			link.session = session
-			e.scheduler.Attach(w.now, attach)
-			a.manager.SessionOpened(w.now, e.ref, asked)
 			a.flush()
 			e.flush()
 		}
--- a/io/cclease/record.go
+++ b/io/cclease/record.go
@@ -46,7 +46,7 @@
 // logFields returns the log fields of a change. It omits empty fields to keep log
 // lines short, since each line has a cost.
 func logFields(c cclease.Change) []any {
-	fields := make([]any, 0, 12)
+	fields := make([]any, 0, 14)
 	if c.Entry != "" {
 		fields = append(fields, "entry", string(c.Entry))
 	}
@@ -65,5 +65,8 @@
 	if c.Clock != 0 {
 		fields = append(fields, "clockMs", c.Clock.Milliseconds())
 	}
+	if c.Session != 0 {
+		fields = append(fields, "session", c.Session)
+	}
 	return fields
 }
--- a/io/cclease/session.go
+++ b/io/cclease/session.go
@@ -144,23 +144,27 @@
 		return false
 	}
 	request := make(chan ccwire.Attach, 1)
-	var sentAt time.Time
 	a.do(func(now time.Time) {
+		attach, ok := a.manager.AttachRequest(now, a.cfg.Node, identity.Node, identity.Session)
+		if !ok {
+			close(request)
+			return
+		}
 		if previous := a.sessions[identity.Node.ID]; previous != nil {
 			previous.conn.Close()
 			delete(a.sessions, identity.Node.ID)
-			a.manager.SessionClosed(identity.Node.ID)
 		}
-		sentAt = now
 		s.entry = identity.Node.ID
-		attach := a.manager.AttachRequest(now, a.cfg.Node, identity.Node.ID)
 		attach.EntriesDigest = a.subset.Digest()
-		attach.Session = identity.Session
 		request <- attach
 	})
 	var attach ccwire.Attach
 	select {
-	case attach = <-request:
+	case attach, ok = <-request:
+		if !ok {
+			a.cfg.Log.V(1).Info("A later session was requested.", "entry", identity.Node.ID)
+			return false
+		}
 	case <-a.ctx.Done():
 		return false
 	}
@@ -170,15 +174,19 @@
 		a.cfg.Log.V(1).Info("Entry did not answer the attach request.", "entry", identity.Node.ID)
 		return false
 	}
+	opened := make(chan bool, 1)
 	a.do(func(now time.Time) {
-		a.sessions[s.entry] = s
-		a.subset.Reached(addr)
-		a.manager.SessionOpened(now, attached.Node, sentAt)
-		close(s.opened)
+		ok := a.manager.SessionOpened(now, attached.Node, attached.Session)
+		if ok {
+			a.sessions[s.entry] = s
+			a.subset.Reached(addr)
+			close(s.opened)
+		}
+		opened <- ok
 	})
 	select {
-	case <-s.opened:
-		return true
+	case ok := <-opened:
+		return ok
 	case <-a.ctx.Done():
 		return false
 	}
