--- a/core/cclab/agent.go
+++ b/core/cclab/agent.go
@@ -75,6 +75,8 @@
 		}
 	})
 	e.receive(costMessage, func() {
+		e.lastSession++
+		number := e.lastSession
 		a.lab.clock.after(netDelay, func() {
 			if s.closed {
 				return
@@ -83,14 +85,18 @@
 			if previous := a.sessions[e.ref.ID]; previous != nil {
 				a.sessionClosed(previous)
 			}
-			attach := a.manager.AttachRequest(now, a.ref, e.ref.ID)
+			attach, ok := a.manager.AttachRequest(now, a.ref, ref, number)
+			if !ok {
+				return
+			}
 			e.receive(costAttach, func() {
-				e.attach(s, attach)
+				if !e.attach(s, attach) {
+					return
+				}
 				a.lab.clock.after(netDelay, func() {
-					if !s.closed && ref == e.ref {
+					if !s.closed && ref == e.ref && a.manager.SessionOpened(a.lab.clock.now, ref, number) {
 						s.opened = true
 						a.sessions[e.ref.ID] = s
-						a.manager.SessionOpened(a.lab.clock.now, ref, now)
 						a.flush()
 					}
 				})
--- a/core/cclease/prior_token_test.go
+++ b/core/cclease/prior_token_test.go
@@ -25,10 +25,11 @@
 	})
 	t.Run("entries learn the token when a session opens and when it rises", func(t *testing.T) {
 		f := newFixture(t)
-		if attach := f.manager.AttachRequest(f.now, ccnode.Ref{ID: "agent"}, entryA.ID); attach.Report.Token != 7 {
+		attach, _ := f.manager.AttachRequest(f.now, ccnode.Ref{ID: "agent"}, entryA, 100)
+		if attach.Report.Token != 7 {
 			t.Errorf("token in the request: got %d, want 7", attach.Report.Token)
 		}
-		f.manager.SessionOpened(f.now, entryA, f.now)
+		f.manager.SessionOpened(f.now, entryA, attach.Session)
 		f.take()
 		call := unansweredStart(f)
 		f.keepAlive(entryA)
--- a/core/ccreplay/prior_token_test.go
+++ b/core/ccreplay/prior_token_test.go
@@ -10,8 +10,10 @@
 // Guards against an agent whose clock was set back and whose calls carry a lower token than
 // a start of its earlier incarnation that may still arrive.
 func TestPriorToken(t *testing.T) {
+	session := uint64(100)
 	attach := func(f *fixture, incarnation ccnode.Incarnation, token uint64) {
-		f.s.Attach(f.now, ccwire.Attach{Node: ccnode.Ref{ID: "agent-9", Incarnation: incarnation}, Report: ccwire.RunReport{Token: token}})
+		session++
+		f.s.Attach(f.now, ccwire.Attach{Node: ccnode.Ref{ID: "agent-9", Incarnation: incarnation}, Session: session, Report: ccwire.RunReport{Token: token}})
 	}
 	want := func(t *testing.T, f *fixture, prior uint64) {
 		t.Helper()
--- a/core/ccreplay/scheduler.go
+++ b/core/ccreplay/scheduler.go
@@ -33,6 +33,15 @@
 	// report of a newer plan, depending on Message.
 	Age   time.Duration
 	Count int
+	// Attempt says which run of the task the change is about. Zero is none.
+	Attempt int
+	// Incarnation and Clock are those of the agent: Clock is the time from its start to
+	// its report.
+	Incarnation ccnode.Incarnation
+	Clock       time.Duration
+	// Session is the number of a session, and LatestSession that of the agent's latest one.
+	Session       uint64
+	LatestSession uint64
 	// Placements are the tasks of the job that were placed at once.
 	Placements []Placement
 	// Quiet is true for a repeated change that is counted but not logged.
@@ -76,9 +85,11 @@
 	agents    map[ccnode.ID]*agent
 	agentList []*agent // Sorted by ID, so that decisions are reproducible.
 	attached  int      // Number of agents with a session.
-	outbox    []*agent // Agents with a message to send.
-	jobs      map[string]*job
-	jobList   []*job // In order of arrival.
+	// forgottenSession is the highest number of a session of the agents that were forgotten.
+	forgottenSession uint64
+	outbox           []*agent // Agents with a message to send.
+	jobs             map[string]*job
+	jobList          []*job // In order of arrival.
 	// lastEvent is the time of the last event. holdUntil is when jobs from before a
 	// pause of this process may be placed again.
 	lastEvent  time.Time
--- a/core/ccreplay/scheduler_test.go
+++ b/core/ccreplay/scheduler_test.go
@@ -25,6 +25,7 @@
 	free    map[ccnode.ID]int64
 	handled map[ccnode.ID]uint64
 	token   uint64
+	session uint64 // The last session number that was issued.
 }
 
 // newFixture returns a fixture with one agent in each of the given domains. Each agent
@@ -45,9 +46,10 @@
 
 func (f *fixture) attach(id ccnode.ID, incarnation ccnode.Incarnation, domain string, runs ...ccwire.TaskRef) {
 	f.free[id] = 4000
+	f.session++
 	capacity := ccresource.Amount{CPU: 4000}
 	f.s.Attach(f.now, ccwire.Attach{
-		Node: ccnode.Ref{ID: id, Incarnation: incarnation}, Runs: runs,
+		Node: ccnode.Ref{ID: id, Incarnation: incarnation}, Session: f.session, Runs: runs,
 		Report: ccwire.RunReport{PriorRunsEnded: true, Free: capacity, Worker: &ccwire.WorkerInfo{Domain: domain, Service: "proof", Capacity: capacity}},
 	})
 }
@@ -305,7 +307,8 @@
 	t.Run("a new incarnation that is not settled requeues nothing", func(t *testing.T) {
 		f := newFixture(t, "north", "south")
 		lastReport, _ := loseAgent(f)
-		f.s.Attach(f.now, ccwire.Attach{Node: ccnode.Ref{ID: "agent-1", Incarnation: 2}})
+		f.session++
+		f.s.Attach(f.now, ccwire.Attach{Node: ccnode.Ref{ID: "agent-1", Incarnation: 2}, Session: f.session})
 		f.wantStarts(f.take(), 0)
 		f.now = lastReport.Add(200 * time.Millisecond)
 		f.s.Report(f.now, "agent-1", ccwire.RunReport{PriorRunsEnded: true})
@@ -657,3 +660,45 @@
 		}
 	})
 }
+
+// TestIgnoredResults guards against logs that don't tell an ignored end of a run from one
+// that never arrived, and against floods of them when an agent repeats its ends.
+func TestIgnoredResults(t *testing.T) {
+	ignored := func(out Actions) (logged, quiet []Change) {
+		for _, c := range out.Changes {
+			switch {
+			case c.Message != "Result ignored.":
+			case c.Quiet:
+				quiet = append(quiet, c)
+			default:
+				logged = append(logged, c)
+			}
+		}
+		return logged, quiet
+	}
+	t.Run("an end of an earlier run is logged with its attempt", func(t *testing.T) {
+		f := newFixture(t, "north", "south")
+		f.submit("j1", 1)
+		first := f.wantStarts(f.take(), 1)[0]
+		f.report(first.agent, endOf(first, ccwire.RunLost))
+		f.wantStarts(f.take(), 1)
+		f.report(first.agent, endOf(first, ccwire.RunDone))
+		logged, _ := ignored(f.take())
+		if len(logged) != 1 || logged[0].Attempt != first.order.Attempt || logged[0].Agent != first.agent || logged[0].Reason == "" {
+			t.Errorf("got %+v, want one line that names the run", logged)
+		}
+	})
+	t.Run("ends of unknown jobs and many ends are only counted", func(t *testing.T) {
+		f := newFixture(t, "north")
+		f.submit("j1", 8)
+		f.wantStarts(f.take(), 4)
+		results := []ccwire.RunResult{{Task: ccwire.TaskRef{Job: "j9"}, Attempt: 1, Outcome: ccwire.RunDone}}
+		for i := range 8 {
+			results = append(results, ccwire.RunResult{Task: ccwire.TaskRef{Job: "j1", Index: i}, Attempt: 7, Outcome: ccwire.RunDone})
+		}
+		f.report("agent-1", results...)
+		if logged, quiet := ignored(f.take()); len(logged) != maxIgnoredLogged || len(quiet) != 9-maxIgnoredLogged {
+			t.Errorf("got %d lines and %d counted, want %d and %d", len(logged), len(quiet), maxIgnoredLogged, 9-maxIgnoredLogged)
+		}
+	})
+}
