Keep a run alive while the worker's list has malformed items

Callers could see a task run twice at once. An item of the worker's list of active runs that didn't decode was left out, and a run that is not listed counts as ended: its task started again while the first run went on. An item nested 10,001 levels deep, or one that is no JSON, made the whole list unreadable, so the worker counted as silent and all of its runs were given up. In the list of ended runs, a number near 2^64 was acknowledged at once and hid every end after it.

An item that names its task keeps that run alive, whatever else it has. If a task can't be read, the list is incomplete: no active run ends by not being listed, a stopped one only StopGrace after its stop has certainly taken effect, and runs of an earlier incarnation of the agent only with their lease. A number is acknowledged only if the numbers behind it, or its place in the list, allow it.

--- a/core/cclease/manager.go
+++ b/core/cclease/manager.go
@@ -80,6 +80,11 @@
 	heartbeatSeen bool
 	// runsListed is set once the worker's current incarnation has listed its runs.
 	runsListed bool
+	// unreadSince is when the worker's current incarnation first listed a run that could
+	// not be read. Zero is never.
+	unreadSince time.Time
+	// pollPaced is set if the last response would repeat itself at once.
+	pollPaced bool
 
 	owners     map[ccnode.ID]*owner
 	ownerList  []*owner // In the order in which they were added.
--- a/core/cclease/poll.go
+++ b/core/cclease/poll.go
@@ -11,7 +11,7 @@
 // active. Polling continues until the last ends are acknowledged, and while an
 // unanswered start may still arrive. At most one such poll is in flight.
 func (m *Manager) poll(now time.Time) {
-	if m.worker == nil || m.polling || !m.pollDue(now) {
+	if m.worker == nil || m.polling || !m.pollDue(now) || m.pollPaced && now.Sub(m.polledAt) < pollWait {
 		return
 	}
 	m.polling, m.polledAt = true, now
@@ -66,13 +66,14 @@
 		m.actions.Changes = append(m.actions.Changes, Change{Message: "Worker answers again."})
 		m.reportAll(now)
 	}
-	if !m.runsListed {
+	if !m.runsListed && m.listsPriorRuns(now, response) {
 		m.runsListed = true
 		defer m.reportAll(now)
 	}
 	m.ackedEnd = call.Ack
-	m.processEnds(now, response.Ended)
-	m.reconcileRuns(now, call, response.Running)
+	m.pollPaced = response.EndsUnnumbered || !m.runsListed
+	m.processEnds(now, response)
+	m.reconcileRuns(now, call, response)
 	m.poll(now)
 	m.sendDueReports(now)
 }
@@ -88,15 +89,40 @@
 	m.poll(now)
 }
 
-func (m *Manager) processEnds(now time.Time, ended []EndedRun) {
-	for _, e := range ended {
-		if e.Number <= m.lastEnd {
+// listsPriorRuns reports whether a response shows which runs of earlier incarnations of
+// this agent are active. If some runs can't be read, those end with their lease, which
+// nobody has renewed since the first response: the worker refuses lower tokens since then.
+func (m *Manager) listsPriorRuns(now time.Time, response PollResponse) bool {
+	if !hasUnknownRuns(response, m.runs) {
+		return true
+	}
+	if m.unreadSince.IsZero() {
+		m.unreadSince = now
+	}
+	return now.Sub(m.unreadSince) > maxLeaseDuration
+}
+
+// hasUnknownRuns reports whether a response may list a run that is not in runs and that
+// can't be stopped, because its task or its number could not be read.
+func hasUnknownRuns(response PollResponse, runs map[ccwire.TaskRef]*run) bool {
+	return response.Incomplete || slices.ContainsFunc(response.Running, func(item ActiveRun) bool { return item.Run == 0 && runs[item.Task] == nil })
+}
+
+func (m *Manager) processEnds(now time.Time, response PollResponse) {
+	for _, e := range response.Ended {
+		if e.Number != 0 && e.Number <= m.lastEnd {
 			continue
 		}
-		m.lastEnd = e.Number
-		if r := m.runs[e.Task]; r != nil && r.number == e.Run {
-			m.processEnd(now, r, e.End)
+		m.lastEnd = max(m.lastEnd, e.Number)
+		r := m.runs[e.Task]
+		if r == nil || r.number != e.Run {
+			continue
 		}
+		// An end without a number may be old, or not the worker's.
+		if e.Number == 0 && (response.Incomplete || slices.ContainsFunc(response.Running, func(item ActiveRun) bool { return item.Task == e.Task })) {
+			continue
+		}
+		m.processEnd(now, r, e.End)
 	}
 }
 
@@ -121,13 +147,13 @@
 }
 
 // reconcileRuns compares the runs that the worker listed with those of the manager.
-func (m *Manager) reconcileRuns(now time.Time, call PollCall, running []ActiveRun) {
-	listed := make(map[ccwire.TaskRef]bool, len(running))
-	for _, item := range running {
+func (m *Manager) reconcileRuns(now time.Time, call PollCall, response PollResponse) {
+	listed := make(map[ccwire.TaskRef]bool, len(response.Running))
+	for _, item := range response.Running {
 		listed[item.Task] = true
 		r := m.runs[item.Task]
 		if r == nil || r.number != item.Run {
-			if r == nil {
+			if r == nil && item.Run != 0 {
 				m.stopOrphan(now, item)
 			}
 			continue
@@ -152,8 +178,16 @@
 		}
 		switch r.phase {
 		case phaseRunning:
+			if response.Incomplete {
+				continue
+			}
 			m.endRun(now, r, ccwire.RunLost, "run is no longer listed")
 		case phaseStopped:
+			// The worker has confirmed the stop, so the run ends without being listed as
+			// ended.
+			if response.Incomplete && !call.Sent.After(r.absentAfter.Add(StopGrace)) {
+				continue
+			}
 			m.endRun(now, r, ccwire.RunStopped, "")
 		case phaseUnconfirmed:
 			// The worker may still execute the start. A stop makes it refuse the run
@@ -164,8 +198,12 @@
 	}
 }
 
-// updateProgress records a run's progress and detects a stalled run.
+// updateProgress records a run's progress and detects a stalled run. A progress that
+// could not be read changes nothing.
 func (m *Manager) updateProgress(now time.Time, r *run, percent int) {
+	if percent < 0 {
+		return
+	}
 	if percent > r.percent || r.percentGrewAt.IsZero() {
 		r.percentGrewAt = now
 	}
--- a/core/cclease/worker.go
+++ b/core/cclease/worker.go
@@ -101,16 +101,24 @@
 	Response
 	Running []ActiveRun
 	Ended   []EndedRun
+	// Incomplete means that Running lacks runs that could not be read: a run that is not
+	// listed may be active.
+	Incomplete bool
+	// EndsUnnumbered means that some ends can't be acknowledged yet, since their numbers
+	// could not be read. The worker lists them again with the next poll.
+	EndsUnnumbered bool
 }
 
-// ActiveRun is an entry of the worker's list of active runs.
+// ActiveRun is an entry of the worker's list of active runs. A Run of zero and a negative
+// Percent could not be read.
 type ActiveRun struct {
 	Task    ccwire.TaskRef
 	Run     uint64
 	Percent int
 }
 
-// EndedRun is an entry of the worker's list of ended runs.
+// EndedRun is an entry of the worker's list of ended runs. A Number of zero could not be
+// read.
 type EndedRun struct {
 	Number uint64
 	Task   ccwire.TaskRef
--- a/io/cccli/platform.go
+++ b/io/cccli/platform.go
@@ -58,6 +58,11 @@
 	return mux
 }
 
+// newMalformed returns what counts the malformed items that a process reads.
+func newMalformed(set *ccmetric.Set, log *cclog.Log) *cclog.Malformed {
+	return cclog.NewMalformed(log.Logger.WithName("malformed"), set.Map("malformedItems"))
+}
+
 // runPlatformEntry runs an entry on the users' platform.
 func runPlatformEntry(ctx context.Context, streams Streams, file string, cfg *ccconfig.Config) error {
 	return runApp(ctx, streams, file, cfg, fx.Options(
@@ -91,9 +96,12 @@
 	return runApp(ctx, streams, file, cfg, fx.Options(
 		fx.Provide(
 			func(self ccnode.Ref) *ccmetric.Set { return ccmetric.NewSet(self.String()) },
-			func(self ccnode.Ref, set *ccmetric.Set, log *cclog.Log) *cclease.Agent {
+			newMalformed,
+			func(self ccnode.Ref, set *ccmetric.Set, log *cclog.Log, malformed *cclog.Malformed) *cclease.Agent {
+				worker := ccplatform.NewWorker(cfg.Platform.Worker)
+				worker.Malformed = malformed
 				return cclease.New(cclease.Config{
-					Node: self, Domain: cfg.Domain, Worker: ccplatform.NewWorker(cfg.Platform.Worker),
+					Node: self, Domain: cfg.Domain, Worker: worker,
 					Seeds: sessionAddrs(cfg), Directory: ccreplay.NewDirectory(ccplatform.NewStore(cfg.Store)),
 					Metrics: set, Log: log.Logger.WithName("agent"),
 				})
