Leave out records of entries at which no session can be opened

Operators could see entries that stop to follow the others, and agents that dial addresses which nobody can have. Another writer may leave any item among the entries' records. One without an address, with port 0 or with a key that is no ID was taken for an entry and passed on to all agents, which gave up places of their subset for it. One that can't be decoded was logged at each change, and by each agent without a session once a second. 100,000 records with port 0 kept the control goroutine busy for 54 s at one change, since SetEntries compares each record with each.

A record now has to have an ID as its key, at most 1 KiB of UTF-8, and an address to dial; others are counted, logged once and not kept. The rule for addresses is ccsubset.Entry.Valid, and agents apply it to what peers pass on, too. Digest leaves out the same entries: otherwise an agent would be sent the whole list again and again. The pages of one list get 10 s together, because 200 pages of such items don't arrive within the bound of a single call; each page keeps its own bound.

Seen on the code before, go test ./core/ccsubset ./io/ccreplay: TestMalformedRecords fails in all 25 cases, TestManyMalformedRecords ("handles no event 10 s after it has read the records", 54.59 s) and TestEntriesWithoutAnAddressAreLeftOut fail. Ruled out: that the watch itself ends; it went on in each case.

--- a/core/ccsubset/entry.go
+++ b/core/ccsubset/entry.go
@@ -14,11 +14,19 @@
 	Domain string
 }
 
-// Digest returns a value that is equal for equal sets of entries, in any order.
+// Valid reports whether an agent can open a session at the entry's address.
+func (e Entry) Valid() bool {
+	addr := e.Addr.Addr()
+	return addr.IsValid() && !addr.IsUnspecified() && !addr.IsMulticast() && e.Addr.Port() != 0
+}
+
+// Digest returns a value that is equal for equal sets of valid entries, in any order.
 func Digest(entries []Entry) uint64 {
 	sum := uint64(0)
 	for _, e := range entries {
-		sum ^= e.digest()
+		if e.Valid() {
+			sum ^= e.digest()
+		}
 	}
 	return sum
 }
--- a/core/ccsubset/subset.go
+++ b/core/ccsubset/subset.go
@@ -74,9 +74,12 @@
 // Digest returns the Digest of the listed entries whose domain is known.
 func (s *Subset) Digest() uint64 { return s.listed }
 
-// Add adds entries, or updates those that are known already.
+// Add adds the valid entries, or updates those that are known already.
 func (s *Subset) Add(entries ...Entry) {
 	for _, e := range entries {
+		if !e.Valid() {
+			continue
+		}
 		c := s.byAddr[e.Addr]
 		if c == nil {
 			c = &candidate{entry: e, score: Score(s.cfg.Self, e.Addr.String())}
--- a/io/cccli/platform.go
+++ b/io/cccli/platform.go
@@ -68,11 +68,12 @@
 	return runApp(ctx, streams, file, cfg, fx.Options(
 		fx.Provide(
 			func(self ccnode.Ref) *ccmetric.Set { return ccmetric.NewSet(self.String()) },
-			func(self ccnode.Ref, set *ccmetric.Set, log *cclog.Log) *ccreplay.Entry {
+			newMalformed,
+			func(self ccnode.Ref, set *ccmetric.Set, log *cclog.Log, malformed *cclog.Malformed) *ccreplay.Entry {
 				return ccreplay.New(ccreplay.Config{
 					Node: self, Domain: cfg.Domain, Listen: cfg.Listen, AwayFactor: cfg.Platform.AwayFactor,
 					Store: ccplatform.NewStore(cfg.Store), PlanSource: ccplatform.Operator{},
-					Metrics: set, Log: log.Logger.WithName("entry"),
+					Metrics: set, Malformed: malformed, Log: log.Logger.WithName("entry"),
 				})
 			},
 		),
@@ -100,9 +101,11 @@
 			func(self ccnode.Ref, set *ccmetric.Set, log *cclog.Log, malformed *cclog.Malformed) *cclease.Agent {
 				worker := ccplatform.NewWorker(cfg.Platform.Worker)
 				worker.Malformed = malformed
+				directory := ccreplay.NewDirectory(ccplatform.NewStore(cfg.Store))
+				directory.Malformed = malformed
 				return cclease.New(cclease.Config{
 					Node: self, Domain: cfg.Domain, Worker: worker,
-					Seeds: sessionAddrs(cfg), Directory: ccreplay.NewDirectory(ccplatform.NewStore(cfg.Store)),
+					Seeds: sessionAddrs(cfg), Directory: directory,
 					Metrics: set, Log: log.Logger.WithName("agent"),
 				})
 			},
--- a/io/ccreplay/entry.go
+++ b/io/ccreplay/entry.go
@@ -25,6 +25,7 @@
 	"camphorcroft/core/ccnode"
 	"camphorcroft/core/ccreplay"
 	"camphorcroft/core/ccroute"
+	"camphorcroft/io/cclog"
 	"camphorcroft/io/ccmetric"
 	"camphorcroft/io/ccsession"
 )
@@ -44,7 +45,7 @@
 	stopTimeout = 5200 * time.Millisecond
 )
 
-// Config configures an Entry. Metrics is optional.
+// Config configures an Entry. Metrics and Malformed are optional.
 type Config struct {
 	Node   ccnode.Ref
 	Domain string
@@ -55,7 +56,9 @@
 	Store      Store
 	PlanSource PlanSource
 	Metrics    *ccmetric.Set
-	Log        logr.Logger
+	// Malformed counts the records of entries that can't be read.
+	Malformed *cclog.Malformed
+	Log       logr.Logger
 }
 
 // Entry accepts jobs from callers and runs their tasks on the attached agents.
--- a/io/ccreplay/follow.go
+++ b/io/ccreplay/follow.go
@@ -31,6 +31,8 @@
 	entryPrefix = "entries/live/"
 	// callTimeout bounds one call to the store. Watches are not limited by it.
 	callTimeout = time.Second
+	// listTimeout bounds all pages of a list.
+	listTimeout = 10 * time.Second
 )
 
 // Store is the part of the platform's store that an entry needs.
@@ -50,9 +52,9 @@
 	Plan(items []ccstore.Item, revision uint64) (*ccroute.Plan, error)
 }
 
-// follow calls changed with all items below the prefix, once at the start and then
-// after each change, until the entry is closed.
-func (e *Entry) follow(prefix string, wait time.Duration, changed func(items []ccstore.Item, revision uint64)) {
+// follow calls changed with all items below the prefix that are accepted, once at the
+// start and then after each change, until the entry is closed.
+func (e *Entry) follow(prefix string, wait time.Duration, accept func(ccstore.Item) bool, changed func(items []ccstore.Item, revision uint64)) {
 	backoff := retryMin
 	byKey := map[string]ccstore.Item{}
 	revision := uint64(0)
@@ -70,7 +72,7 @@
 	}
 	for e.ctx.Err() == nil {
 		if !listed {
-			ctx, cancel := context.WithTimeout(e.ctx, callTimeout)
+			ctx, cancel := context.WithTimeout(e.ctx, listTimeout)
 			items, at, err := e.cfg.Store.List(ctx, prefix)
 			cancel()
 			logReachability(err)
@@ -81,7 +83,9 @@
 			backoff, listed, revision = retryMin, true, at
 			byKey = map[string]ccstore.Item{}
 			for _, item := range items {
-				byKey[item.Key] = item
+				if accept(item) {
+					byKey[item.Key] = item
+				}
 			}
 			changed(sortedItems(byKey), revision)
 		}
@@ -105,7 +109,7 @@
 		}
 		revision = max(revision, change.Revision)
 		for _, item := range change.Items {
-			if item.Revision == 0 {
+			if item.Revision == 0 || !accept(item) {
 				delete(byKey, item.Key)
 			} else {
 				byKey[item.Key] = item
@@ -137,7 +141,8 @@
 
 // followPlan passes each new plan from the store to the scheduler.
 func (e *Entry) followPlan() {
-	e.follow(e.cfg.PlanSource.Prefix(), planWatchTimeout, func(items []ccstore.Item, revision uint64) {
+	all := func(ccstore.Item) bool { return true }
+	e.follow(e.cfg.PlanSource.Prefix(), planWatchTimeout, all, func(items []ccstore.Item, revision uint64) {
 		plan, err := e.cfg.PlanSource.Plan(items, revision)
 		if err != nil {
 			e.cfg.Log.Error(err, "Cannot read the plan.", "revision", revision)
@@ -157,11 +162,15 @@
 	e.spawn(func() { e.maintainRecord(missing) })
 	own := entryPrefix + string(e.cfg.Node.ID)
 	self := ccsubset.Entry{Addr: e.cfg.Listen, Domain: e.cfg.Domain}
-	e.follow(entryPrefix, entriesWatchTimeout, func(items []ccstore.Item, _ uint64) {
-		entries, err := readRecords(items)
+	accept := func(item ccstore.Item) bool {
+		_, err := readRecord(item)
 		if err != nil {
-			e.cfg.Log.Error(err, "Cannot read an entry's record.")
+			e.cfg.Malformed.Skip(malformedRecords, item.Key, err)
 		}
+		return err == nil
+	}
+	e.follow(entryPrefix, entriesWatchTimeout, accept, func(items []ccstore.Item, _ uint64) {
+		entries := readRecords(items, e.cfg.Malformed)
 		found := slices.ContainsFunc(items, func(item ccstore.Item) bool { return item.Key == own }) && slices.Contains(entries, self)
 		e.do(func(time.Time) { e.scheduler.SetEntries(entries) })
 		if !found {
