Reject heartbeats that name no worker to use

Agents took any heartbeat with a service, a state and a capacity for that of their worker: one without an address, with port 0, 65,536 or -1, without a zone, with a negative capacity or one whose sums overflow, with a clock that does not fit into a duration, or with an ID that no header can carry, after which each call to the worker fails. Another writer's heartbeat could so replace the worker. A genuine one was rejected if a whole number was written like 482113.0 or 1.6e4. Each rejection was a log line, once per interval and sender, without a bound.

A heartbeat now has to name an ID, a service, a zone, a state, an address with a port and a capacity that adds up. Numbers are whole, in any form that JSON has. Rejected ones are counted, and each ID is logged once.

Ruled out: a crash; deep nesting and huge powers were errors of the decoder before, too. Heartbeats without sequence, clock or start are still taken, because nothing follows from these alone.

--- a/core/ccsubset/valid_test.go
+++ b/core/ccsubset/valid_test.go
@@ -12,7 +12,8 @@
 	good := fleet(3, 1)
 	listed := slices.Clone(good)
 	for _, addr := range []netip.AddrPort{
-		{}, netip.MustParseAddrPort("10.0.0.9:0"), netip.MustParseAddrPort("0.0.0.0:7720"), netip.MustParseAddrPort("[::]:7720"),
+		{},
+		netip.MustParseAddrPort("10.0.0.9:0"), netip.MustParseAddrPort("0.0.0.0:7720"), netip.MustParseAddrPort("[::]:7720"),
 		netip.MustParseAddrPort("224.0.0.1:7720"), netip.AddrPortFrom(netip.Addr{}, 7720),
 	} {
 		listed = slices.Insert(listed, 1, Entry{Addr: addr, Domain: domain(0)})
--- a/io/cccli/platform.go
+++ b/io/cccli/platform.go
@@ -110,10 +110,10 @@
 				})
 			},
 		),
-		fx.Invoke(func(lifecycle fx.Lifecycle, agent *cclease.Agent, set *ccmetric.Set, log *cclog.Log, reload *reloader) {
+		fx.Invoke(func(lifecycle fx.Lifecycle, agent *cclease.Agent, set *ccmetric.Set, malformed *cclog.Malformed, reload *reloader) {
 			serveHTTP(lifecycle, cfg.HTTP, metricsHandler(set))
 			reload.changed = func(changed *ccconfig.Config) { agent.SetSeeds(sessionAddrs(changed)) }
-			serveHTTP(lifecycle, cfg.Platform.Heartbeats, ccplatform.NewHeartbeatHandler(agent, log.Logger.WithName("worker")))
+			serveHTTP(lifecycle, cfg.Platform.Heartbeats, ccplatform.NewHeartbeatHandler(agent, malformed))
 			lifecycle.Append(fx.Hook{OnStart: agent.Start, OnStop: agent.Stop})
 		}),
 	))
