--- a/io/cccli/platform.go
+++ b/io/cccli/platform.go
@@ -58,16 +58,22 @@
 	return mux
 }
 
+// newMalformed returns what counts the malformed items that a process reads.
+func newMalformed(set *ccmetric.Set, log *cclog.Log) *cclog.Malformed {
+	return cclog.NewMalformed(log.Logger.WithName("malformed"), set.Map("malformedItems"))
+}
+
 // runPlatformEntry runs an entry on the users' platform.
 func runPlatformEntry(ctx context.Context, streams Streams, file string, cfg *ccconfig.Config) error {
 	return runApp(ctx, streams, file, cfg, fx.Options(
 		fx.Provide(
 			func(self ccnode.Ref) *ccmetric.Set { return ccmetric.NewSet(self.String()) },
-			func(self ccnode.Ref, set *ccmetric.Set, log *cclog.Log) *ccreplay.Entry {
+			newMalformed,
+			func(self ccnode.Ref, set *ccmetric.Set, log *cclog.Log, malformed *cclog.Malformed) *ccreplay.Entry {
 				return ccreplay.New(ccreplay.Config{
 					Node: self, Domain: cfg.Domain, Listen: cfg.Listen, AwayFactor: cfg.Platform.AwayFactor,
 					Store: ccplatform.NewStore(cfg.Store), PlanSource: ccplatform.Operator{},
-					Metrics: set, Log: log.Logger.WithName("entry"),
+					Metrics: set, Malformed: malformed, Log: log.Logger.WithName("entry"),
 				})
 			},
 		),
@@ -91,18 +97,23 @@
 	return runApp(ctx, streams, file, cfg, fx.Options(
 		fx.Provide(
 			func(self ccnode.Ref) *ccmetric.Set { return ccmetric.NewSet(self.String()) },
-			func(self ccnode.Ref, set *ccmetric.Set, log *cclog.Log) *cclease.Agent {
+			newMalformed,
+			func(self ccnode.Ref, set *ccmetric.Set, log *cclog.Log, malformed *cclog.Malformed) *cclease.Agent {
+				worker := ccplatform.NewWorker(cfg.Platform.Worker)
+				worker.Malformed = malformed
+				directory := ccreplay.NewDirectory(ccplatform.NewStore(cfg.Store))
+				directory.Malformed = malformed
 				return cclease.New(cclease.Config{
-					Node: self, Domain: cfg.Domain, Worker: ccplatform.NewWorker(cfg.Platform.Worker),
-					Seeds: sessionAddrs(cfg), Directory: ccreplay.NewDirectory(ccplatform.NewStore(cfg.Store)),
+					Node: self, Domain: cfg.Domain, Worker: worker,
+					Seeds: sessionAddrs(cfg), Directory: directory,
 					Metrics: set, Log: log.Logger.WithName("agent"),
 				})
 			},
 		),
-		fx.Invoke(func(lifecycle fx.Lifecycle, agent *cclease.Agent, set *ccmetric.Set, log *cclog.Log, reload *reloader) {
+		fx.Invoke(func(lifecycle fx.Lifecycle, agent *cclease.Agent, set *ccmetric.Set, malformed *cclog.Malformed, reload *reloader) {
 			serveHTTP(lifecycle, cfg.HTTP, metricsHandler(set))
 			reload.changed = func(changed *ccconfig.Config) { agent.SetSeeds(sessionAddrs(changed)) }
-			serveHTTP(lifecycle, cfg.Platform.Heartbeats, ccplatform.NewHeartbeatHandler(agent, log.Logger.WithName("worker")))
+			serveHTTP(lifecycle, cfg.Platform.Heartbeats, ccplatform.NewHeartbeatHandler(agent, malformed))
 			lifecycle.Append(fx.Hook{OnStart: agent.Start, OnStop: agent.Stop})
 		}),
 	))
