Proof: search schedules of sessions, late calls and restarts for a task that runs twice

Sessions open with the handshake of io/cclease and io/ccreplay: each connection has two ordered lanes, messages are held or cut and arrive late, each side learns of a close on its own. Calls to workers are executed up to 12 s late, workers crash by a start and return under their ID, clocks are set back, jobs are sent again to the entry that answered. Each violation gets a class.

--- /dev/null
+++ b/core/ccproof/search_class_test.go
@@ -0,0 +1,109 @@
+package ccproof
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"camphorcroft/core/cclease"
+	"camphorcroft/core/ccreplay"
+	"camphorcroft/core/ccwire"
+)
+
+// violationClass says why a task ran twice at once.
+type violationClass string
+
+const (
+	// classLateFirst is a late start that reached a restarted worker before any other call
+	// (KNOWN-RED.txt, entry 1).
+	classLateFirst violationClass = "late start before the first call to a restarted worker"
+	// classLateUnfenced is a late start that reached a restarted worker after other calls,
+	// and was not refused.
+	classLateUnfenced violationClass = "late start after other calls to a restarted worker"
+	// classLateSame is a late start at the worker that it was sent to.
+	classLateSame violationClass = "late start at the same worker"
+	// classSession is a run that was not in a list of runs with which a session opened.
+	classSession violationClass = "session opened without the run"
+	// classStaleEnd is an end that its agent has reported of another run.
+	classStaleEnd violationClass = "end of another run"
+	// classAgent is a run that its agent has taken for over, or forgotten.
+	classAgent violationClass = "agent took the run for over"
+	// classEntry is a run that its entry has taken for over for another reason.
+	classEntry violationClass = "entry took the run for over"
+	// classTwoEntries are runs that two entries have ordered.
+	classTwoEntries violationClass = "two entries"
+)
+
+func (d *decisions) agentChanged(a *replayAgent, c cclease.Change) {
+	if c.Message == "Run ended." {
+		d.agents = append(d.agents, agentDecision{agent: a, change: c})
+	}
+}
+
+func (d *decisions) entryChanged(e *replayEntry, c ccreplay.Change) {
+	if c.Message == "Run is over." || c.Message == "Start refused." || c.Message == "Run failed." {
+		d.entry = append(d.entry, entryDecision{entry: e.ref.ID, at: d.w.now, change: c})
+	}
+}
+
+func (d *decisions) conflict(task ccwire.TaskRef, first, second *modelRun) {
+	if second.startedAt.Before(first.startedAt) {
+		first, second = second, first
+	}
+	for _, r := range []*modelRun{first, second} {
+		d.w.logf("run %d of %v at worker %s: ordered by %s, sent at %v, started at %v, first call %v",
+			r.number, task, r.worker.id, r.origin.owner, r.origin.sent.Sub(d.w.start), r.startedAt.Sub(d.w.start), r.firstCall)
+	}
+	d.class, d.detail = d.classify(first, second)
+	d.w.violation = fmt.Sprintf("%s (%s): %s", d.class, d.detail, d.w.violation)
+}
+
+func (d *decisions) classify(first, second *modelRun) (violationClass, string) {
+	for _, r := range []*modelRun{first, second} {
+		if class, late := r.lateClass(); late {
+			if r.origin.manager != r.origin.agent.manager {
+				return class, "of an earlier life of the agent"
+			}
+			return class, "of the agent's current life"
+		}
+	}
+	for _, e := range d.agents {
+		if e.agent == first.origin.agent && e.change.Task == first.task && e.change.Run == first.number && !d.w.now.Before(first.startedAt) {
+			return classAgent, string(e.change.End) + " " + e.change.Reason
+		}
+	}
+	for _, e := range d.entry {
+		if e.entry != first.origin.owner || e.change.Agent != first.origin.agent.ref.ID || e.change.Job != first.task.Job ||
+			e.change.Index != first.task.Index || e.at.Before(first.origin.sent) {
+			continue
+		}
+		if strings.Contains(e.change.Reason, "agent attached without") {
+			return classSession, e.change.Reason
+		}
+		if strings.Contains(e.change.Reason, "agent is silent") || strings.Contains(e.change.Reason, "new incarnation") {
+			return classEntry, e.change.Reason
+		}
+		return classStaleEnd, e.change.Message + " " + e.change.Reason
+	}
+	if first.origin.owner != second.origin.owner {
+		return classTwoEntries, fmt.Sprintf("%s and %s", first.origin.owner, second.origin.owner)
+	}
+	return classStaleEnd, "taken for done"
+}
+
+// lateClass returns the class of a start that was executed after its call had timed out.
+func (r *modelRun) lateClass() (violationClass, bool) {
+	switch {
+	case r.origin.sent.Before(r.worker.startedAt) && r.firstCall:
+		return classLateFirst, true
+	case r.origin.sent.Before(r.worker.startedAt):
+		return classLateUnfenced, true
+	case r.startedAt.Sub(r.origin.sent) > startTimeout:
+		return classLateSame, true
+	default:
+		return "", false
+	}
+}
+
+// startTimeout is the time-out of a start.
+const startTimeout = 150 * time.Millisecond
--- /dev/null
+++ b/core/ccproof/search_config_test.go
@@ -0,0 +1,97 @@
+package ccproof
+
+import "time"
+
+// searchConfig configures the schedules of a search. Zero disables a kind of fault.
+type searchConfig struct {
+	length          time.Duration
+	entries, agents int
+	jobs, faults    int // Per schedule.
+	// weights are the relative frequencies of the faults.
+	weights faultWeights
+	// span bounds how long a cut, a freeze or the absence of an entry lasts.
+	minSpan, maxSpan time.Duration
+	// away bounds how long a crashed worker is away. One in four is back at once.
+	minAway, maxAway time.Duration
+	calls            callFaults
+	holds            holds
+	// crashOnStart is how many of 1,000 executed starts crash their worker.
+	crashOnStart int
+	// resendAnswered is the percentage of the answered jobs that are sent to the same entry
+	// again within resendWithin. The others are sent again, to any entry and after
+	// resendAfter, if there was no answer or 502 or 504. A job is sent again resends times
+	// at most.
+	resendAnswered, resends int
+	resendWithin            time.Duration
+	// clockSetBack is the percentage of the restarts before which the wall clock of the
+	// host is set back, by at most maxSetBack.
+	clockSetBack int
+	// handshakeTimeout is that of io/cclease.
+	handshakeTimeout time.Duration
+	worker           workerModel
+}
+
+// faultWeights are the relative frequencies of the kinds of faults.
+type faultWeights struct {
+	reset       int // A session's connection is reset.
+	cut         int // An agent and an entry are cut off from each other.
+	cutAgent    int // An agent is cut off from all entries.
+	killEntry   int
+	killAgent   int
+	freezeEntry int
+	freezeAgent int
+	crashWorker int
+	turnAway    int // An agent turns away from an entry, and later back.
+}
+
+// holds are the percentages of the messages that are delivered 0.1 to 3 s late, together
+// with all that follow them on their connection.
+type holds struct{ identify, identifyReply, attach, attachReply, orders, report int }
+
+// defaultSearch has all kinds of faults.
+func defaultSearch() searchConfig {
+	return searchConfig{
+		length: 14 * time.Second, entries: 2, agents: 3, jobs: 70, faults: 24,
+		weights: faultWeights{reset: 4, cut: 3, cutAgent: 1, killEntry: 1, killAgent: 2, freezeEntry: 2, freezeAgent: 2, crashWorker: 4, turnAway: 2},
+		minSpan: 100 * time.Millisecond, maxSpan: 3 * time.Second,
+		minAway: 100 * time.Millisecond, maxAway: 3 * time.Second,
+		calls:        callFaults{late: 5, lost: 4, minDelay: 20 * time.Millisecond, maxDelay: 12 * time.Second, lateHeartbeats: 3},
+		holds:        holds{identify: 2, identifyReply: 2, attach: 10, attachReply: 5, orders: 1, report: 1},
+		crashOnStart: 4, resendAnswered: 30, resends: 3, resendWithin: time.Second, clockSetBack: 25, handshakeTimeout: 500 * time.Millisecond,
+		worker: workerModel{minRun: 30 * time.Millisecond, maxRun: 1500 * time.Millisecond, maxLease: time.Second},
+	}
+}
+
+// calmSearch has no faults. Focused searches add theirs.
+func calmSearch() searchConfig {
+	c := defaultSearch()
+	c.weights, c.holds, c.calls = faultWeights{}, holds{}, callFaults{minDelay: c.calls.minDelay, maxDelay: c.calls.maxDelay}
+	c.crashOnStart, c.resendAnswered, c.clockSetBack = 0, 0, 0
+	return c
+}
+
+// sessionSearch dwells on requests for sessions and their replies that are delivered late.
+func sessionSearch() searchConfig {
+	c := calmSearch()
+	c.weights = faultWeights{reset: 6, cut: 3, freezeEntry: 1, turnAway: 1}
+	c.holds = holds{attach: 30, attachReply: 10}
+	return c
+}
+
+// repeatSearch dwells on jobs that are sent again to the entry that has answered them.
+func repeatSearch() searchConfig {
+	c := calmSearch()
+	c.weights = faultWeights{reset: 1}
+	c.faults, c.resendAnswered, c.resends, c.resendWithin = 120, 80, 8, 400*time.Millisecond
+	return c
+}
+
+// crashSearch dwells on workers that crash while calls to them are under way.
+func crashSearch() searchConfig {
+	c := calmSearch()
+	c.weights = faultWeights{crashWorker: 1}
+	c.faults, c.crashOnStart = 40, 60
+	c.calls.late, c.calls.lost, c.calls.maxDelay = 20, 2, 3*time.Second
+	c.maxAway = 600 * time.Millisecond
+	return c
+}
--- /dev/null
+++ b/core/ccproof/search_test.go
@@ -0,0 +1,83 @@
+package ccproof
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+)
+
+var (
+	searchSeeds = flag.Int("searchseeds", 0, "number of schedules of each search; 0 runs the fixed number")
+	searchFirst = flag.Uint64("searchfirst", 0, "seed of the first schedule of each search")
+	searchLog   = flag.Int("searchlog", 0, "print so many lines of the log of the first schedule of each class that fails")
+)
+
+// fixedSearchSeeds is the number of schedules of each search without -searchseeds.
+const fixedSearchSeeds = 30
+
+// searches are the kinds of schedules. Each but the first dwells on one kind of fault.
+var searches = []struct {
+	name string
+	cfg  func() searchConfig
+}{
+	{"all", defaultSearch},
+	{"sessions", sessionSearch},
+	{"repeats", repeatSearch},
+	{"crashes", crashSearch},
+}
+
+// TestSearchReplayable guards against a task that runs on two live workers at once, when
+// sessions, calls and restarts come in any order.
+func TestSearchReplayable(t *testing.T) {
+	for _, s := range searches {
+		t.Run(s.name, func(t *testing.T) {
+			found := runSearch(t, s.cfg())
+			if len(found) > 0 {
+				t.Errorf("violations: %s", summary(found))
+			}
+		})
+	}
+}
+
+// runSearch runs schedules. It returns the seeds of those that violate the rule.
+func runSearch(t *testing.T, cfg searchConfig) map[violationClass][]uint64 {
+	seeds, starts := *searchSeeds, 0
+	if seeds == 0 {
+		seeds = fixedSearchSeeds
+	}
+	found := map[violationClass][]uint64{}
+	for i := range seeds {
+		seed := *searchFirst + uint64(i)
+		w := newSearchWorld(cfg, seed)
+		violation := w.run()
+		starts += w.starts
+		if violation == "" {
+			continue
+		}
+		class := w.decisions.class
+		if len(found[class]) == 0 {
+			t.Logf("seed %d: %s", seed, violation)
+			if *searchLog > 0 {
+				t.Log("\n" + strings.Join(w.log[max(0, len(w.log)-*searchLog):], "\n"))
+			}
+		}
+		found[class] = append(found[class], seed)
+	}
+	t.Logf("%d starts in %d schedules", starts, seeds)
+	if starts < 50*seeds {
+		t.Errorf("only %d starts in %d schedules, too few to be meaningful", starts, seeds)
+	}
+	return found
+}
+
+// summary lists how many schedules violated the rule, by class.
+func summary(found map[violationClass][]uint64) string {
+	var parts []string
+	for _, class := range slices.Sorted(maps.Keys(found)) {
+		parts = append(parts, fmt.Sprintf("%s: %d, first seed %d", class, len(found[class]), found[class][0]))
+	}
+	return strings.Join(parts, "; ")
+}
--- /dev/null
+++ b/core/ccproof/search_world_test.go
@@ -0,0 +1,198 @@
+package ccproof
+
+import (
+	"fmt"
+	"time"
+
+	"camphorcroft/core/cclease"
+	"camphorcroft/core/ccnode"
+	"camphorcroft/core/ccreplay"
+	"camphorcroft/core/ccresource"
+	"camphorcroft/core/ccroute"
+	"camphorcroft/core/ccwire"
+)
+
+// searchWorld is a replayWorld with the network and the faults of a searchConfig.
+type searchWorld struct {
+	*replayWorld
+	net *searchNetwork
+	cfg searchConfig
+	// setBack is how far each host's wall clock has been set back.
+	setBack   map[ccnode.ID]time.Duration
+	decisions decisions
+}
+
+func newSearchWorld(cfg searchConfig, seed uint64) *searchWorld {
+	w := &searchWorld{replayWorld: newEmptyWorld(seed), cfg: cfg, setBack: map[ccnode.ID]time.Duration{}}
+	w.decisions = decisions{w: w.replayWorld}
+	w.net = &searchNetwork{
+		replayWorld: w.replayWorld, cfg: cfg, links: map[*replayAgent]map[ccnode.ID]*dialer{},
+		agentSessions: map[*replayAgent]map[ccnode.ID]*connection{}, entrySessions: map[*replayEntry]map[ccnode.ID]*connection{},
+	}
+	w.network, w.watch, w.calls, w.workerModel = w.net, &w.decisions, cfg.calls, cfg.worker
+	w.incarnation = w.wallClock
+	for range cfg.entries {
+		w.killEntry(w.addEntry())
+	}
+	for range cfg.agents {
+		w.startAgent(w.addAgent(func(int) bool { return true }))
+	}
+	return w
+}
+
+// wallClock returns the incarnation of a process that starts now, as ccnode.NewIncarnation
+// does, at a host whose clock may be set back.
+func (w *searchWorld) wallClock(id ccnode.ID) ccnode.Incarnation {
+	if w.rng.IntN(100) < w.cfg.clockSetBack {
+		w.setBack[id] += w.between(time.Millisecond, maxSetBack)
+	}
+	return ccnode.NewIncarnation(w.now.Add(-w.setBack[id]))
+}
+
+// maxSetBack is by how much a clock is set back at once at most.
+const maxSetBack = 20 * time.Second
+
+// startAgent replaces the process of an agent.
+func (w *searchWorld) startAgent(a *replayAgent) {
+	w.killAgent(a)
+	for _, e := range w.entries {
+		w.net.connect(a, e, w.between(0, dialSpread))
+	}
+	a.worker.onStart = func(task ccwire.TaskRef) {
+		if w.rng.IntN(1000) < w.cfg.crashOnStart {
+			w.schedule(w.between(0, maxCrashDelay), func() {
+				if a.worker.runs[task] != nil {
+					w.crash(a)
+				}
+			})
+		}
+	}
+}
+
+// maxCrashDelay is how long after its start a task may crash its worker.
+const maxCrashDelay = 40 * time.Millisecond
+
+// crash crashes a worker.
+func (w *searchWorld) crash(a *replayAgent) {
+	if a.worker.down {
+		return
+	}
+	away := w.between(w.cfg.minAway, w.cfg.maxAway)
+	if w.rng.IntN(4) == 0 {
+		away = w.between(0, 5*time.Millisecond)
+	}
+	a.worker.crashFor(away, func() {
+		w.schedule(w.between(0, 100*time.Millisecond), func() {
+			a.deliver(func() {
+				if !a.worker.down {
+					a.worker.heartbeats++
+					a.manager.Heartbeat(w.now, a.worker.self())
+				}
+			})
+		})
+	})
+}
+
+// run runs one schedule. It returns the first violation, or an empty string.
+func (w *searchWorld) run() string {
+	w.schedule(0, w.tick)
+	busy := w.cfg.length * 3 / 4
+	for i := range w.cfg.jobs {
+		request := ccreplay.Request{
+			ID: fmt.Sprintf("job-%d", i), Tasks: 1 + w.rng.IntN(4), Need: ccresource.Amount{CPU: 1000},
+			Route:    ccroute.Route{Name: "r", Service: "s", MaxAttempts: 3, Stretch: 1.6, Allowance: 60 * time.Millisecond},
+			Estimate: w.between(60*time.Millisecond, 660*time.Millisecond),
+		}
+		w.schedule(w.between(500*time.Millisecond, busy), func() { w.submit(w.entries[w.rng.IntN(len(w.entries))], request, w.cfg.resends) })
+	}
+	for range w.cfg.faults {
+		w.schedule(w.between(500*time.Millisecond, busy), w.injectFault)
+	}
+	w.simulate(w.cfg.length)
+	return w.violation
+}
+
+// submit has a caller send a job. It sends it again after no answer, as callers do, and
+// sometimes sooner to the same entry, or to it after another answer.
+func (w *searchWorld) submit(e *replayEntry, request ccreplay.Request, resends int) {
+	request.Deadline = w.now.Add(3 * time.Second)
+	ref := e.ref
+	w.send(e, request, func(state ccreplay.State) {
+		failed := state == "" || state == ccreplay.StateExpired || state == ccreplay.StateUnknown
+		switch {
+		case resends == 0:
+		case state != "" && w.rng.IntN(100) < w.cfg.resendAnswered:
+			w.schedule(w.between(0, w.cfg.resendWithin), func() {
+				if e.ref == ref {
+					w.submit(e, request, resends-1)
+				}
+			})
+		case failed:
+			w.schedule(resendAfter, func() { w.submit(w.entries[w.rng.IntN(len(w.entries))], request, resends-1) })
+		}
+	})
+}
+
+// injectFault injects a random fault according to the weights.
+func (w *searchWorld) injectFault() {
+	a, e := w.agents[w.rng.IntN(len(w.agents))], w.entries[w.rng.IntN(len(w.entries))]
+	span := w.between(w.cfg.minSpan, w.cfg.maxSpan)
+	weights := w.cfg.weights
+	kinds := []struct {
+		name   string
+		weight int
+		inject func()
+	}{
+		{"reset", weights.reset, func() { w.net.resetSession(a, e) }},
+		{"cut", weights.cut, func() { w.net.cut(a, e, span) }},
+		{"cut agent", weights.cutAgent, func() {
+			for _, other := range w.entries {
+				w.net.cut(a, other, span)
+			}
+		}},
+		{"kill entry", weights.killEntry, func() { w.killEntry(e) }},
+		{"kill agent", weights.killAgent, func() { w.startAgent(a) }},
+		{"freeze entry", weights.freezeEntry, func() { e.frozenUntil = w.now.Add(span) }},
+		{"freeze agent", weights.freezeAgent, func() { a.frozenUntil = w.now.Add(span) }},
+		{"crash worker", weights.crashWorker, func() { w.crash(a) }},
+		{"turn away", weights.turnAway, func() { w.net.turnAway(a, e, span) }},
+	}
+	total := 0
+	for _, k := range kinds {
+		total += k.weight
+	}
+	if total == 0 {
+		return
+	}
+	dice := w.rng.IntN(total)
+	for _, k := range kinds {
+		if dice < k.weight {
+			w.logf("fault: %s at %s, %s for %v", k.name, a.ref.ID, e.ref.ID, span)
+			k.inject()
+			return
+		}
+		dice -= k.weight
+	}
+}
+
+// decisions records what processes decide on runs, in order to classify a violation.
+type decisions struct {
+	w      *replayWorld
+	agents []agentDecision
+	entry  []entryDecision
+	class  violationClass
+	detail string
+}
+
+// agentDecision is an end that an agent has decided on.
+type agentDecision struct {
+	agent  *replayAgent
+	change cclease.Change
+}
+
+// entryDecision is an end other than success that an entry has decided on.
+type entryDecision struct {
+	entry  ccnode.ID
+	at     time.Time
+	change ccreplay.Change
+}
