--- a/core/ccproof/set_back_test.go
+++ b/core/ccproof/set_back_test.go
@@ -30,7 +30,7 @@
 		w.heartbeat(a, a.manager)
 	})
 	w.schedule(4*time.Second, func() {
-		if response := a.worker.start(late); response.Status != cclease.StatusFenced {
+		if response := a.worker.start(late, callOrigin{agent: a}); response.Status != cclease.StatusFenced {
 			t.Errorf("start of the earlier incarnation: got %q, want %q", response.Status, cclease.StatusFenced)
 		}
 	})
