Skip store items that can't be decoded

Entries and agents could stop to follow the store for good. A response was decoded as one value: one item with a key of another type, a revision of 3.5 or beyond 64 bits, a value that is no base64, or nested 10,001 levels deep was an error of the whole page or watch. A watch that fails begins again with a list, which has the same item, so neither plans nor entries were followed until somebody removed it.

Malformed ones are counted, logged once and left out, also those without a key or with one that is no UTF-8, since such a key names another item than the store's.

Ruled out: the process ending; each case was an error of the call.

--- a/io/cccli/platform.go
+++ b/io/cccli/platform.go
@@ -63,6 +63,12 @@
 	return cclog.NewMalformed(log.Logger.WithName("malformed"), set.Map("malformedItems"))
 }
 
+func newPlatformStore(cfg *ccconfig.Config, malformed *cclog.Malformed) *ccplatform.Store {
+	store := ccplatform.NewStore(cfg.Store)
+	store.Malformed = malformed
+	return store
+}
+
 // runPlatformEntry runs an entry on the users' platform.
 func runPlatformEntry(ctx context.Context, streams Streams, file string, cfg *ccconfig.Config) error {
 	return runApp(ctx, streams, file, cfg, fx.Options(
@@ -72,7 +78,7 @@
 			func(self ccnode.Ref, set *ccmetric.Set, log *cclog.Log, malformed *cclog.Malformed) *ccreplay.Entry {
 				return ccreplay.New(ccreplay.Config{
 					Node: self, Domain: cfg.Domain, Listen: cfg.Listen, AwayFactor: cfg.Platform.AwayFactor,
-					Store: ccplatform.NewStore(cfg.Store), PlanSource: ccplatform.Operator{},
+					Store: newPlatformStore(cfg, malformed), PlanSource: ccplatform.Operator{},
 					Metrics: set, Malformed: malformed, Log: log.Logger.WithName("entry"),
 				})
 			},
@@ -101,7 +107,7 @@
 			func(self ccnode.Ref, set *ccmetric.Set, log *cclog.Log, malformed *cclog.Malformed) *cclease.Agent {
 				worker := ccplatform.NewWorker(cfg.Platform.Worker)
 				worker.Malformed = malformed
-				directory := ccreplay.NewDirectory(ccplatform.NewStore(cfg.Store))
+				directory := ccreplay.NewDirectory(newPlatformStore(cfg, malformed))
 				directory.Malformed = malformed
 				return cclease.New(cclease.Config{
 					Node: self, Domain: cfg.Domain, Worker: worker,
