Probe a worker, also a lost one, while a start may still arrive

What callers would see: a task runs twice at the same time. A worker that returns under its ID knows no token until its agent's first call. A late start that is quicker is executed, beside the rerun of its task elsewhere.

Cause: that call came late. The poll of an idle worker was one at a time, so one lost answer held the next for 150 ms and more; after a refused connection nobody called until the first heartbeat, and a run that a list would have shown went on until then.

While a start may still arrive, the agent now sends probes every 20 ms, at most three without an answer, beside the other polls. They renew no lease, acknowledge no ends, and a lost answer does not count against the worker. They go on after the worker is lost, under its ID; an answer of a new incarnation makes it the current worker, closed until its first heartbeat, and a late start in its list is stopped at once. The rule at the idle worker is as strict as before: the tests of the interval now ask for 20 ms where they asked for 60 ms.

Without such starts nothing changes.

The window is smaller, not closed.

--- a/core/cclease/fence.go
+++ b/core/cclease/fence.go
@@ -6,11 +6,6 @@
 	"camphorcroft/core/ccwire"
 )
 
-// fencePollInterval is the longest time between two polls while a start may still arrive,
-// the same as while runs are active: a poll whose response is lost costs a connection. It
-// bounds how long a restarted worker can accept such a start.
-const fencePollInterval = pollWait
-
 // fenceTask raises the fencing token if a start of the task may still arrive and has the
 // present one, so that the worker refuses it once it has received the next call.
 func (m *Manager) fenceTask(now time.Time, task ccwire.TaskRef, reason string) {
@@ -40,16 +35,14 @@
 
 // lateStartPossible reports whether the worker may still execute a start without an
 // answer, of this incarnation of the agent or of an earlier one, which left no record. A
-// restarted worker knows no token before its first call, so it is polled until then, even
+// restarted worker knows no token before its first call, so it is probed until then, even
 // if it is idle.
 func (m *Manager) lateStartPossible(now time.Time) bool {
-	return now.Sub(m.cfg.StartTime) < maxCallDelay || m.worker != nil && m.starts.at(now, m.worker.ID) > 0
+	id := m.lateStartWorker()
+	return id != "" && (now.Sub(m.cfg.StartTime) < maxCallDelay || m.starts.at(now, id) > 0)
 }
 
 // pollDue reports whether the worker must be polled now.
-func (m *Manager) pollDue(now time.Time) bool {
-	if len(m.runs) > 0 || !m.runsListed || m.ackedEnd != m.lastEnd {
-		return true
-	}
-	return now.Sub(m.polledAt) >= fencePollInterval && m.lateStartPossible(now)
+func (m *Manager) pollDue() bool {
+	return len(m.runs) > 0 || !m.runsListed || m.ackedEnd != m.lastEnd
 }
--- a/core/cclease/fence_test.go
+++ b/core/cclease/fence_test.go
@@ -44,8 +44,8 @@
 				lastPoll = f.now
 				f.completePoll(f.nextPoll(), okPollResponse(nil, nil))
 			}
-			if interval := f.now.Sub(lastPoll); interval > fencePollInterval {
-				t.Fatalf("interval between polls: got %v, want at most %v", interval, fencePollInterval)
+			if interval := f.now.Sub(lastPoll); interval > probeInterval {
+				t.Fatalf("interval between polls: got %v, want at most %v", interval, probeInterval)
 			}
 		}
 		if f.manager.ActiveRuns() != 0 {
--- a/core/cclease/late_start_test.go
+++ b/core/cclease/late_start_test.go
@@ -27,7 +27,7 @@
 	f.keepAlive(entryA, entryB)
 	f.take()
 	f.pendingPolls = nil
-	f.advance(fencePollInterval)
+	f.advance(probeInterval)
 	if f.take(); len(f.pendingPolls) == 0 {
 		t.Error("the new life is not polled, though the start may still arrive")
 	}
@@ -85,9 +85,9 @@
 // executes, because the new incarnation knows nothing of it and leaves the worker alone.
 func TestStartsOfAnEarlierIncarnationAreExpected(t *testing.T) {
 	f := newFixture(t)
-	for end := epoch.Add(maxCallDelay - fencePollInterval); f.now.Before(end); {
+	for end := epoch.Add(maxCallDelay - probeInterval); f.now.Before(end); {
 		f.keepAlive(entryA, entryB)
-		f.advance(fencePollInterval)
+		f.advance(probeInterval)
 		f.take()
 		if len(f.pendingPolls) == 0 {
 			t.Fatalf("no poll of an idle worker %v after the start of the agent", f.now.Sub(epoch))
--- a/core/cclease/manager.go
+++ b/core/cclease/manager.go
@@ -74,9 +74,10 @@
 	lastEnd     uint64 // The number of the last end that was processed.
 	ackedEnd    uint64 // The number of the last end that a poll has acknowledged.
 	polling     bool
-	polledAt    time.Time // When the last poll that may wait was sent.
 	pollingNow  bool
 	missedPolls int
+	probes      int       // Probes without an answer so far.
+	probedAt    time.Time // When the last probe was sent.
 	starts      pendingStarts
 	// heartbeatSeen is set once the worker's current incarnation has sent a heartbeat.
 	heartbeatSeen bool
@@ -154,6 +155,7 @@
 		m.prune(now)
 	}
 	m.poll(now)
+	m.probe(now)
 	m.sendDueReports(now)
 }
 
--- a/core/cclease/poll.go
+++ b/core/cclease/poll.go
@@ -8,13 +8,13 @@
 )
 
 // poll polls the worker if a poll is due, and renews the lease while any run is
-// active. Polling continues until the last ends are acknowledged, and while an
-// unanswered start may still arrive. At most one such poll is in flight.
+// active. Polling continues until the last ends are acknowledged. At most one such poll
+// is in flight.
 func (m *Manager) poll(now time.Time) {
-	if m.worker == nil || m.polling || !m.pollDue(now) {
+	if m.worker == nil || m.polling || !m.pollDue() {
 		return
 	}
-	m.polling, m.polledAt = true, now
+	m.polling = true
 	call := PollCall{Worker: m.worker.ID, Token: m.token, Ack: m.lastEnd, Sent: now}
 	if m.missedPolls == 0 && len(m.runs) > 0 {
 		call.Wait = pollWait
@@ -48,14 +48,21 @@
 
 // PollCompleted processes the response to a PollCall.
 func (m *Manager) PollCompleted(now time.Time, call PollCall, response PollResponse) {
-	if call.Wait == 0 && m.pollingNow {
+	switch {
+	case call.Probe:
+		m.probes--
+		m.lostWorkerAnswered(now, call, response.Response)
+	case call.Wait == 0 && m.pollingNow:
 		m.pollingNow = false
-	} else {
+	default:
 		m.polling = false
 	}
 	if m.checkResponse(now, call.Worker, call.Token, response.Response) != "" {
 		return
 	}
+	if response.Status != StatusOK && call.Probe {
+		return // A lost answer to a probe says nothing that one to a poll doesn't say.
+	}
 	if response.Status != StatusOK {
 		m.pollFailed(now, response.Status)
 		return
@@ -70,7 +77,9 @@
 		m.runsListed = true
 		defer m.reportAll(now)
 	}
-	m.ackedEnd = call.Ack
+	if !call.Probe {
+		m.ackedEnd = call.Ack
+	}
 	m.processEnds(now, response.Ended)
 	m.reconcileRuns(now, call, response.Running)
 	m.poll(now)
--- a/core/cclease/worker.go
+++ b/core/cclease/worker.go
@@ -87,6 +87,9 @@
 	// Wait is how long the worker may delay its response until a run ends.
 	Wait time.Duration
 	Sent time.Time
+	// Probe is set if the call only makes the worker known, and known to it, while a start
+	// may still arrive. It is sent beside other polls.
+	Probe bool
 }
 
 // Response is the part of a response that all calls have in common.
