Repeat an unanswered start at the same worker

What callers saw: a start whose answer was lost cost its task the time of a poll, a stop and a new place, though the worker was well. Each such rerun elsewhere is also one that the first start, if it is executed late by a restarted worker, runs beside.

When a poll that was sent after the missing answer does not list the run, the agent now sends the same start with the same run number again, at most twice, before it stops the run. The worker has the higher token of that poll, so it refuses the first start from then on; and it executes a run number once, whichever call comes first. It is not repeated if the entry has stopped it, if the worker has restarted since (the task may be what crashed it), leaves, is paused or has no room.

--- a/core/cclease/lifecycle.go
+++ b/core/cclease/lifecycle.go
@@ -104,6 +104,7 @@
 			m.endRun(now, r, ccwire.RunLost, "worker has a new life")
 			continue
 		}
+		r.unanswered = false
 		m.runNumbers[r.task] = lastRunNumber{number: r.number, at: now}
 		if r.phase != phaseStarting {
 			r.phase, r.absentAfter, r.stopRetryAt = phaseUnconfirmed, now, time.Time{}
--- a/core/cclease/poll.go
+++ b/core/cclease/poll.go
@@ -165,6 +165,10 @@
 		case phaseStopped:
 			m.endRun(now, r, ccwire.RunStopped, "")
 		case phaseUnconfirmed:
+			if m.canRepeatStart(now, r) {
+				m.repeatStart(now, r)
+				continue
+			}
 			// The worker may still execute the start. A stop makes it refuse the run
 			// number.
 			m.stopRun(now, r)
--- /dev/null
+++ b/core/cclease/repeat.go
@@ -0,0 +1,26 @@
+package cclease
+
+import "time"
+
+// maxStartRepeats limits how often a start without an answer is repeated before its run is
+// stopped and its entry may rerun the task elsewhere.
+const maxStartRepeats = 2
+
+// canRepeatStart reports whether a start without an answer, whose run a later list lacks,
+// may be repeated. The worker has received the higher token of that poll, so it refuses
+// the first start from then on.
+func (m *Manager) canRepeatStart(now time.Time, r *run) bool {
+	return r.unanswered && r.repeats < maxStartRepeats && r.stopRequestedAt.IsZero() && r.owner != "" &&
+		!m.draining && !m.worker.Draining && !now.Before(m.pausedUntil) && !m.workerClockAt.IsZero() &&
+		r.need.Fits(m.Free().Plus(r.need))
+}
+
+// repeatStart sends the start again under the same run number, which the worker executes
+// once whichever of the calls arrives.
+func (m *Manager) repeatStart(now time.Time, r *run) {
+	r.repeats++
+	r.unanswered = false
+	r.started = now
+	m.sendStart(now, r)
+	m.actions.Changes = append(m.actions.Changes, Change{Message: "Start repeated.", Task: r.task, Run: r.number, Worker: m.worker.ID, Token: m.token})
+}
--- a/core/cclease/response.go
+++ b/core/cclease/response.go
@@ -40,7 +40,7 @@
 	case StatusOK:
 		r.phase = phaseRunning
 	case StatusNoResponse:
-		r.phase = phaseUnconfirmed
+		r.phase, r.unanswered = phaseUnconfirmed, true
 		m.pollNow(now)
 	case StatusNoCapacity:
 		m.endRun(now, r, ccwire.RunNoCapacity, "worker has no room")
--- a/core/cclease/run.go
+++ b/core/cclease/run.go
@@ -53,4 +53,8 @@
 	class   uint32
 	crashes int
 	retries int
+	// unanswered is set if the start got no response and the worker has not restarted
+	// since. repeats is how often such a start was repeated.
+	unanswered bool
+	repeats    int
 }
--- a/io/cclease/record_test.go
+++ b/io/cclease/record_test.go
@@ -41,6 +41,7 @@
 		{Message: "Start has no answer.", Task: task, Run: 2, Worker: "i-7f3a", Token: 9},
 		{Message: "Answer to a start dropped.", Task: task, Run: 2, Worker: "i-7f3a", Token: 9, Reason: "worker is lost"},
 		{Message: "Fencing token raised.", Token: 10, Reason: "start has no answer"},
+		{Message: "Start repeated.", Task: task, Run: 2, Worker: "i-7f3a", Token: 10},
 		{Message: "Lost worker answers.", Worker: "i-7f3a"},
 		{Message: "Starts may still arrive.", Worker: "i-7f3a", Count: 2, Reason: "worker has a new life"},
 	} {
