--- a/core/cclease/manager.go
+++ b/core/cclease/manager.go
@@ -83,6 +83,8 @@
 	polledAt    time.Time // When the last poll that may wait was sent.
 	pollingNow  bool
 	missedPolls int
+	probes      int       // Probes without an answer so far.
+	probedAt    time.Time // When the last probe was sent.
 	starts      pendingStarts
 	// heartbeatSeen is set once the worker's current incarnation has sent a heartbeat.
 	heartbeatSeen bool
@@ -167,6 +169,7 @@
 		m.prune(now)
 	}
 	m.poll(now)
+	m.probe(now)
 	m.sendDueReports(now)
 }
 
--- a/core/cclease/poll.go
+++ b/core/cclease/poll.go
@@ -8,10 +8,10 @@
 )
 
 // poll polls the worker if a poll is due, and renews the lease while any run is
-// active. Polling continues until the last ends are acknowledged, and while an
-// unanswered start may still arrive. At most one such poll is in flight.
+// active. Polling continues until the last ends are acknowledged. At most one such poll
+// is in flight.
 func (m *Manager) poll(now time.Time) {
-	if m.worker == nil || m.polling || !m.pollDue(now) || m.pollPaced && now.Sub(m.polledAt) < pollWait {
+	if m.worker == nil || m.polling || !m.pollDue() || m.pollPaced && now.Sub(m.polledAt) < pollWait {
 		return
 	}
 	m.polling, m.polledAt = true, now
@@ -48,14 +48,21 @@
 
 // PollCompleted processes the response to a PollCall.
 func (m *Manager) PollCompleted(now time.Time, call PollCall, response PollResponse) {
-	if call.Wait == 0 && m.pollingNow {
+	switch {
+	case call.Probe:
+		m.probes--
+		m.lostWorkerAnswered(now, call, response.Response)
+	case call.Wait == 0 && m.pollingNow:
 		m.pollingNow = false
-	} else {
+	default:
 		m.polling = false
 	}
 	if m.checkResponse(now, call.Worker, call.Token, response.Response) != "" {
 		return
 	}
+	if response.Status != StatusOK && call.Probe {
+		return // A lost answer to a probe says nothing that one to a poll doesn't say.
+	}
 	if response.Status != StatusOK {
 		m.pollFailed(now, response.Status)
 		return
@@ -70,7 +77,9 @@
 		m.runsListed = true
 		defer m.reportAll(now)
 	}
-	m.ackedEnd = call.Ack
+	if !call.Probe {
+		m.ackedEnd = call.Ack
+	}
 	m.pollPaced = response.EndsUnnumbered || !m.runsListed
 	m.processEnds(now, response)
 	m.reconcileRuns(now, call, response)
@@ -190,6 +199,10 @@
 			}
 			m.endRun(now, r, ccwire.RunStopped, "")
 		case phaseUnconfirmed:
+			if m.canRepeatStart(now, r) {
+				m.repeatStart(now, r)
+				continue
+			}
 			// The worker may still execute the start. A stop makes it refuse the run
 			// number.
 			m.stopRun(now, r)
--- a/core/cclease/unread_test.go
+++ b/core/cclease/unread_test.go
@@ -57,12 +57,16 @@
 		for _, response := range []PollResponse{incomplete(), okPollResponse([]ActiveRun{{Task: ccwire.TaskRef{Job: "z"}}}, nil)} {
 			f := &fixture{t: t, manager: NewManager(Config{Token: 7, StartTime: epoch}), now: epoch}
 			f.manager.Heartbeat(f.now, f.worker())
-			polls := 0
+			polls, probes := 0, 0
 			for start := f.now; f.now.Sub(start) <= maxLeaseDuration; f.advance(time.Millisecond) {
 				f.take()
 				for len(f.pendingPolls) > 0 {
-					polls++
 					call := f.nextPoll()
+					if call.Probe {
+						probes++
+					} else {
+						polls++
+					}
 					if call.LeaseEnd != 0 {
 						t.Fatal("lease is renewed")
 					}
@@ -75,6 +79,9 @@
 			if most := int(maxLeaseDuration/pollWait) + 2; polls > most {
 				t.Errorf("polls: got %d, want %d at most", polls, most)
 			}
+			if most := int(maxLeaseDuration/probeInterval) + 2; probes > most {
+				t.Errorf("probes: got %d, want %d at most", probes, most)
+			}
 			f.advance(pollWait)
 			f.completePoll(f.nextPoll(), response)
 			if !f.manager.priorRunsEnded() {
@@ -91,12 +98,17 @@
 	f.startRunning(entryA, "a")
 	response := okPollResponse([]ActiveRun{{Task: ccwire.TaskRef{Job: "a"}, Run: 1}}, []EndedRun{{Task: ccwire.TaskRef{Job: "b"}, Run: 1, End: ccwire.RunDone}})
 	response.EndsUnnumbered = true
-	polls := 0
+	polls, probes := 0, 0
 	for range 1000 {
 		f.take()
 		for len(f.pendingPolls) > 0 {
-			polls++
-			f.completePoll(f.nextPoll(), response)
+			call := f.nextPoll()
+			if call.Probe {
+				probes++
+			} else {
+				polls++
+			}
+			f.completePoll(call, response)
 		}
 		f.advance(time.Millisecond)
 		f.keepAlive(entryA, entryB)
@@ -104,4 +116,7 @@
 	if most := int(time.Second/pollWait) + 3; polls > most || polls < most/2 {
 		t.Errorf("polls in 1 s: got %d, want %d at most", polls, most)
 	}
+	if most := int(time.Second/probeInterval) + 1; probes > most {
+		t.Errorf("probes in 1 s: got %d, want %d at most", probes, most)
+	}
 }
