Compare handled orders with those of the session that they belong to

What callers saw: a job of which nothing had run may be answered 504 instead of being refused as not run. The entry accepts a session and places tasks in it, but the reply is lost; the agent asks again, and tells how many orders it has handled, in the session before. Orders are numbered from 1 in each session, so the first ones of the session that it never opened counted as handled.

A request names the session that the number belongs to, the latest one that the agent has opened with this incarnation of the entry, and each placed task keeps the session of its start order beside the number. Orders of a later session were not handled. A restarted entry is no longer told the number, the runs or the ends of the incarnation before it.

Evidence: TestLostAttachReply fails without the change (expired, refused is wanted) and passes with it. Both answers end the run, so this alone did not run a task twice. One case of TestOrdersThatAnAgentNeverHandled names its session now; it still checks that handled orders may have run.

--- a/core/cclease/identity_test.go
+++ b/core/cclease/identity_test.go
@@ -69,3 +69,20 @@
 		}
 	})
 }
+
+// TestHandledSequenceNamesItsSession guards against an entry that takes the number of the
+// last orders of another session, or of its earlier incarnation, for that of its own.
+func TestHandledSequenceNamesItsSession(t *testing.T) {
+	f := newFixture(t)
+	f.openSession(entryA)
+	opened := f.session
+	f.keepAlive(entryA)
+	f.attachRequest(entryA) // The reply is lost.
+	if got := f.attachRequest(entryA); got.PreviousSession != opened || got.Report.HandledSequence != f.seq {
+		t.Errorf("got session %d, orders %d, want session %d, which was opened last, orders %d", got.PreviousSession, got.Report.HandledSequence, opened, f.seq)
+	}
+	restarted := ccnode.Ref{ID: entryA.ID, Incarnation: 2}
+	if got := f.attachRequest(restarted); got.PreviousSession != 0 || got.Report.HandledSequence != 0 {
+		t.Errorf("told to a new incarnation: got session %d, orders %d, want 0 and 0", got.PreviousSession, got.Report.HandledSequence)
+	}
+}
--- a/core/cclease/owner.go
+++ b/core/cclease/owner.go
@@ -11,6 +11,7 @@
 // owner is the agent's state of an entry, which owns the runs that it ordered.
 type owner struct {
 	ref       ccnode.Ref
+	session   uint64 // The number of the latest session that was opened.
 	connected bool
 	// lastHeard is the latest agent clock value that the entry has echoed: the time of
 	// the last report that it certainly received.
@@ -68,7 +69,11 @@
 	m.SessionClosed(entry.ID)
 	attach := ccwire.Attach{Node: self, Session: session, Runs: []ccwire.TaskRef{}}
 	o := m.owners[entry.ID]
+	if o != nil && o.ref != entry {
+		o = nil // What an earlier incarnation ordered does not concern this one.
+	}
 	if o != nil {
+		attach.PreviousSession = o.session
 		for _, r := range m.runList {
 			if r.owner == entry.ID {
 				attach.Runs = append(attach.Runs, r.task)
@@ -111,7 +116,7 @@
 		m.owners[entry.ID] = o
 		m.ownerList = append(m.ownerList, o)
 	}
-	o.connected = true
+	o.connected, o.session = true, session
 	o.lastHeard = request.at
 	o.handledSequence = 0
 	o.reportNow = true
--- a/core/ccreplay/attach.go
+++ b/core/ccreplay/attach.go
@@ -55,7 +55,7 @@
 			a.orders.Stops = append(a.orders.Stops, ref)
 		}
 	}
-	s.reconcileRuns(now, a, alive, attach.Report.HandledSequence)
+	s.reconcileRuns(now, a, alive, attach)
 	s.sendNow(a)
 	s.schedule(now)
 	return true
@@ -73,12 +73,13 @@
 
 // reconcileRuns compares the tasks placed on an agent with the runs that it listed
 // when it attached. Listed runs continue, and missing runs of its current
-// incarnation have ended. Those whose orders the agent had not handled in the previous
-// session never started, since it drops the orders of a session that was replaced.
+// incarnation have ended. Those whose orders the agent had not handled never
+// started, since it drops the orders of a session that was replaced, and gets none in one
+// that it never opened.
 //
 // An agent knows nothing of the runs of its earlier incarnations until it is settled:
 // those stay unresolved until then, or until cclease.RunsExpireAfter has passed.
-func (s *Scheduler) reconcileRuns(now time.Time, a *agent, alive map[ccwire.TaskRef]bool, handled uint64) {
+func (s *Scheduler) reconcileRuns(now time.Time, a *agent, alive map[ccwire.TaskRef]bool, attach ccwire.Attach) {
 	for _, p := range slices.Clone(a.runs) {
 		tk := &p.job.tasks[p.index]
 		ref := ccwire.TaskRef{Job: p.job.request.ID, Index: p.index}
@@ -90,11 +91,11 @@
 				a.lostAt = earliest(a.lostAt, tk.lostAt)
 			}
 		case alive[ref]:
-			tk.lostAt, tk.sequence = time.Time{}, 0
+			tk.lostAt, tk.session, tk.sequence = time.Time{}, 0, 0
 			if tk.stopping {
 				a.orders.Stops = append(a.orders.Stops, ref)
 			}
-		case tk.sequence > handled:
+		case !tk.orderHandled(attach):
 			ended.Outcome, ended.Reason = ccwire.RunRefused, "agent attached without having handled the order"
 			s.endRun(now, p.job, p.index, ended)
 		default:
@@ -103,6 +104,12 @@
 	}
 }
 
+// orderHandled reports whether an agent had handled the orders with the task's start when
+// it made a request for a session.
+func (tk *task) orderHandled(attach ccwire.Attach) bool {
+	return tk.session < attach.PreviousSession || tk.session == attach.PreviousSession && tk.sequence <= attach.Report.HandledSequence
+}
+
 // endEarlierRuns ends the runs of an agent's earlier incarnations once the agent has
 // reported that none of them is alive.
 func (s *Scheduler) endEarlierRuns(now time.Time, a *agent) {
--- a/core/ccreplay/identity_test.go
+++ b/core/ccreplay/identity_test.go
@@ -14,8 +14,12 @@
 func (f *fixture) sessionRequest(id ccnode.ID, incarnation ccnode.Incarnation, runs ...ccwire.TaskRef) ccwire.Attach {
 	capacity := ccresource.Amount{CPU: 4000}
 	f.session++
+	previous := uint64(0)
+	if a := f.s.agents[id]; a != nil && a.ref.Incarnation == incarnation {
+		previous = a.session
+	}
 	return ccwire.Attach{
-		Node: ccnode.Ref{ID: id, Incarnation: incarnation}, Session: f.session, Runs: runs,
+		Node: ccnode.Ref{ID: id, Incarnation: incarnation}, Session: f.session, PreviousSession: previous, Runs: runs,
 		Report: ccwire.RunReport{
 			ClockMS: f.now.Sub(epoch).Milliseconds(), HandledSequence: f.handled[id], PriorRunsEnded: true, Free: capacity,
 			Worker: &ccwire.WorkerInfo{Domain: "north", Service: "proof", Capacity: capacity},
@@ -161,3 +165,20 @@
 		}
 	})
 }
+
+// TestLostAttachReply guards against a job that is answered as one that may have run,
+// though its only start was ordered in a session that the agent never opened: the number of
+// the last orders that the agent has handled is that of the session before.
+func TestLostAttachReply(t *testing.T) {
+	f := newFixture(t, "north")
+	f.handled["agent-1"] = 9
+	next := f.sessionRequest("agent-1", 1)
+	f.s.Attach(f.now, f.sessionRequest("agent-1", 1)) // Its reply is lost.
+	next.Session = f.session + 1
+	token := f.submit("j1", 1, func(r *Request) { r.Deadline = f.now.Add(100 * time.Millisecond) })
+	f.wantStarts(f.s.Take(f.now), 1)
+	next.Report.ClosedReason = "worker is draining"
+	f.s.Attach(f.now, next)
+	f.advance(100 * time.Millisecond)
+	f.wantAnswer(f.s.Take(f.now), token, StateRefused)
+}
--- a/core/ccreplay/job.go
+++ b/core/ccreplay/job.go
@@ -75,8 +75,9 @@
 	agent       ccnode.ID          // Where the task was last placed.
 	incarnation ccnode.Incarnation // The agent's incarnation when the task was placed.
 	placedAt    time.Time
-	// sequence is that of the orders with the task's start. Zero is a run that the agent
-	// has listed since.
+	// session and sequence are those of the orders with the task's start. Zero is a run that
+	// the agent has listed since.
+	session  uint64
 	sequence uint64
 	position int // Where the task is in its agent's runs.
 	// lostAt is when the run counts as lost if no end is reported before. Zero is
--- a/core/ccreplay/lateness_test.go
+++ b/core/ccreplay/lateness_test.go
@@ -103,7 +103,7 @@
 		f.s.Detach(f.now, "agent-1")
 		f.session++
 		f.s.Attach(f.now, ccwire.Attach{
-			Node: f.s.agents["agent-1"].ref, Session: f.session,
+			Node: f.s.agents["agent-1"].ref, Session: f.session, PreviousSession: f.session - 1,
 			Report: ccwire.RunReport{HandledSequence: 9, PriorRunsEnded: true, ClosedReason: "worker is draining"},
 		})
 		f.take()
--- a/core/ccreplay/place.go
+++ b/core/ccreplay/place.go
@@ -267,7 +267,7 @@
 	tk.stopping, tk.lostAt = false, time.Time{}
 	j.queued--
 	j.placed++
-	tk.sequence = a.sequence + 1
+	tk.session, tk.sequence = a.session, a.sequence+1
 	a.addRun(j, i)
 	s.sendNow(a)
 	ref := ccwire.TaskRef{Job: j.request.ID, Index: i}
--- a/core/ccwire/session.go
+++ b/core/ccwire/session.go
@@ -63,6 +63,10 @@
 	EntriesDigest uint64 `cbor:"4,keyasint"`
 	// Session is that of the IdentifyReply.
 	Session uint64 `cbor:"5,keyasint"`
+	// PreviousSession is the latest session that this incarnation of the agent has opened
+	// with this incarnation of the entry, or 0. Report.HandledSequence is that of its last
+	// orders.
+	PreviousSession uint64 `cbor:"6,keyasint"`
 }
 
 // IdentifyReply names the entry that answers at an address.
