--- a/core/cclease/crash.go
+++ b/core/cclease/crash.go
@@ -25,7 +25,7 @@
 	m.crashCount++
 	report := ccwire.CrashReport{Number: m.crashCount}
 	for _, r := range runs {
-		if r.owner == "" {
+		if r.owner.ID == "" {
 			continue
 		}
 		report.Suspects = append(report.Suspects, ccwire.CrashSuspect{
--- a/core/cclease/fixture_test.go
+++ b/core/cclease/fixture_test.go
@@ -21,6 +21,7 @@
 	manager      *Manager
 	now          time.Time
 	seq          uint64
+	order        uint64     // The number of the last start order.
 	session      uint64     // The last session number that was issued.
 	pendingPolls []PollCall // Polls without a response so far.
 }
@@ -86,17 +87,32 @@
 func (f *fixture) sendOrders(entry ccnode.Ref, orders ccwire.Orders) {
 	f.seq++
 	orders.Sequence = f.seq
+	for i := range orders.Starts {
+		f.order++
+		orders.Starts[i].Order = f.order
+	}
 	orders.EchoMS = f.now.Sub(epoch).Milliseconds()
 	f.manager.OrdersReceived(f.now, entry.ID, orders)
 }
 
 func (f *fixture) orderStart(entry ccnode.Ref, job string, cpu int64) Actions {
 	f.sendOrders(entry, ccwire.Orders{Starts: []ccwire.StartOrder{{
-		Task: ccwire.TaskRef{Job: job}, Attempt: 1, Payload: "p", Need: ccresource.Amount{CPU: cpu},
+		Task: ccwire.TaskRef{Job: job}, Payload: "p", Need: ccresource.Amount{CPU: cpu},
 	}}})
 	return f.take()
 }
 
+// runOf returns the active run of a job.
+func (f *fixture) runOf(job string) ccwire.RunRef {
+	f.t.Helper()
+	task := ccwire.TaskRef{Job: job}
+	r := f.manager.runs[task]
+	if r == nil {
+		f.t.Fatalf("%s has no run", job)
+	}
+	return ccwire.RunRef{Task: task, Order: r.order}
+}
+
 // startRunning starts a run and lets the worker confirm it.
 func (f *fixture) startRunning(entry ccnode.Ref, job string) {
 	f.t.Helper()
--- a/core/cclease/identity_test.go
+++ b/core/cclease/identity_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"camphorcroft/core/ccnode"
+	"camphorcroft/core/ccresource"
 	"camphorcroft/core/ccwire"
 )
 
@@ -86,3 +87,59 @@
 		t.Errorf("told to a new incarnation: got session %d, orders %d, want 0 and 0", got.PreviousSession, got.Report.HandledSequence)
 	}
 }
+
+// TestStatementsAboutAnotherRun guards against a stop, or a repeated start order, that is
+// taken for one about the task's current run.
+func TestStatementsAboutAnotherRun(t *testing.T) {
+	t.Run("a stop of an earlier run stops nothing", func(t *testing.T) {
+		f := newFixture(t)
+		f.startRunning(entryA, "j1")
+		stop := f.runOf("j1")
+		f.completePoll(f.nextPoll(), okPollResponse(nil, []EndedRun{{Number: 1, Task: stop.Task, Run: 1, End: ccwire.RunDone}}))
+		f.startRunning(entryA, "j1")
+		f.take()
+		f.sendOrders(entryA, ccwire.Orders{Stops: []ccwire.RunRef{stop}})
+		wantStops(t, f.take())
+		f.sendOrders(entryA, ccwire.Orders{Stops: []ccwire.RunRef{f.runOf("j1")}})
+		wantStops(t, f.take(), "j1")
+	})
+	t.Run("a stop by another entry stops nothing", func(t *testing.T) {
+		f := newFixture(t)
+		f.startRunning(entryA, "j2")
+		stop := f.runOf("j2")
+		f.sendOrders(entryB, ccwire.Orders{Stops: []ccwire.RunRef{stop}})
+		wantStops(t, f.take())
+	})
+	t.Run("a repeated start order neither ends the run nor starts another", func(t *testing.T) {
+		f := newFixture(t)
+		f.startRunning(entryA, "j1")
+		run := f.runOf("j1")
+		orders := ccwire.Orders{Starts: []ccwire.StartOrder{{Task: run.Task, Order: run.Order, Need: ccresource.Amount{CPU: 1000}}}}
+		f.manager.OrdersReceived(f.now, entryA.ID, orders)
+		if out := f.take(); len(out.Starts) != 0 || len(endsIn(out, entryA)) != 0 {
+			t.Errorf("while it runs: got %d starts, ends %+v, want none", len(out.Starts), endsIn(out, entryA))
+		}
+		f.completePoll(f.nextPoll(), okPollResponse(nil, []EndedRun{{Number: 1, Task: run.Task, Run: 1, End: ccwire.RunDone}}))
+		f.take()
+		f.manager.OrdersReceived(f.now, entryA.ID, orders)
+		if out := f.take(); len(out.Starts) != 0 || len(endsIn(out, entryA)) != 0 {
+			t.Errorf("after its end: got %d starts, ends %+v, want none", len(out.Starts), endsIn(out, entryA))
+		}
+	})
+}
+
+// TestRequestListsRunsOfItsEntryAlone guards against a restarted entry that is told of runs
+// which it did not order, under numbers that it has given to others.
+func TestRequestListsRunsOfItsEntryAlone(t *testing.T) {
+	f := newFixture(t)
+	f.startRunning(entryA, "j1")
+	f.startRunning(entryA, "j2")
+	run := f.runOf("j1")
+	f.completePoll(f.nextPoll(), okPollResponse([]ActiveRun{{Task: run.Task, Run: 1}}, []EndedRun{{Number: 1, Task: ccwire.TaskRef{Job: "j2"}, Run: 1, End: ccwire.RunDone}}))
+	if got := f.attachRequest(entryA); len(got.Runs) != 1 || got.Runs[0] != run || len(got.Report.Results) != 1 {
+		t.Errorf("told to their entry: got runs %v, ends %v, want %v and one end", got.Runs, got.Report.Results, run)
+	}
+	if got := f.attachRequest(ccnode.Ref{ID: entryA.ID, Incarnation: 2}); len(got.Runs) != 0 || len(got.Report.Results) != 0 {
+		t.Errorf("told to a new incarnation: got runs %v, ends %v, want none", got.Runs, got.Report.Results)
+	}
+}
--- a/core/cclease/manager.go
+++ b/core/cclease/manager.go
@@ -47,8 +47,8 @@
 	// End and Run describe a run that has ended.
 	End ccwire.RunOutcome
 	Run uint64
-	// Attempt says which start order of the entry the change is about.
-	Attempt int
+	// Order is the number of the start order that the change is about.
+	Order uint64
 	// Clock is the agent's clock, from its start, in the request for the session.
 	Clock time.Duration
 	// Session is the number of a session.
@@ -202,7 +202,7 @@
 func (m *Manager) orphans() int {
 	n := 0
 	for _, r := range m.runList {
-		if r.owner == "" {
+		if r.owner.ID == "" {
 			n++
 		}
 	}
--- a/core/cclease/manager_test.go
+++ b/core/cclease/manager_test.go
@@ -44,7 +44,7 @@
 		f := newFixture(t)
 		call := f.orderStart(entryA, "j1", 4000).Starts[0]
 		f.manager.StartCompleted(f.now, call, Response{Status: StatusOK})
-		f.sendOrders(entryA, ccwire.Orders{Stops: []ccwire.TaskRef{{Job: "j1"}}})
+		f.sendOrders(entryA, ccwire.Orders{Stops: []ccwire.RunRef{f.runOf("j1")}})
 		out := f.take()
 		wantStops(t, out, "j1")
 		f.manager.StopCompleted(f.now, out.Stops[0], Response{Status: StatusOK})
@@ -57,7 +57,7 @@
 	t.Run("an order of an entry with an outdated echo is refused", func(t *testing.T) {
 		f := newFixture(t)
 		f.now = f.now.Add(OwnerTimeout + 10*time.Millisecond)
-		f.manager.OrdersReceived(f.now, entryA.ID, ccwire.Orders{Sequence: 1, Starts: []ccwire.StartOrder{{Task: ccwire.TaskRef{Job: "j1"}, Attempt: 1}}})
+		f.manager.OrdersReceived(f.now, entryA.ID, ccwire.Orders{Sequence: 1, Starts: []ccwire.StartOrder{{Task: ccwire.TaskRef{Job: "j1"}, Order: 99}}})
 		out := f.take()
 		if len(out.Starts) != 0 {
 			t.Errorf("starts: got %v, want none", out.Starts)
@@ -162,7 +162,7 @@
 	t.Run("an unanswered stop is repeated", func(t *testing.T) {
 		f := newFixture(t)
 		f.startRunning(entryA, "j1")
-		f.sendOrders(entryA, ccwire.Orders{Stops: []ccwire.TaskRef{{Job: "j1"}}})
+		f.sendOrders(entryA, ccwire.Orders{Stops: []ccwire.RunRef{f.runOf("j1")}})
 		stop := f.take().Stops[0]
 		f.manager.StopCompleted(f.now, stop, Response{Status: StatusNoResponse})
 		f.take()
@@ -199,7 +199,7 @@
 			[]ActiveRun{{Task: ccwire.TaskRef{Job: "j1"}, Run: 1}},
 			[]EndedRun{{Number: 1, Task: ccwire.TaskRef{Job: "j2"}, Run: 1, End: ccwire.RunDone}}))
 		attach := f.attachRequest(entryA)
-		if len(attach.Runs) != 1 || attach.Runs[0].Job != "j1" {
+		if len(attach.Runs) != 1 || attach.Runs[0].Task.Job != "j1" {
 			t.Errorf("runs: got %v, want j1", attach.Runs)
 		}
 		wantEnd(t, attach.Report.Results, "j2", ccwire.RunDone)
@@ -210,7 +210,7 @@
 	t.Run("an overdue stop blocks the renewal, and the runs end when the lease expires", func(t *testing.T) {
 		f := newFixture(t)
 		f.startRunning(entryA, "j1")
-		f.sendOrders(entryA, ccwire.Orders{Stops: []ccwire.TaskRef{{Job: "j1"}}})
+		f.sendOrders(entryA, ccwire.Orders{Stops: []ccwire.RunRef{f.runOf("j1")}})
 		f.take()
 		f.now = f.now.Add(StopGrace + time.Millisecond)
 		f.completePoll(f.nextPoll(), PollResponse{Response: Response{Status: StatusNoResponse}})
--- a/core/cclease/order.go
+++ b/core/cclease/order.go
@@ -20,12 +20,17 @@
 		o.capacityInterval = time.Duration(orders.CapacityIntervalMS) * time.Millisecond
 	}
 	m.updatePlan(now, o, orders)
-	for _, task := range orders.Stops {
-		if r := m.runs[task]; r != nil && r.owner == entry && r.stopRequestedAt.IsZero() {
+	for _, stop := range orders.Stops {
+		if r := m.runs[stop.Task]; r != nil && r.owner == o.ref && r.order == stop.Order && r.stopRequestedAt.IsZero() {
 			m.stopRun(now, r)
 		}
 	}
 	for _, order := range orders.Starts {
+		if order.Order <= o.lastOrder {
+			m.actions.Changes = append(m.actions.Changes, Change{Message: "Repeated order ignored.", Entry: entry, Order: order.Order})
+			continue
+		}
+		o.lastOrder = order.Order
 		m.handleStart(now, o, order)
 	}
 	m.setDemand(now, o, orders.Demand)
@@ -51,39 +56,39 @@
 // handleStart accepts or refuses a start order.
 func (m *Manager) handleStart(now time.Time, o *owner, order ccwire.StartOrder) {
 	if age := now.Sub(o.lastHeard); age > OwnerTimeout {
-		m.refuseOrder(now, o.ref.ID, order, ccwire.RunRefused, "echo is old")
+		m.refuseOrder(now, o.ref, order, ccwire.RunRefused, "echo is old")
 		return
 	}
 	if reason := m.closedReasonFor(now, o); reason != "" {
-		m.refuseOrder(now, o.ref.ID, order, ccwire.RunRefused, reason)
+		m.refuseOrder(now, o.ref, order, ccwire.RunRefused, reason)
 		return
 	}
 	if r := m.runs[order.Task]; r != nil {
 		// A run of the same task by another owner must end first.
-		if r.stopRequestedAt.IsZero() && r.owner != o.ref.ID {
+		if r.stopRequestedAt.IsZero() && r.owner != o.ref {
 			m.stopRun(now, r)
 		}
-		m.refuseOrder(now, o.ref.ID, order, ccwire.RunRefused, "an earlier run is not over")
+		m.refuseOrder(now, o.ref, order, ccwire.RunRefused, "an earlier run is not over")
 		return
 	}
 	if !order.Need.Fits(m.freeFor(now, o)) {
-		m.refuseOrder(now, o.ref.ID, order, ccwire.RunNoCapacity, "no room in the agent's ledger")
+		m.refuseOrder(now, o.ref, order, ccwire.RunNoCapacity, "no room in the agent's ledger")
 		return
 	}
 	m.acceptOrder(now, o, order)
 }
 
 // refuseOrder returns an order to its entry.
-func (m *Manager) refuseOrder(now time.Time, entry ccnode.ID, order ccwire.StartOrder, end ccwire.RunOutcome, reason string) {
-	m.actions.Changes = append(m.actions.Changes, Change{Message: "Order refused.", Entry: entry, Task: order.Task, Reason: reason, End: end, Attempt: order.Attempt})
-	m.queueEnd(now, entry, ccwire.RunResult{Task: order.Task, Attempt: order.Attempt, Outcome: end, Reason: reason}, true)
+func (m *Manager) refuseOrder(now time.Time, entry ccnode.Ref, order ccwire.StartOrder, end ccwire.RunOutcome, reason string) {
+	m.actions.Changes = append(m.actions.Changes, Change{Message: "Order refused.", Entry: entry.ID, Task: order.Task, Reason: reason, End: end, Order: order.Order})
+	m.queueEnd(now, entry, ccwire.RunResult{Task: order.Task, Order: order.Order, Outcome: end, Reason: reason}, true)
 }
 
 // acceptOrder reserves capacity for an order and sends the start to the worker.
 func (m *Manager) acceptOrder(now time.Time, o *owner, order ccwire.StartOrder) {
 	r := &run{
-		task: order.Task, number: m.runNumbers[order.Task].number + 1, attempt: order.Attempt,
-		owner: o.ref.ID, need: order.Need, payload: order.Payload, started: now,
+		task: order.Task, number: m.runNumbers[order.Task].number + 1, order: order.Order,
+		owner: o.ref, need: order.Need, payload: order.Payload, started: now,
 		estimate: time.Duration(order.EstimateMS) * time.Millisecond, class: order.Class, crashes: order.Crashes,
 	}
 	o.useOffer(order.Need)
--- a/core/cclease/owner.go
+++ b/core/cclease/owner.go
@@ -17,8 +17,9 @@
 	// the last report that it certainly received.
 	lastHeard       time.Time
 	handledSequence uint64
-	wantsPlan       bool // The entry has asked for the plan.
-	retiring        bool // The session is about to be closed.
+	lastOrder       uint64 // The number of the last start order.
+	wantsPlan       bool   // The entry has asked for the plan.
+	retiring        bool   // The session is about to be closed.
 	sentInfo        *ccwire.WorkerInfo
 	pendingEnds     []ccwire.RunResult
 	recentEnds      []recentEnd
@@ -67,7 +68,7 @@
 	}
 	m.requests[entry.ID] = sessionRequest{entry: entry, session: session, at: now}
 	m.SessionClosed(entry.ID)
-	attach := ccwire.Attach{Node: self, Session: session, Runs: []ccwire.TaskRef{}}
+	attach := ccwire.Attach{Node: self, Session: session, Runs: []ccwire.RunRef{}}
 	o := m.owners[entry.ID]
 	if o != nil && o.ref != entry {
 		o = nil // What an earlier incarnation ordered does not concern this one.
@@ -75,8 +76,8 @@
 	if o != nil {
 		attach.PreviousSession = o.session
 		for _, r := range m.runList {
-			if r.owner == entry.ID {
-				attach.Runs = append(attach.Runs, r.task)
+			if r.owner == entry {
+				attach.Runs = append(attach.Runs, ccwire.RunRef{Task: r.task, Order: r.order})
 			}
 		}
 	}
@@ -109,7 +110,7 @@
 	o := m.owners[entry.ID]
 	if o == nil || o.ref != entry {
 		if o != nil {
-			m.stopOwnedRuns(now, entry.ID, "entry has a new incarnation")
+			m.stopOwnedRuns(now, o.ref, "entry has a new incarnation")
 		}
 		m.ownerList = slices.DeleteFunc(m.ownerList, func(other *owner) bool { return other == o })
 		o = &owner{ref: entry}
@@ -161,7 +162,7 @@
 func (m *Manager) RunsOf(entry ccnode.ID) int {
 	n := 0
 	for _, r := range m.runList {
-		if r.owner == entry {
+		if r.owner.ID == entry {
 			n++
 		}
 	}
@@ -193,7 +194,7 @@
 		id := o.ref.ID
 		age := now.Sub(o.lastHeard)
 		if age > OwnerTimeout {
-			m.stopOwnedRunsAged(now, id, "entry is silent", age)
+			m.stopOwnedRunsAged(now, o.ref, "entry is silent", age)
 		}
 		if o.connected && age > sessionTimeout {
 			m.actions.CloseSessions = append(m.actions.CloseSessions, id)
@@ -202,11 +203,11 @@
 	}
 }
 
-func (m *Manager) stopOwnedRuns(now time.Time, entry ccnode.ID, reason string) {
+func (m *Manager) stopOwnedRuns(now time.Time, entry ccnode.Ref, reason string) {
 	m.stopOwnedRunsAged(now, entry, reason, 0)
 }
 
-func (m *Manager) stopOwnedRunsAged(now time.Time, entry ccnode.ID, reason string, age time.Duration) {
+func (m *Manager) stopOwnedRunsAged(now time.Time, entry ccnode.Ref, reason string, age time.Duration) {
 	n := 0
 	for _, r := range m.runList {
 		if r.owner == entry && r.stopRequestedAt.IsZero() {
@@ -215,6 +216,6 @@
 		}
 	}
 	if n > 0 {
-		m.actions.Changes = append(m.actions.Changes, Change{Message: "Runs stopped.", Entry: entry, Reason: reason, Age: age, Count: n})
+		m.actions.Changes = append(m.actions.Changes, Change{Message: "Runs stopped.", Entry: entry.ID, Reason: reason, Age: age, Count: n})
 	}
 }
--- a/core/cclease/pace_test.go
+++ b/core/cclease/pace_test.go
@@ -79,7 +79,7 @@
 		f := newFixture(t)
 		for _, job := range []string{"j1", "j2", "j3"} {
 			f.sendOrders(entryA, ccwire.Orders{Starts: []ccwire.StartOrder{{
-				Task: ccwire.TaskRef{Job: job}, Attempt: 1, Need: ccresource.Amount{CPU: 1000}, EstimateMS: 200,
+				Task: ccwire.TaskRef{Job: job}, Need: ccresource.Amount{CPU: 1000}, EstimateMS: 200,
 			}}})
 			f.manager.StartCompleted(f.now, f.take().Starts[0], Response{Status: StatusOK})
 		}
--- a/core/cclease/poll.go
+++ b/core/cclease/poll.go
@@ -170,12 +170,12 @@
 		r.percentGrewAt = now
 	}
 	r.percent, r.percentAt = percent, now
-	if r.stalled || r.owner == "" || !r.stopRequestedAt.IsZero() || now.Sub(r.percentGrewAt) < stallTimeout {
+	if r.stalled || r.owner.ID == "" || !r.stopRequestedAt.IsZero() || now.Sub(r.percentGrewAt) < stallTimeout {
 		return
 	}
 	r.stalled = true
 	m.recordFailure(now, r, "worker makes no progress")
-	if o := m.owners[r.owner]; o != nil {
+	if o := m.owners[r.owner.ID]; o != nil {
 		o.reportNow = true
 	}
 }
--- a/core/cclease/report.go
+++ b/core/cclease/report.go
@@ -19,10 +19,11 @@
 // include the progress of the runs.
 const progressInterval = 50 * time.Millisecond
 
-// queueEnd queues the end of a run for the next report to its owner.
-func (m *Manager) queueEnd(now time.Time, entry ccnode.ID, ended ccwire.RunResult, urgent bool) {
-	o := m.owners[entry]
-	if o == nil {
+// queueEnd queues the end of a run for the next report to its owner. A later incarnation of
+// that entry has not ordered the run, and is not told.
+func (m *Manager) queueEnd(now time.Time, entry ccnode.Ref, ended ccwire.RunResult, urgent bool) {
+	o := m.owners[entry.ID]
+	if o == nil || o.ref != entry {
 		return
 	}
 	o.pendingEnds = append(o.pendingEnds, ended)
@@ -88,9 +89,9 @@
 		return report
 	}
 	for _, r := range m.runList {
-		if r.owner == o.ref.ID && r.phase == phaseRunning && !r.percentAt.IsZero() {
+		if r.owner == o.ref && r.phase == phaseRunning && !r.percentAt.IsZero() {
 			report.Progress = append(report.Progress, ccwire.Progress{
-				Task: r.task, Percent: r.percent, ElapsedMS: r.percentAt.Sub(r.started).Milliseconds(),
+				Task: r.task, Order: r.order, Percent: r.percent, ElapsedMS: r.percentAt.Sub(r.started).Milliseconds(),
 			})
 		}
 	}
--- a/core/cclease/response.go
+++ b/core/cclease/response.go
@@ -122,9 +122,9 @@
 	m.runList = slices.DeleteFunc(m.runList, func(other *run) bool { return other == r })
 	m.reserved = m.reserved.Minus(r.need)
 	m.actions.Changes = append(m.actions.Changes, Change{
-		Message: "Run ended.", Entry: r.owner, Task: r.task, Reason: reason, Age: now.Sub(r.started), End: end, Run: r.number, Attempt: r.attempt,
+		Message: "Run ended.", Entry: r.owner.ID, Task: r.task, Reason: reason, Age: now.Sub(r.started), End: end, Run: r.number, Order: r.order,
 	})
 	m.queueEnd(now, r.owner, ccwire.RunResult{
-		Task: r.task, Attempt: r.attempt, Outcome: end, Reason: reason, RunMS: now.Sub(r.started).Milliseconds(),
+		Task: r.task, Order: r.order, Outcome: end, Reason: reason, RunMS: now.Sub(r.started).Milliseconds(),
 	}, true)
 }
--- a/core/cclease/run.go
+++ b/core/cclease/run.go
@@ -28,8 +28,8 @@
 type run struct {
 	task    ccwire.TaskRef
 	number  uint64
-	attempt int
-	owner   ccnode.ID
+	order   uint64     // The number of the start order.
+	owner   ccnode.Ref // The entry that ordered the run. Zero is none.
 	need    ccresource.Amount
 	payload string
 	// estimate is the caller's estimate of the task's duration.
--- a/core/cclease/walk_test.go
+++ b/core/cclease/walk_test.go
@@ -32,10 +32,12 @@
 	now      time.Time
 	worker   Worker
 	sequence uint64
-	session  uint64 // The last session number that was issued.
-	starts   []StartCall
-	stops    []StopCall
-	polls    []PollCall
+	// lastOrder is the number of the last start order.
+	lastOrder uint64
+	session   uint64 // The last session number that was issued.
+	starts    []StartCall
+	stops     []StopCall
+	polls     []PollCall
 	// lastRun is the number of the last run of each task in this incarnation of the worker.
 	lastRun map[ccwire.TaskRef]uint64
 	// refused is the last run of each task that the worker has refused without a trace. Its
@@ -79,17 +81,29 @@
 	w.manager.Heartbeat(w.now, sent)
 }
 
+// order returns the number of the next start order, or that of the last one again.
+func (w *walk) order() uint64 {
+	if w.draw(8, "repeated") > 0 {
+		w.lastOrder++
+	}
+	return w.lastOrder
+}
+
 func (w *walk) orders() {
 	entry := w.entry()
 	w.sequence++
 	orders := ccwire.Orders{Sequence: w.sequence, EchoMS: w.now.Sub(epoch).Milliseconds() - int64(w.draw(500, "echo"))}
 	for range w.draw(4, "starts") {
 		orders.Starts = append(orders.Starts, ccwire.StartOrder{
-			Task: w.task(), Attempt: w.draw(4, "attempt") - 1, Need: w.amount(), EstimateMS: int64(w.draw(400, "estimate") - 1), Crashes: w.draw(4, "crashes") - 1,
+			Task: w.task(), Order: w.order(), Need: w.amount(), EstimateMS: int64(w.draw(400, "estimate") - 1), Crashes: w.draw(4, "crashes") - 1,
 		})
 	}
 	for range w.draw(3, "stops") {
-		orders.Stops = append(orders.Stops, w.task())
+		stop := ccwire.RunRef{Task: w.task(), Order: w.lastOrder}
+		if r := w.manager.runs[stop.Task]; r != nil && w.draw(4, "stop") > 0 {
+			stop.Order = r.order
+		}
+		orders.Stops = append(orders.Stops, stop)
 	}
 	if w.draw(3, "demand") == 0 {
 		orders.Demand = &ccwire.Demand{Need: w.amount(), Tasks: w.draw(4, "tasks") - 1, SlackMS: int64(w.draw(99, "slack"))}
--- a/core/ccreplay/agent.go
+++ b/core/ccreplay/agent.go
@@ -125,13 +125,14 @@
 	return idleHeartbeatInterval
 }
 
-// isPlacedOn reports whether the task is placed on the agent.
-func (s *Scheduler) isPlacedOn(ref ccwire.TaskRef, id ccnode.ID) bool {
-	j := s.jobs[ref.Job]
-	if j == nil || !j.hasTask(ref.Index) {
+// isPlacedOn reports whether exactly this run is placed on the agent.
+func (s *Scheduler) isPlacedOn(run ccwire.RunRef, id ccnode.ID) bool {
+	j := s.jobs[run.Task.Job]
+	if j == nil || !j.hasTask(run.Task.Index) {
 		return false
 	}
-	return j.tasks[ref.Index].state == taskPlaced && j.tasks[ref.Index].agent == id
+	tk := &j.tasks[run.Task.Index]
+	return tk.state == taskPlaced && tk.agent == id && tk.order == run.Order
 }
 
 // Report handles a report from an agent's current session.
--- a/core/ccreplay/attach.go
+++ b/core/ccreplay/attach.go
@@ -48,11 +48,11 @@
 		Clock: time.Duration(attach.Report.ClockMS) * time.Millisecond, Session: a.session,
 	})
 	s.handleReport(now, a, attach.Report)
-	alive := map[ccwire.TaskRef]bool{}
-	for _, ref := range attach.Runs {
-		alive[ref] = true
-		if !s.isPlacedOn(ref, a.ref.ID) {
-			a.orders.Stops = append(a.orders.Stops, ref)
+	alive := map[ccwire.RunRef]bool{}
+	for _, run := range attach.Runs {
+		alive[run] = true
+		if !s.isPlacedOn(run, a.ref.ID) {
+			a.orders.Stops = append(a.orders.Stops, run)
 		}
 	}
 	s.reconcileRuns(now, a, alive, attach)
@@ -79,21 +79,21 @@
 //
 // An agent knows nothing of the runs of its earlier incarnations until it is settled:
 // those stay unresolved until then, or until cclease.RunsExpireAfter has passed.
-func (s *Scheduler) reconcileRuns(now time.Time, a *agent, alive map[ccwire.TaskRef]bool, attach ccwire.Attach) {
+func (s *Scheduler) reconcileRuns(now time.Time, a *agent, alive map[ccwire.RunRef]bool, attach ccwire.Attach) {
 	for _, p := range slices.Clone(a.runs) {
 		tk := &p.job.tasks[p.index]
-		ref := ccwire.TaskRef{Job: p.job.request.ID, Index: p.index}
-		ended := ccwire.RunResult{Task: ref, Attempt: tk.attempt, Outcome: ccwire.RunLost, Reason: "agent attached without it"}
+		run := p.job.runRef(p.index)
+		ended := ccwire.RunResult{Outcome: ccwire.RunLost, Reason: "agent attached without it"}
 		switch {
 		case tk.incarnation != a.ref.Incarnation:
 			if tk.lostAt.IsZero() {
 				tk.lostAt = now.Add(cclease.RunsExpireAfter)
 				a.lostAt = earliest(a.lostAt, tk.lostAt)
 			}
-		case alive[ref]:
+		case alive[run]:
 			tk.lostAt, tk.session, tk.sequence = time.Time{}, 0, 0
 			if tk.stopping {
-				a.orders.Stops = append(a.orders.Stops, ref)
+				a.orders.Stops = append(a.orders.Stops, run)
 			}
 		case !tk.orderHandled(attach):
 			ended.Outcome, ended.Reason = ccwire.RunRefused, "agent attached without having handled the order"
@@ -115,7 +115,7 @@
 func (s *Scheduler) endEarlierRuns(now time.Time, a *agent) {
 	for _, p := range slices.Clone(a.runs) {
 		if tk := &p.job.tasks[p.index]; tk.incarnation != a.ref.Incarnation {
-			s.endRun(now, p.job, p.index, ccwire.RunResult{Attempt: tk.attempt, Outcome: ccwire.RunLost, Reason: "agent has a new incarnation"})
+			s.endRun(now, p.job, p.index, ccwire.RunResult{Outcome: ccwire.RunLost, Reason: "agent has a new incarnation"})
 		}
 	}
 }
--- a/core/ccreplay/cost_bench_test.go
+++ b/core/ccreplay/cost_bench_test.go
@@ -33,7 +33,7 @@
 
 func benchAgentID(i int) ccnode.ID { return ccnode.ID(fmt.Sprintf("agent-%04d", i)) }
 
-func attachBenchAgent(s *Scheduler, now time.Time, i int, runs ...ccwire.TaskRef) {
+func attachBenchAgent(s *Scheduler, now time.Time, i int, runs ...ccwire.RunRef) {
 	capacity := ccresource.Amount{CPU: 4000}
 	session := uint64(1)
 	if a := s.agents[benchAgentID(i)]; a != nil {
@@ -106,7 +106,7 @@
 				for _, m := range s.Take(epoch).Messages {
 					report := ccwire.RunReport{HandledSequence: m.Orders.Sequence, Free: ccresource.Amount{CPU: 4000}, PriorRunsEnded: true}
 					for _, order := range m.Orders.Starts {
-						report.Results = append(report.Results, ccwire.RunResult{Task: order.Task, Attempt: order.Attempt, Outcome: ccwire.RunDone})
+						report.Results = append(report.Results, ccwire.RunResult{Task: order.Task, Order: order.Order, Outcome: ccwire.RunDone})
 					}
 					s.Report(epoch, m.To, report)
 				}
@@ -118,11 +118,11 @@
 
 func BenchmarkAttach(b *testing.B) {
 	forEachSize(b, func(b *testing.B, s *Scheduler, agents int) {
-		runs := map[ccnode.ID][]ccwire.TaskRef{}
+		runs := map[ccnode.ID][]ccwire.RunRef{}
 		for _, j := range s.jobList {
 			for index := range j.tasks {
 				id := j.tasks[index].agent
-				runs[id] = append(runs[id], ccwire.TaskRef{Job: j.request.ID, Index: index})
+				runs[id] = append(runs[id], j.runRef(index))
 			}
 		}
 		for i := 0; b.Loop(); i++ {
--- a/core/ccreplay/end.go
+++ b/core/ccreplay/end.go
@@ -25,7 +25,7 @@
 	case ccwire.RunFailed:
 		tk.failures++
 		tk.avoidAgent = a.ref.ID
-		s.recordChange(Change{Message: "Run failed.", Job: j.request.ID, Index: i, Agent: a.ref.ID, Reason: ended.Reason, Age: now.Sub(tk.placedAt), Count: tk.failures, Attempt: tk.attempt})
+		s.recordChange(Change{Message: "Run failed.", Job: j.request.ID, Index: i, Agent: a.ref.ID, Reason: ended.Reason, Age: now.Sub(tk.placedAt), Count: tk.failures, Order: tk.order})
 	case ccwire.RunNoCapacity, ccwire.RunRefused:
 		// The report with a RunNoCapacity also has the current free capacity. After a
 		// refusal for another reason, the agent's state may not be in a report yet, so
@@ -33,12 +33,12 @@
 		if ended.Outcome == ccwire.RunRefused {
 			tk.notBefore = now.Add(refusalBackoff)
 		}
-		s.recordChange(Change{Message: "Start refused.", Job: j.request.ID, Index: i, Agent: a.ref.ID, Reason: ended.Reason, Count: tk.attempt, Quiet: tk.suppressLog()})
+		s.recordChange(Change{Message: "Start refused.", Job: j.request.ID, Index: i, Agent: a.ref.ID, Reason: ended.Reason, Count: tk.attempt, Order: tk.order, Quiet: tk.suppressLog()})
 		tk.refusals++
 	case ccwire.RunStopped, ccwire.RunLost:
 		tk.avoidAgent = a.ref.ID
 		s.markSuspect(now, j, i)
-		s.recordChange(Change{Message: "Run is over.", Job: j.request.ID, Index: i, Agent: a.ref.ID, Reason: string(ended.Outcome) + " " + ended.Reason, Age: now.Sub(tk.placedAt), Attempt: tk.attempt})
+		s.recordChange(Change{Message: "Run is over.", Job: j.request.ID, Index: i, Agent: a.ref.ID, Reason: string(ended.Outcome) + " " + ended.Reason, Age: now.Sub(tk.placedAt), Order: tk.order})
 	}
 	s.advanceJob(now, j, i)
 }
--- a/core/ccreplay/fuzz_test.go
+++ b/core/ccreplay/fuzz_test.go
@@ -52,11 +52,15 @@
 	agent := ccnode.ID(fmt.Sprint("agent-", o.next(3)))
 	job := fmt.Sprint("job-", o.next(4))
 	ref := ccwire.TaskRef{Job: job, Index: o.next(6) - 1}
+	order := uint64(o.next(3)) // Two of three name the task's last run.
+	if j := s.jobs[job]; j != nil && j.hasTask(ref.Index) {
+		order = j.tasks[ref.Index].order + order/2
+	}
 	report := ccwire.RunReport{
 		ClockMS: int64(o.next(256)) - 1, HandledSequence: uint64(o.next(4)), Free: ccresource.Amount{CPU: int64(o.next(6)-1) * 1000},
 		PriorRunsEnded: o.next(2) == 0, PlanRevision: uint64(o.next(3)), Pace: float64(o.next(3) - 1),
-		Results:  []ccwire.RunResult{{Task: ref, Attempt: o.next(3), Outcome: ccwire.RunOutcome([]string{"done", "failed", "stopped", "lost", "noRoom", "refused", "?"}[o.next(7)])}},
-		Progress: []ccwire.Progress{{Task: ref, Percent: o.next(256) - 20, ElapsedMS: int64(o.next(256)) * 10}},
+		Results:  []ccwire.RunResult{{Task: ref, Order: order, Outcome: ccwire.RunOutcome([]string{"done", "failed", "stopped", "lost", "noRoom", "refused", "?"}[o.next(7)])}},
+		Progress: []ccwire.Progress{{Task: ref, Order: order, Percent: o.next(256) - 20, ElapsedMS: int64(o.next(256)) * 10}},
 	}
 	if o.next(3) == 0 {
 		suspect := ccwire.CrashSuspect{Task: ref, Class: classOf(route), RanMS: int64(o.next(256)) - 1, Crashes: o.next(4) - 1}
@@ -66,7 +70,7 @@
 	case 0, 1:
 		report.Results = nil
 		report.Worker = &ccwire.WorkerInfo{Domain: "north", Service: "proof", Capacity: ccresource.Amount{CPU: 4000}}
-		s.Attach(now, ccwire.Attach{Node: ccnode.Ref{ID: agent, Incarnation: ccnode.Incarnation(o.next(3))}, Session: token - min(token, report.HandledSequence/3), Runs: []ccwire.TaskRef{ref}, Report: report})
+		s.Attach(now, ccwire.Attach{Node: ccnode.Ref{ID: agent, Incarnation: ccnode.Incarnation(o.next(3))}, Session: token - min(token, report.HandledSequence/3), Runs: []ccwire.RunRef{{Task: ref, Order: order}}, Report: report})
 	case 2:
 		s.Submit(now, Request{
 			Token: token, ID: job, Route: route, Tasks: 1 + o.next(5), Need: ccresource.Amount{CPU: 1000}, MaxPerWorker: o.next(3),
--- a/core/ccreplay/identity_test.go
+++ b/core/ccreplay/identity_test.go
@@ -11,7 +11,7 @@
 
 // sessionRequest returns a request for a session that an agent makes now. It may be
 // delivered at any later time.
-func (f *fixture) sessionRequest(id ccnode.ID, incarnation ccnode.Incarnation, runs ...ccwire.TaskRef) ccwire.Attach {
+func (f *fixture) sessionRequest(id ccnode.ID, incarnation ccnode.Incarnation, runs ...ccwire.RunRef) ccwire.Attach {
 	capacity := ccresource.Amount{CPU: 4000}
 	f.session++
 	previous := uint64(0)
@@ -28,7 +28,9 @@
 }
 
 // runOf returns what an agent lists of a run when it opens a session.
-func runOf(s start) ccwire.TaskRef { return s.order.Task }
+func runOf(s start) ccwire.RunRef {
+	return ccwire.RunRef{Task: s.order.Task, Order: s.order.Order}
+}
 
 // slow gives a request an estimate and a deadline that no test reaches.
 func slow(r *Request) { r.Estimate, r.Deadline = 5*time.Second, epoch.Add(time.Minute) }
@@ -159,8 +161,8 @@
 		f.wantStarts(f.take(), 1)
 		f.submit("j2", 4, slow)
 		f.wantStarts(f.take(), 4)
-		f.s.Attach(f.now, f.sessionRequest("agent-1", 3, ccwire.TaskRef{Job: "j9"}))
-		if stops := stopsIn(f.take()); len(stops) != 1 || stops[0].Job != "j9" {
+		f.s.Attach(f.now, f.sessionRequest("agent-1", 3, ccwire.RunRef{Task: ccwire.TaskRef{Job: "j9"}, Order: 9}))
+		if stops := stopsIn(f.take()); len(stops) != 1 || stops[0].Task.Job != "j9" {
 			t.Errorf("stops: got %v, want j9", stops)
 		}
 	})
@@ -182,3 +184,48 @@
 	f.advance(100 * time.Millisecond)
 	f.wantAnswer(f.s.Take(f.now), token, StateRefused)
 }
+
+// TestStatementsAboutAnEarlierRun guards against a list of runs, or progress, that is taken
+// for one about the run that was placed since.
+func TestStatementsAboutAnEarlierRun(t *testing.T) {
+	placeTwice := func(t *testing.T) (f *fixture, first, second start) {
+		f = newFixture(t, "north")
+		f.submit("j1", 1, slow)
+		first = f.wantStarts(f.take(), 1)[0]
+		f.report(first.agent, endOf(first, ccwire.RunLost))
+		second = f.wantStarts(f.take(), 1)[0]
+		return f, first, second
+	}
+	t.Run("a listed earlier run is stopped, the newer one goes on", func(t *testing.T) {
+		f, first, second := placeTwice(t)
+		f.s.Attach(f.now, f.sessionRequest("agent-1", 1, runOf(first), runOf(second)))
+		out := f.take()
+		f.wantStarts(out, 0)
+		if stops := stopsIn(out); len(stops) != 1 || stops[0] != runOf(first) {
+			t.Errorf("stops: got %v, want %v", stops, runOf(first))
+		}
+	})
+	t.Run("a listed earlier run does not stand for the newer one", func(t *testing.T) {
+		f, first, second := placeTwice(t)
+		f.s.Attach(f.now, f.sessionRequest("agent-1", 1, runOf(first)))
+		if third := f.wantStarts(f.take(), 1)[0]; third.order.Order <= second.order.Order {
+			t.Errorf("order: got %d, want more than %d", third.order.Order, second.order.Order)
+		}
+	})
+	t.Run("progress of an earlier run does not move the newer one", func(t *testing.T) {
+		f := newFixture(t, "north", "south")
+		f.submit("j1", 1)
+		first := f.wantStarts(f.take(), 1)[0]
+		f.report(first.agent, endOf(first, ccwire.RunNoCapacity))
+		second := f.wantStarts(f.take(), 1)[0]
+		if second.agent != first.agent {
+			t.Fatalf("placed on %s, want %s", second.agent, first.agent)
+		}
+		for _, s := range []start{first, second} {
+			f.s.Report(f.now, s.agent, ccwire.RunReport{Free: ccresource.Amount{CPU: 3000}, Progress: []ccwire.Progress{{Task: s.order.Task, Order: s.order.Order, Percent: 1, ElapsedMS: 120}}})
+			if stops := stopsIn(f.take()); len(stops) > 0 != (s == second) {
+				t.Errorf("progress of order %d: got stops %v", s.order.Order, stops)
+			}
+		}
+	})
+}
--- a/core/ccreplay/job.go
+++ b/core/ccreplay/job.go
@@ -6,6 +6,7 @@
 	"camphorcroft/core/ccnode"
 	"camphorcroft/core/ccresource"
 	"camphorcroft/core/ccroute"
+	"camphorcroft/core/ccwire"
 )
 
 // Request is a job as submitted by a caller.
@@ -71,6 +72,7 @@
 type task struct {
 	state       taskState
 	attempt     int                // Number of start orders for this task.
+	order       uint64             // The number of the last start order. It identifies the run.
 	failures    int                // Number of runs that ended as failed.
 	agent       ccnode.ID          // Where the task was last placed.
 	incarnation ccnode.Incarnation // The agent's incarnation when the task was placed.
@@ -98,6 +100,11 @@
 // first three are logged, and then each time the number has doubled.
 func (tk *task) suppressLog() bool { return tk.refusals > 2 && tk.refusals&(tk.refusals-1) != 0 }
 
+// runRef identifies the last run of a task.
+func (j *job) runRef(i int) ccwire.RunRef {
+	return ccwire.RunRef{Task: ccwire.TaskRef{Job: j.request.ID, Index: i}, Order: j.tasks[i].order}
+}
+
 // job is a request that is not answered yet or whose runs have not all ended.
 type job struct {
 	request     Request
--- a/core/ccreplay/move.go
+++ b/core/ccreplay/move.go
@@ -24,7 +24,7 @@
 // task improves the job's feasibility. A run that merely takes longer than its
 // estimate would end no sooner elsewhere.
 func (s *Scheduler) handleProgress(now time.Time, a *agent, p ccwire.Progress) {
-	if !s.isPlacedOn(p.Task, a.ref.ID) {
+	if !s.isPlacedOn(p.Run(), a.ref.ID) {
 		return
 	}
 	j := s.jobs[p.Task.Job]
@@ -40,7 +40,7 @@
 		return
 	}
 	tk.moves++
-	s.recordChange(Change{Message: "Run is moved.", Job: j.request.ID, Index: p.Task.Index, Agent: a.ref.ID, Reason: "too slow", Age: ran, Count: p.Percent})
+	s.recordChange(Change{Message: "Run is moved.", Job: j.request.ID, Index: p.Task.Index, Agent: a.ref.ID, Reason: "too slow", Age: ran, Count: p.Percent, Order: p.Order})
 	s.stopRun(j, p.Task.Index)
 }
 
--- a/core/ccreplay/place.go
+++ b/core/ccreplay/place.go
@@ -136,7 +136,7 @@
 		}
 		placed.Quiet = placed.Quiet && tk.suppressLog()
 		placed.Placements = append(placed.Placements, Placement{
-			Index: i, Agent: a.ref.ID, Attempt: tk.attempt + 1, FreeCPU: a.available.CPU, Pace: a.pace, ReportAge: now.Sub(a.lastReport),
+			Index: i, Agent: a.ref.ID, Attempt: tk.attempt + 1, Order: s.lastOrder + 1, FreeCPU: a.available.CPU, Pace: a.pace, ReportAge: now.Sub(a.lastReport),
 		})
 		s.placeTask(now, j, i, a)
 		if a.available.CPU < s.leastNeed {
@@ -264,6 +264,8 @@
 	s.placements.add(now, 1)
 	tk.state, tk.agent, tk.incarnation, tk.placedAt = taskPlaced, a.ref.ID, a.ref.Incarnation, now
 	tk.attempt++
+	s.lastOrder++
+	tk.order = s.lastOrder
 	tk.stopping, tk.lostAt = false, time.Time{}
 	j.queued--
 	j.placed++
@@ -272,7 +274,7 @@
 	s.sendNow(a)
 	ref := ccwire.TaskRef{Job: j.request.ID, Index: i}
 	a.orders.Starts = append(a.orders.Starts, ccwire.StartOrder{
-		Task: ref, Attempt: tk.attempt, Payload: j.request.Payload, Need: j.request.Need,
+		Task: ref, Order: tk.order, Payload: j.request.Payload, Need: j.request.Need,
 		EstimateMS: j.expected.Milliseconds(), Class: j.class, Crashes: s.crashes.Crashes(ref),
 	})
 	a.inFlight = append(a.inFlight, inFlightStart{sequence: a.sequence + 1, need: j.request.Need})
--- a/core/ccreplay/result.go
+++ b/core/ccreplay/result.go
@@ -25,7 +25,7 @@
 			logged++
 		}
 		s.recordChange(Change{
-			Message: "Result ignored.", Job: ended.Task.Job, Index: ended.Task.Index, Agent: a.ref.ID, Attempt: ended.Attempt,
+			Message: "Result ignored.", Job: ended.Task.Job, Index: ended.Task.Index, Agent: a.ref.ID, Order: ended.Order,
 			Reason: string(ended.Outcome) + ", " + reason, Quiet: quiet,
 		})
 	}
@@ -42,7 +42,7 @@
 		return "the task has no run"
 	case tk.agent != a.ref.ID:
 		return "the task runs at another agent"
-	case tk.attempt != ended.Attempt:
+	case tk.order != ended.Order:
 		return "the task has another run"
 	default:
 		return ""
--- a/core/ccreplay/scheduler.go
+++ b/core/ccreplay/scheduler.go
@@ -33,8 +33,9 @@
 	// report of a newer plan, depending on Message.
 	Age   time.Duration
 	Count int
-	// Attempt says which run of the task the change is about. Zero is none.
-	Attempt int
+	// Order is the number of the start order of the run that the change is about. Zero is
+	// none.
+	Order uint64
 	// Incarnation and Clock are those of the agent: Clock is the time from its start to
 	// its report.
 	Incarnation ccnode.Incarnation
@@ -53,6 +54,7 @@
 	Index   int
 	Agent   ccnode.ID
 	Attempt int
+	Order   uint64 // The number of the start order.
 	// FreeCPU is the agent's free CPU in thousandths of a core, Pace the slowdown of its
 	// worker, and ReportAge the age of the report with both.
 	FreeCPU   int64
@@ -88,6 +90,7 @@
 	// forgottenSession is the highest number of a session of the agents that were forgotten.
 	forgottenSession uint64
 	outbox           []*agent // Agents with a message to send.
+	lastOrder        uint64   // The number of the last start order.
 	jobs             map[string]*job
 	jobList          []*job // In order of arrival.
 	// lastEvent is the time of the last event. holdUntil is when jobs from before a
--- a/core/ccreplay/scheduler_test.go
+++ b/core/ccreplay/scheduler_test.go
@@ -44,7 +44,7 @@
 	return f
 }
 
-func (f *fixture) attach(id ccnode.ID, incarnation ccnode.Incarnation, domain string, runs ...ccwire.TaskRef) {
+func (f *fixture) attach(id ccnode.ID, incarnation ccnode.Incarnation, domain string, runs ...ccwire.RunRef) {
 	f.free[id] = 4000
 	f.session++
 	capacity := ccresource.Amount{CPU: 4000}
@@ -101,8 +101,8 @@
 	return starts
 }
 
-func stopsIn(out Actions) []ccwire.TaskRef {
-	var stops []ccwire.TaskRef
+func stopsIn(out Actions) []ccwire.RunRef {
+	var stops []ccwire.RunRef
 	for _, m := range out.Messages {
 		stops = append(stops, m.Orders.Stops...)
 	}
@@ -110,7 +110,7 @@
 }
 
 func endOf(s start, runEnd ccwire.RunOutcome) ccwire.RunResult {
-	return ccwire.RunResult{Task: s.order.Task, Attempt: s.order.Attempt, Outcome: runEnd, RunMS: 100}
+	return ccwire.RunResult{Task: s.order.Task, Order: s.order.Order, Outcome: runEnd, RunMS: 100}
 }
 
 func (f *fixture) wantStarts(out Actions, n int) []start {
@@ -317,20 +317,20 @@
 	t.Run("an agent that attaches with the run continues it", func(t *testing.T) {
 		f := newFixture(t, "north", "south")
 		_, token := loseAgent(f)
-		f.attach("agent-1", 1, "north", ccwire.TaskRef{Job: "j1"})
+		f.attach("agent-1", 1, "north", ccwire.RunRef{Task: ccwire.TaskRef{Job: "j1"}, Order: 1})
 		for range 20 {
 			f.advance(100 * time.Millisecond)
 			f.report("agent-1")
 			f.report("agent-2")
 			f.wantStarts(f.take(), 0)
 		}
-		f.report("agent-1", ccwire.RunResult{Task: ccwire.TaskRef{Job: "j1"}, Attempt: 1, Outcome: ccwire.RunDone})
+		f.report("agent-1", ccwire.RunResult{Task: ccwire.TaskRef{Job: "j1"}, Order: 1, Outcome: ccwire.RunDone})
 		f.wantAnswer(f.take(), token, StateComplete)
 	})
 	t.Run("an agent that attaches with a run of an unknown job is told to stop it", func(t *testing.T) {
 		f := newFixture(t, "north")
-		f.attach("agent-1", 2, "north", ccwire.TaskRef{Job: "j9"})
-		if stops := stopsIn(f.take()); len(stops) != 1 || stops[0].Job != "j9" {
+		f.attach("agent-1", 2, "north", ccwire.RunRef{Task: ccwire.TaskRef{Job: "j9"}, Order: 9})
+		if stops := stopsIn(f.take()); len(stops) != 1 || stops[0].Task.Job != "j9" {
 			t.Errorf("stops: got %v, want j9", stops)
 		}
 	})
@@ -589,7 +589,7 @@
 		f := newFixture(t, "north", "south")
 		f.submit("j1", 1)
 		first := f.wantStarts(f.take(), 1)[0]
-		f.s.Report(f.now, first.agent, ccwire.RunReport{Free: ccresource.Amount{CPU: 3000}, Progress: []ccwire.Progress{{Task: first.order.Task, Percent: 1, ElapsedMS: 120}}})
+		f.s.Report(f.now, first.agent, ccwire.RunReport{Free: ccresource.Amount{CPU: 3000}, Progress: []ccwire.Progress{{Task: first.order.Task, Order: first.order.Order, Percent: 1, ElapsedMS: 120}}})
 		if stops := stopsIn(f.take()); len(stops) != 1 {
 			t.Fatalf("stops: got %v, want 1", stops)
 		}
@@ -605,7 +605,7 @@
 		f.submit("j1", 1, func(r *Request) { r.Estimate = 90 * time.Millisecond })
 		first := f.wantStarts(f.take(), 1)[0]
 		f.now = f.now.Add(125 * time.Millisecond)
-		f.s.Report(f.now, first.agent, ccwire.RunReport{Free: ccresource.Amount{CPU: 3000}, Progress: []ccwire.Progress{{Task: first.order.Task, Percent: 24, ElapsedMS: 125}}})
+		f.s.Report(f.now, first.agent, ccwire.RunReport{Free: ccresource.Amount{CPU: 3000}, Progress: []ccwire.Progress{{Task: first.order.Task, Order: first.order.Order, Percent: 24, ElapsedMS: 125}}})
 		if stops := stopsIn(f.take()); len(stops) != 0 {
 			t.Errorf("stops: got %v, want none", stops)
 		}
@@ -676,7 +676,7 @@
 		}
 		return logged, quiet
 	}
-	t.Run("an end of an earlier run is logged with its attempt", func(t *testing.T) {
+	t.Run("an end of an earlier run is logged with its order", func(t *testing.T) {
 		f := newFixture(t, "north", "south")
 		f.submit("j1", 1)
 		first := f.wantStarts(f.take(), 1)[0]
@@ -684,7 +684,7 @@
 		f.wantStarts(f.take(), 1)
 		f.report(first.agent, endOf(first, ccwire.RunDone))
 		logged, _ := ignored(f.take())
-		if len(logged) != 1 || logged[0].Attempt != first.order.Attempt || logged[0].Agent != first.agent || logged[0].Reason == "" {
+		if len(logged) != 1 || logged[0].Order != first.order.Order || logged[0].Agent != first.agent || logged[0].Reason == "" {
 			t.Errorf("got %+v, want one line that names the run", logged)
 		}
 	})
@@ -692,9 +692,9 @@
 		f := newFixture(t, "north")
 		f.submit("j1", 8)
 		f.wantStarts(f.take(), 4)
-		results := []ccwire.RunResult{{Task: ccwire.TaskRef{Job: "j9"}, Attempt: 1, Outcome: ccwire.RunDone}}
+		results := []ccwire.RunResult{{Task: ccwire.TaskRef{Job: "j9"}, Order: 1, Outcome: ccwire.RunDone}}
 		for i := range 8 {
-			results = append(results, ccwire.RunResult{Task: ccwire.TaskRef{Job: "j1", Index: i}, Attempt: 7, Outcome: ccwire.RunDone})
+			results = append(results, ccwire.RunResult{Task: ccwire.TaskRef{Job: "j1", Index: i}, Order: 77, Outcome: ccwire.RunDone})
 		}
 		f.report("agent-1", results...)
 		if logged, quiet := ignored(f.take()); len(logged) != maxIgnoredLogged || len(quiet) != 9-maxIgnoredLogged {
--- a/core/ccreplay/submit.go
+++ b/core/ccreplay/submit.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"camphorcroft/core/ccwire"
 )
 
 const (
@@ -227,7 +225,7 @@
 	}
 	tk.stopping = true
 	if a := s.agents[tk.agent]; a.attached {
-		a.orders.Stops = append(a.orders.Stops, ccwire.TaskRef{Job: j.request.ID, Index: i})
+		a.orders.Stops = append(a.orders.Stops, j.runRef(i))
 		s.sendNow(a)
 	}
 }
--- a/core/ccreplay/tick.go
+++ b/core/ccreplay/tick.go
@@ -59,7 +59,7 @@
 		case now.Before(tk.lostAt):
 			a.lostAt = earliest(a.lostAt, tk.lostAt)
 		default:
-			s.endRun(now, p.job, p.index, ccwire.RunResult{Attempt: tk.attempt, Outcome: ccwire.RunLost, Reason: "agent is silent for longer than its runs can live"})
+			s.endRun(now, p.job, p.index, ccwire.RunResult{Outcome: ccwire.RunLost, Reason: "agent is silent for longer than its runs can live"})
 		}
 	}
 }
--- a/core/ccwire/session.go
+++ b/core/ccwire/session.go
@@ -33,6 +33,14 @@
 	Index int    `cbor:"2,keyasint"`
 }
 
+// RunRef identifies one run of a task for good, among all that one incarnation of an entry
+// has ordered.
+type RunRef struct {
+	Task TaskRef `cbor:"1,keyasint"`
+	// Order is the number of the order that started the run.
+	Order uint64 `cbor:"2,keyasint"`
+}
+
 // RunOutcome is how a run of a task ended.
 type RunOutcome string
 
@@ -55,8 +63,9 @@
 // of this incarnation that it does not list have ended.
 type Attach struct {
 	Node ccnode.Ref `cbor:"1,keyasint"`
-	// Runs lists the tasks of this entry that are running at the worker.
-	Runs   []TaskRef `cbor:"2,keyasint"`
+	// Runs lists the runs that this incarnation of the entry has ordered and that have not
+	// ended.
+	Runs   []RunRef  `cbor:"7,keyasint"`
 	Report RunReport `cbor:"3,keyasint"`
 	// EntriesDigest is the ccsubset.Digest of the entries that the agent knows. An entry
 	// that knows the same ones need not send them.
@@ -89,21 +98,28 @@
 // RunResult tells an entry that a run of its task has ended.
 type RunResult struct {
 	Task    TaskRef    `cbor:"1,keyasint"`
-	Attempt int        `cbor:"2,keyasint"`
+	Order   uint64     `cbor:"6,keyasint"` // That of the RunRef.
 	Outcome RunOutcome `cbor:"3,keyasint"`
 	Reason  string     `cbor:"4,keyasint,omitempty"`
 	// RunMS is how long the run took, in milliseconds.
 	RunMS int64 `cbor:"5,keyasint,omitempty"`
 }
 
+// Run returns the run that has ended.
+func (r RunResult) Run() RunRef { return RunRef{Task: r.Task, Order: r.Order} }
+
 // Progress tells an entry what percentage of a running task was complete
 // ElapsedMS milliseconds after the start of the run.
 type Progress struct {
 	Task      TaskRef `cbor:"1,keyasint"`
 	Percent   int     `cbor:"2,keyasint"`
 	ElapsedMS int64   `cbor:"3,keyasint"`
+	Order     uint64  `cbor:"4,keyasint"` // That of the RunRef.
 }
 
+// Run returns the run that the progress is of.
+func (p Progress) Run() RunRef { return RunRef{Task: p.Task, Order: p.Order} }
+
 // WorkerInfo describes a worker to the entries that use it.
 type WorkerInfo struct {
 	Domain   string            `cbor:"1,keyasint"`
@@ -144,8 +160,10 @@
 
 // StartOrder asks an agent to start a task.
 type StartOrder struct {
-	Task    TaskRef `cbor:"1,keyasint"`
-	Attempt int     `cbor:"2,keyasint"`
+	Task TaskRef `cbor:"1,keyasint"`
+	// Order numbers the start orders of an incarnation of the entry, from 1. The orders to
+	// one agent rise: one that is not above those before it was delivered before.
+	Order uint64 `cbor:"8,keyasint"`
 	// Payload is empty if it is that of the order before it in the same message, whose
 	// task belongs to the same job.
 	Payload string            `cbor:"3,keyasint,omitempty"`
@@ -179,7 +197,7 @@
 	// agent starts nothing for an entry whose echo is too old.
 	EchoMS int64        `cbor:"2,keyasint"`
 	Starts []StartOrder `cbor:"3,keyasint,omitempty"`
-	Stops  []TaskRef    `cbor:"4,keyasint,omitempty"`
+	Stops  []RunRef     `cbor:"13,keyasint,omitempty"`
 	// CapacityIntervalMS is the minimum interval, in milliseconds, that the entry
 	// wants between two reports that only update free capacity. Zero leaves the
 	// previous value in force.
--- a/io/cclease/record.go
+++ b/io/cclease/record.go
@@ -36,7 +36,7 @@
 	a.metrics.changes.Add(ccmetric.Name(c.Message), 1)
 	if c.End != "" {
 		a.metrics.runEnds.Add(string(c.End), 1)
-		a.cfg.Log.Info(c.Message, "job", c.Task.Job, "index", c.Task.Index, "entry", string(c.Entry), "end", string(c.End), "run", c.Run, "attempt", c.Attempt,
+		a.cfg.Log.Info(c.Message, "job", c.Task.Job, "index", c.Task.Index, "entry", string(c.Entry), "end", string(c.End), "run", c.Run, "order", c.Order,
 			"reason", c.Reason, "ranMs", c.Age.Milliseconds())
 		return
 	}
@@ -46,7 +46,7 @@
 // logFields returns the log fields of a change. It omits empty fields to keep log
 // lines short, since each line has a cost.
 func logFields(c cclease.Change) []any {
-	fields := make([]any, 0, 14)
+	fields := make([]any, 0, 16)
 	if c.Entry != "" {
 		fields = append(fields, "entry", string(c.Entry))
 	}
@@ -65,6 +65,9 @@
 	if c.Clock != 0 {
 		fields = append(fields, "clockMs", c.Clock.Milliseconds())
 	}
+	if c.Order != 0 {
+		fields = append(fields, "order", c.Order)
+	}
 	if c.Session != 0 {
 		fields = append(fields, "session", c.Session)
 	}
--- a/io/cclease/record_test.go
+++ b/io/cclease/record_test.go
@@ -24,13 +24,14 @@
 	agent := New(Config{Node: ccnode.Ref{ID: "agent-1", Incarnation: 7}, Domain: "north", Log: log.Logger})
 	task, ms := ccwire.TaskRef{Job: "5c0e", Index: 1}, time.Millisecond
 	for _, c := range []cclease.Change{
-		{Message: "Order refused.", Entry: "entry-1", Task: task, Reason: "no room in the agent's ledger", End: ccwire.RunNoCapacity, Attempt: 3},
-		{Message: "Run ended.", Entry: "entry-1", Task: task, Age: 80 * ms, End: ccwire.RunDone, Run: 2, Attempt: 1},
-		{Message: "Run ended.", Entry: "entry-1", Task: task, Reason: "worker has a new life", Age: 80 * ms, End: ccwire.RunLost, Run: 3, Attempt: 2},
+		{Message: "Order refused.", Entry: "entry-1", Task: task, Reason: "no room in the agent's ledger", End: ccwire.RunNoCapacity, Order: 803},
+		{Message: "Run ended.", Entry: "entry-1", Task: task, Age: 80 * ms, End: ccwire.RunDone, Run: 2, Order: 801},
+		{Message: "Run ended.", Entry: "entry-1", Task: task, Reason: "worker has a new life", Age: 80 * ms, End: ccwire.RunLost, Run: 3, Order: 802},
 		{Message: "Runs stopped.", Entry: "entry-1", Reason: "entry is silent", Age: 410 * ms, Count: 4},
 		{Message: "Session opened.", Entry: "entry-1", Clock: 61200 * ms, Session: 41},
 		{Message: "Session reply ignored.", Entry: "entry-1", Session: 40},
 		{Message: "Session closed.", Entry: "entry-1"},
+		{Message: "Repeated order ignored.", Entry: "entry-1", Order: 803},
 		{Message: "Plan received.", Entry: "entry-1", Count: 17},
 		{Message: "Worker heard.", Reason: "i-7f3a"},
 		{Message: "Worker lost.", Reason: "nothing listens at the worker's address", Count: 2},
--- a/io/ccreplay/record.go
+++ b/io/ccreplay/record.go
@@ -65,13 +65,15 @@
 func placementFields(c ccreplay.Change) []any {
 	n := len(c.Placements)
 	indexes, agents, attempts := make([]int, n), make([]string, n), make([]int, n)
+	orders := make([]uint64, n)
 	rooms, paces, ages := make([]int64, n), make([]float64, n), make([]int64, n)
 	for i, p := range c.Placements {
 		indexes[i], agents[i], attempts[i] = p.Index, string(p.Agent), p.Attempt
+		orders[i] = p.Order
 		rooms[i], paces[i], ages[i] = p.FreeCPU, math.Round(100*p.Pace)/100, p.ReportAge.Milliseconds()
 	}
 	return []any{
-		"job", c.Job, "waitedMs", c.Age.Milliseconds(), "indexes", indexes, "agents", agents, "attempts", attempts,
+		"job", c.Job, "waitedMs", c.Age.Milliseconds(), "indexes", indexes, "agents", agents, "attempts", attempts, "orders", orders,
 		"rooms", rooms, "paces", paces, "reportAgesMs", ages,
 	}
 }
@@ -98,8 +100,8 @@
 	if c.Count != 0 {
 		fields = append(fields, "count", c.Count)
 	}
-	if c.Attempt != 0 {
-		fields = append(fields, "attempt", c.Attempt)
+	if c.Order != 0 {
+		fields = append(fields, "order", c.Order)
 	}
 	if c.Incarnation != 0 {
 		fields = append(fields, "incarnation", uint64(c.Incarnation), "clockMs", c.Clock.Milliseconds())
--- a/io/ccsession/conn_test.go
+++ b/io/ccsession/conn_test.go
@@ -129,13 +129,13 @@
 func fullAttach() ccwire.Attach {
 	task := ccwire.TaskRef{Job: "5c0e7a21d94b36f8", Index: 3}
 	return ccwire.Attach{
-		Node: ccnode.Ref{ID: "agent-1", Incarnation: 1 << 50}, Runs: []ccwire.TaskRef{task},
+		Node: ccnode.Ref{ID: "agent-1", Incarnation: 1 << 50}, Runs: []ccwire.RunRef{{Task: task, Order: 803}}, Session: 9, PreviousSession: 8,
 		Report: ccwire.RunReport{
 			ClockMS: 1 << 40, HandledSequence: 7, Free: ccresource.Amount{CPU: -5, Memory: 6, Accelerators: 1},
 			Worker:         &ccwire.WorkerInfo{Domain: "north", Service: "proof", Labels: []string{"a", "r1"}, Capacity: ccresource.Amount{CPU: 16000}},
 			PriorRunsEnded: true, ClosedReason: "worker is draining",
-			Results:  []ccwire.RunResult{{Task: task, Attempt: 2, Outcome: ccwire.RunFailed, Reason: "r", RunMS: 12}},
-			Progress: []ccwire.Progress{{Task: task, Percent: 40, ElapsedMS: 100}},
+			Results:  []ccwire.RunResult{{Task: task, Order: 802, Outcome: ccwire.RunFailed, Reason: "r", RunMS: 12}},
+			Progress: []ccwire.Progress{{Task: task, Order: 803, Percent: 40, ElapsedMS: 100}},
 		},
 	}
 }
@@ -143,8 +143,8 @@
 func fullOrders() ccwire.Orders {
 	return ccwire.Orders{
 		Sequence: 9, EchoMS: 123, CapacityIntervalMS: 20,
-		Starts:  []ccwire.StartOrder{{Task: ccwire.TaskRef{Job: "j"}, Attempt: 1, Payload: "p", Need: ccresource.Amount{CPU: 1}}},
-		Stops:   []ccwire.TaskRef{{Job: "k", Index: 1}},
+		Starts:  []ccwire.StartOrder{{Task: ccwire.TaskRef{Job: "j"}, Order: 804, Payload: "p", Need: ccresource.Amount{CPU: 1}}},
+		Stops:   []ccwire.RunRef{{Task: ccwire.TaskRef{Job: "k", Index: 1}, Order: 801}},
 		Entries: []ccsubset.Entry{{Addr: netip.MustParseAddrPort("10.1.0.13:7720"), Domain: "north"}}, PlanRevision: 4,
 		Plan: &ccroute.Plan{
 			Revision: 4, Version: 2, DomainsOut: map[string]bool{"north": true}, MaxBodyBytes: 10,
