--- a/core/cclease/fence_test.go
+++ b/core/cclease/fence_test.go
@@ -13,7 +13,7 @@
 	f.t.Helper()
 	call := f.orderStart(entryA, "j1", 1000).Starts[0]
 	f.manager.StartCompleted(f.now, call, Response{Status: StatusNoResponse})
-	f.sendOrders(entryA, ccwire.Orders{Stops: []ccwire.TaskRef{call.Task}})
+	f.sendOrders(entryA, ccwire.Orders{Stops: []ccwire.RunRef{f.runOf(call.Task.Job)}})
 	stop := f.take().Stops[0]
 	waitingPoll := f.nextPoll()
 	immediatePoll := f.nextPoll()
--- a/core/cclease/manager.go
+++ b/core/cclease/manager.go
@@ -50,8 +50,8 @@
 	// Worker and Token are those of a call to a worker.
 	Worker string
 	Token  uint64
-	// Attempt says which start order of the entry the change is about.
-	Attempt int
+	// Order is the number of the start order that the change is about.
+	Order uint64
 	// Clock is the agent's clock, from its start, in the request for the session.
 	Clock time.Duration
 	// Session is the number of a session.
@@ -212,7 +212,7 @@
 func (m *Manager) orphans() int {
 	n := 0
 	for _, r := range m.runList {
-		if r.owner == "" {
+		if r.owner.ID == "" {
 			n++
 		}
 	}
--- a/core/cclease/repeat.go
+++ b/core/cclease/repeat.go
@@ -10,7 +10,7 @@
 // may be repeated. The worker has received the higher token of that poll, so it refuses
 // the first start from then on.
 func (m *Manager) canRepeatStart(now time.Time, r *run) bool {
-	return r.unanswered && r.repeats < maxStartRepeats && r.stopRequestedAt.IsZero() && r.owner != "" &&
+	return r.unanswered && r.repeats < maxStartRepeats && r.stopRequestedAt.IsZero() && r.owner.ID != "" &&
 		!m.draining && !m.worker.Draining && !now.Before(m.pausedUntil) && !m.workerClockAt.IsZero() &&
 		r.need.Fits(m.Free().Plus(r.need))
 }
--- a/core/cclease/unread_test.go
+++ b/core/cclease/unread_test.go
@@ -36,7 +36,7 @@
 	t.Run("a stopped run, until its stop has certainly taken effect", func(t *testing.T) {
 		f := newFixture(t)
 		f.startRunning(entryA, "a")
-		f.sendOrders(entryA, ccwire.Orders{Stops: []ccwire.TaskRef{{Job: "a"}}})
+		f.sendOrders(entryA, ccwire.Orders{Stops: []ccwire.RunRef{f.runOf("a")}})
 		for _, call := range f.take().Stops {
 			f.manager.StopCompleted(f.now, call, Response{Status: StatusOK})
 		}
--- a/core/ccreplay/job.go
+++ b/core/ccreplay/job.go
@@ -6,6 +6,7 @@
 	"camphorcroft/core/ccnode"
 	"camphorcroft/core/ccresource"
 	"camphorcroft/core/ccroute"
+	"camphorcroft/core/ccwire"
 )
 
 // Request is a job as submitted by a caller.
@@ -71,12 +72,14 @@
 type task struct {
 	state       taskState
 	attempt     int                // Number of start orders for this task.
+	order       uint64             // The number of the last start order. It identifies the run.
 	failures    int                // Number of runs that ended as failed.
 	agent       ccnode.ID          // Where the task was last placed.
 	incarnation ccnode.Incarnation // The agent's incarnation when the task was placed.
 	placedAt    time.Time
-	// sequence is that of the orders with the task's start. Zero is a run that the agent
-	// has listed since.
+	// session and sequence are those of the orders with the task's start. Zero is a run that
+	// the agent has listed since.
+	session  uint64
 	sequence uint64
 	position int // Where the task is in its agent's runs.
 	// lostAt is when the run counts as lost if no end is reported before. Zero is
@@ -97,6 +100,11 @@
 // first three are logged, and then each time the number has doubled.
 func (tk *task) suppressLog() bool { return tk.refusals > 2 && tk.refusals&(tk.refusals-1) != 0 }
 
+// runRef identifies the last run of a task.
+func (j *job) runRef(i int) ccwire.RunRef {
+	return ccwire.RunRef{Task: ccwire.TaskRef{Job: j.request.ID, Index: i}, Order: j.tasks[i].order}
+}
+
 // job is a request that is not answered yet or whose runs have not all ended.
 type job struct {
 	request     Request
--- a/io/cclease/record.go
+++ b/io/cclease/record.go
@@ -36,7 +36,7 @@
 	a.metrics.changes.Add(ccmetric.Name(c.Message), 1)
 	if c.End != "" {
 		a.metrics.runEnds.Add(string(c.End), 1)
-		a.cfg.Log.Info(c.Message, "job", c.Task.Job, "index", c.Task.Index, "entry", string(c.Entry), "end", string(c.End), "run", c.Run, "attempt", c.Attempt,
+		a.cfg.Log.Info(c.Message, "job", c.Task.Job, "index", c.Task.Index, "entry", string(c.Entry), "end", string(c.End), "run", c.Run, "order", c.Order,
 			"reason", c.Reason, "ranMs", c.Age.Milliseconds())
 		return
 	}
@@ -74,6 +74,9 @@
 	if c.Clock != 0 {
 		fields = append(fields, "clockMs", c.Clock.Milliseconds())
 	}
+	if c.Order != 0 {
+		fields = append(fields, "order", c.Order)
+	}
 	if c.Session != 0 {
 		fields = append(fields, "session", c.Session)
 	}
