Follow entries and cells beside items that can't be read

On the own interface, one item of another writer below entries/live/ kept every entry from joining: the look at the roster was given up as a whole, every 750 ms with a line in the log, and members would lose their lease's proof in the same way. An unreadable value under an entry's own key was never replaced. A record with another cell's number, such as an empty one under cells/9, took the place of cell 0 and its agents were forgotten. One unreadable cell hid the whole fleet from "status" and "timeline", and leaders' records without an address used up the three attempts of a new agent.

A record now counts only under its own key. Others are skipped, counted and logged once; an entry replaces an unreadable value under its own key, since it is not that of a later life. The inventory has the number of malformed items and the first 16 keys. Recoveries still wait while a cell's own key can't be read, because agents of that cell may have claims that only they know of; keys that are no cell's don't hold them up.

Open: the roster, the head of the settings, a cell's record and a leader's key are single values; one that another writer has overwritten is reported, not repaired.

--- a/io/cccell/enroll.go
+++ b/io/cccell/enroll.go
@@ -58,13 +58,16 @@
 }
 
 // decodeLeaders decodes the leaders' records by cell. It skips items whose key or
-// value is malformed.
+// value is malformed: an agent asks only a few of the leaders.
 func decodeLeaders(items []ccstore.Item) map[int]cccell.LeaderRecord {
 	leaders := make(map[int]cccell.LeaderRecord, len(items))
 	for _, item := range items {
 		var leader cccell.LeaderRecord
 		cell, err := strconv.Atoi(strings.TrimPrefix(item.Key, leadersPrefix))
-		if err == nil && json.Unmarshal(item.Value, &leader) == nil {
+		if err != nil || cell < 0 || item.Key != cccell.LeaderKey(cell) || json.Unmarshal(item.Value, &leader) != nil {
+			continue
+		}
+		if leader.Node.ID != "" && leader.Addr.IsValid() && leader.Addr.Port() != 0 {
 			leaders[cell] = leader
 		}
 	}
--- a/io/ccentry/entry.go
+++ b/io/ccentry/entry.go
@@ -28,6 +28,7 @@
 	"camphorcroft/core/ccnode"
 	"camphorcroft/core/ccoutage"
 	"camphorcroft/core/ccroster"
+	"camphorcroft/io/cclog"
 	"camphorcroft/io/ccmetric"
 	"camphorcroft/io/ccrpc"
 	"camphorcroft/io/ccstore"
@@ -80,6 +81,7 @@
 	httpSocket net.Listener
 	httpServer *http.Server
 	metrics    *ccmetric.Set
+	malformed  *cclog.Malformed
 
 	// The control goroutine alone touches what follows.
 	dispatcher   *ccdispatch.Dispatcher
@@ -124,6 +126,7 @@
 	})
 	e.answers = ccanswer.NewCache(ccanswer.CacheConfig{Retention: defaultRetention, MaxBytes: answerBytes})
 	e.metrics = e.newMetrics()
+	e.malformed = cclog.NewMalformed(e.log, e.metrics.Map("malformedItems"))
 	e.presence = newPresence(e)
 	e.claims = e.presence
 	e.served = &peerHandler{entry: e}
--- a/io/ccentry/export_test.go
+++ b/io/ccentry/export_test.go
@@ -64,6 +64,17 @@
 	return slots
 }
 
+// KnownAgents returns how many agents the cells' records name.
+func (e *Entry) KnownAgents() int {
+	agents := 0
+	e.ask(func(time.Time) {
+		for _, record := range e.presence.cells {
+			agents += len(record.Members)
+		}
+	})
+	return agents
+}
+
 // localClaims asks nobody. It is right for a fleet with one entry that never
 // fails, and shows what safety costs.
 type localClaims struct{ next uint64 }
--- a/io/ccentry/follow.go
+++ b/io/ccentry/follow.go
@@ -4,8 +4,11 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"strconv"
+	"strings"
 	"time"
 
+	"camphorcroft/core/cccell"
 	"camphorcroft/core/ccevent"
 	"camphorcroft/core/ccnode"
 	"camphorcroft/core/ccwire"
@@ -14,6 +17,7 @@
 
 const (
 	cellPrefix    = "cells/"
+	cellReader    = "cellRecords" // Counts malformed items.
 	watchWait     = 20 * time.Second
 	storeRetry    = 200 * time.Millisecond
 	storeDeadline = 2 * time.Second
@@ -52,13 +56,31 @@
 		if item.Revision == 0 {
 			continue // A record that is gone tells nothing of its members.
 		}
-		var record ccwire.CellRecord
-		if err := json.Unmarshal(item.Value, &record); err != nil {
-			e.log.Error(err, "Cell record can't be read.", "key", item.Key)
+		record, err := readCell(item)
+		if err != nil {
+			e.malformed.Skip(cellReader, item.Key, err)
 			continue
 		}
-		e.do(func(now time.Time) { e.takeCell(now, &record) })
+		e.do(func(now time.Time) { e.takeCell(now, record) })
+	}
+}
+
+// readCell decodes a cell's record.
+func readCell(item ccstore.Item) (*ccwire.CellRecord, error) {
+	record := &ccwire.CellRecord{}
+	if err := json.Unmarshal(item.Value, record); err != nil {
+		return nil, err
 	}
+	if item.Key != cccell.RecordKey(record.Cell) {
+		return nil, errOtherKey
+	}
+	return record, nil
+}
+
+// isCellKey reports whether a key is that of a cell's record.
+func isCellKey(key string) bool {
+	cell, err := strconv.Atoi(strings.TrimPrefix(key, cellPrefix))
+	return err == nil && cell >= 0 && key == cccell.RecordKey(cell)
 }
 
 func (e *Entry) takeCell(now time.Time, record *ccwire.CellRecord) {
--- a/io/ccentry/recover_lives.go
+++ b/io/ccentry/recover_lives.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"camphorcroft/core/ccclaim"
@@ -50,9 +49,14 @@
 		items, _, err := p.entry.cfg.Store.List(ctx, cellPrefix)
 		records := make([]*ccwire.CellRecord, 0, len(items))
 		for _, item := range items {
-			record := &ccwire.CellRecord{}
-			if err == nil {
-				err = json.Unmarshal(item.Value, record)
+			record, readErr := readCell(item)
+			if readErr != nil {
+				p.entry.malformed.Skip(cellReader, item.Key, readErr)
+				if isCellKey(item.Key) {
+					// Agents of this cell may have claims that only they know of.
+					err = readErr
+				}
+				continue
 			}
 			records = append(records, record)
 		}
--- a/io/ccentry/roster_store.go
+++ b/io/ccentry/roster_store.go
@@ -24,10 +24,16 @@
 	// storeOrders bounds what waits for the store. At the bound orders are dropped;
 	// the next look finds anew what there is to do.
 	storeOrders = 8
+	// rosterReader and liveReader are the readers that count malformed items.
+	rosterReader = "roster"
+	liveReader   = "entryRecords"
 	// watchGap keeps a busy roster from being read more than a few times a second.
 	watchGap = 50 * time.Millisecond
 )
 
+// errOtherKey means that a record stands under a key that is not its own.
+var errOtherKey = errors.New("the record is not that of its key")
+
 // storeOrder is something to do at the store before looking at it.
 type storeOrder struct {
 	makeKey bool
@@ -114,9 +120,11 @@
 	if err != nil {
 		return
 	}
-	var holder liveRecord
-	if item.Revision != 0 && (json.Unmarshal(item.Value, &holder) != nil || holder.Ref.Incarnation > l.self.Incarnation) {
-		return
+	if item.Revision != 0 {
+		// A record that can't be read is not that of a later life.
+		if holder, err := readLive(item); err == nil && holder.Ref.Incarnation > l.self.Incarnation {
+			return
+		}
 	}
 	lease, err := l.store.Grant(ctx, leaseTTL)
 	if err != nil {
@@ -164,7 +172,7 @@
 	}
 	view, err := l.read(items)
 	if err != nil {
-		l.presence.entry.log.Error(err, "Roster can't be read.")
+		l.presence.entry.malformed.Skip(rosterReader, rosterKey, err)
 		return
 	}
 	view.LeaseUntil = until
@@ -181,9 +189,11 @@
 				return view, err
 			}
 		case strings.HasPrefix(item.Key, livePrefix):
-			var live liveRecord
-			if err := json.Unmarshal(item.Value, &live); err != nil {
-				return view, err
+			live, err := readLive(item)
+			if err != nil {
+				// Of another writer. It counts as a key that does not exist.
+				l.presence.entry.malformed.Skip(liveReader, item.Key, err)
+				continue
 			}
 			view.Live[live.Ref.ID] = live.Ref
 			if live.Ref == l.self && l.lease != ccstore.NoLease && item.Lease == l.lease {
@@ -194,6 +204,18 @@
 	return view, nil
 }
 
+// readLive decodes the record under an entry's key.
+func readLive(item ccstore.Item) (liveRecord, error) {
+	var live liveRecord
+	if err := json.Unmarshal(item.Value, &live); err != nil {
+		return live, err
+	}
+	if live.Ref.ID == "" || item.Key != livePrefix+string(live.Ref.ID) {
+		return live, errOtherKey
+	}
+	return live, nil
+}
+
 // giveUp ends the lease, so that the entry's key vanishes at once.
 func (l *storeLoop) giveUp(ctx context.Context) {
 	if l.lease == ccstore.NoLease {
--- a/io/ccinventory/inventory.go
+++ b/io/ccinventory/inventory.go
@@ -15,6 +15,7 @@
 	"net/netip"
 	"slices"
 
+	"camphorcroft/core/cccell"
 	"camphorcroft/core/ccnode"
 	"camphorcroft/core/ccroster"
 	"camphorcroft/core/ccwire"
@@ -60,8 +61,15 @@
 	// Version is the newest accepted version of the settings.
 	Version uint64 `json:"version"`
 	Nodes   []Node `json:"nodes"` // Entries first, each by ID.
+	// Malformed is the number of items among the cells' records that can't be read, and
+	// MalformedKeys has the keys of the first ones.
+	Malformed     int      `json:"malformed,omitempty"`
+	MalformedKeys []string `json:"malformedKeys,omitempty"`
 }
 
+// maxMalformedKeys is how many malformed items an inventory names.
+const maxMalformedKeys = 16
+
 // Read reads the inventory in three calls. Keys that are missing count as empty.
 func Read(ctx context.Context, store Store) (Inventory, error) {
 	var inventory Inventory
@@ -81,36 +89,38 @@
 			Ref: entry.Ref, Role: RoleEntry, HTTP: entry.HTTP, Domain: entry.Domain, Leaving: entry.Leaving,
 		})
 	}
-	agents, err := readAgents(ctx, store)
-	if err != nil {
+	if err := inventory.readAgents(ctx, store); err != nil {
 		return inventory, err
 	}
-	inventory.Nodes = append(inventory.Nodes, agents...)
 	slices.SortFunc(inventory.Nodes, func(a, b Node) int {
 		return cmp.Or(-cmp.Compare(a.Role, b.Role), cmp.Compare(a.Ref.ID, b.Ref.ID))
 	})
 	return inventory, nil
 }
 
-func readAgents(ctx context.Context, store Store) ([]Node, error) {
+// readAgents adds the agents of all cells. Items of another writer are left out.
+func (i *Inventory) readAgents(ctx context.Context, store Store) error {
 	items, _, err := store.List(ctx, cellPrefix)
 	if err != nil {
-		return nil, &Error{Op: "list " + cellPrefix, Kind: KindStore, Err: err}
+		return &Error{Op: "list " + cellPrefix, Kind: KindStore, Err: err}
 	}
-	var nodes []Node
 	for _, item := range items {
 		var record ccwire.CellRecord
-		if err := decode(item, &record); err != nil {
-			return nil, err
+		if err := decode(item, &record); err != nil || item.Key != cccell.RecordKey(record.Cell) {
+			i.Malformed++
+			if len(i.MalformedKeys) < maxMalformedKeys {
+				i.MalformedKeys = append(i.MalformedKeys, item.Key)
+			}
+			continue
 		}
 		for _, member := range record.Members {
-			nodes = append(nodes, Node{
+			i.Nodes = append(i.Nodes, Node{
 				Ref: member.Node, Role: RoleAgent, HTTP: member.HTTP, Domain: member.Domain,
 				Service: member.Service, Slots: member.Slots, Leaving: member.Leaving,
 			})
 		}
 	}
-	return nodes, nil
+	return nil
 }
 
 func get(ctx context.Context, store Store, key string, value any) error {
