--- a/io/ccsession/fuzz_test.go
+++ b/io/ccsession/fuzz_test.go
@@ -59,7 +59,7 @@
 		kind  ccwire.MessageKind
 		value any
 	}{
-		{ccwire.MessageOrders, ccwire.Orders{Sequence: 1, Starts: []ccwire.StartOrder{{Task: ccwire.TaskRef{Job: "5c0e"}, Attempt: 1}}}},
+		{ccwire.MessageOrders, ccwire.Orders{Sequence: 1, Starts: []ccwire.StartOrder{{Task: ccwire.TaskRef{Job: "5c0e"}, Order: 1}}}},
 		{ccwire.MessageReport, ccwire.RunReport{ClockMS: 5, PriorRunsEnded: true}},
 		{ccwire.MessageAttach, ccwire.Attach{}},
 		{ccwire.MessageAttachReply, ccwire.AttachReply{}},
