Decide in one place whether a placed run is over

An end was decided at five places of core/ccreplay: in the handling of reports, three times in that of session requests, and in the tick. Each compared what it knew of the run on its own, which is how a statement about another run, or of another session, could pass in one of them.

core/ccreplay/run.go has the states that a statement can give a run (unchanged, alive, unresolved, over), the statements (ended, listed, not listed, earlier incarnation settled, silent for longer than runs can live), each with the run's identity, and the one function that decides. endRun has one caller left, which carries out the decision. A package of its own was weighed: the decision reads the task's and the agent's fields only, but every caller would have to copy them.

--- a/core/ccreplay/agent.go
+++ b/core/ccreplay/agent.go
@@ -125,16 +125,6 @@
 	return idleHeartbeatInterval
 }
 
-// isPlacedOn reports whether exactly this run is placed on the agent.
-func (s *Scheduler) isPlacedOn(run ccwire.RunRef, id ccnode.ID) bool {
-	j := s.jobs[run.Task.Job]
-	if j == nil || !j.hasTask(run.Task.Index) {
-		return false
-	}
-	tk := &j.tasks[run.Task.Index]
-	return tk.state == taskPlaced && tk.agent == id && tk.order == run.Order
-}
-
 // Report handles a report from an agent's current session.
 func (s *Scheduler) Report(now time.Time, id ccnode.ID, report ccwire.RunReport) {
 	a := s.agents[id]
@@ -169,7 +159,7 @@
 	s.adoptNewerPlan(now, a, report)
 	if report.PriorRunsEnded && a.settledIncarnation != a.ref.Incarnation {
 		a.settledIncarnation = a.ref.Incarnation
-		s.endEarlierRuns(now, a)
+		s.settleAll(now, a, statedSettled)
 	}
 	for _, c := range report.Crashes {
 		s.handleCrash(now, a, c)
--- a/core/ccreplay/move.go
+++ b/core/ccreplay/move.go
@@ -24,7 +24,7 @@
 // task improves the job's feasibility. A run that merely takes longer than its
 // estimate would end no sooner elsewhere.
 func (s *Scheduler) handleProgress(now time.Time, a *agent, p ccwire.Progress) {
-	if !s.isPlacedOn(p.Run(), a.ref.ID) {
+	if s.ignoreReason(a, p.Run()) != "" {
 		return
 	}
 	j := s.jobs[p.Task.Job]
--- a/core/ccreplay/result.go
+++ b/core/ccreplay/result.go
@@ -14,9 +14,9 @@
 func (s *Scheduler) handleResults(now time.Time, a *agent, results []ccwire.RunResult) {
 	logged := 0
 	for _, ended := range results {
-		reason := s.ignoreReason(a, ended)
+		reason := s.ignoreReason(a, ended.Run())
 		if reason == "" {
-			s.endRun(now, s.jobs[ended.Task.Job], ended.Task.Index, ended)
+			s.settle(now, a, statement{kind: statedEnded, run: ended.Run(), ended: ended})
 			continue
 		}
 		// Most results of unknown jobs are repetitions: the job is answered.
@@ -30,21 +30,3 @@
 		})
 	}
 }
-
-// ignoreReason returns why a result does not end a run, or "" if it does.
-func (s *Scheduler) ignoreReason(a *agent, ended ccwire.RunResult) string {
-	j := s.jobs[ended.Task.Job]
-	if j == nil || !j.hasTask(ended.Task.Index) {
-		return "no such task"
-	}
-	switch tk := &j.tasks[ended.Task.Index]; {
-	case tk.state != taskPlaced:
-		return "the task has no run"
-	case tk.agent != a.ref.ID:
-		return "the task runs at another agent"
-	case tk.order != ended.Order:
-		return "the task has another run"
-	default:
-		return ""
-	}
-}
--- a/core/ccreplay/tick.go
+++ b/core/ccreplay/tick.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"camphorcroft/core/ccwire"
 )
 
 // Tick handles timeouts and deadlines. It must be called at least every 25 ms while
@@ -31,7 +29,8 @@
 // that is silent, and sends what is due to the others.
 func (s *Scheduler) tickAgent(now time.Time, a *agent) {
 	if !a.lostAt.IsZero() && !now.Before(a.lostAt) {
-		s.endLostRuns(now, a)
+		a.lostAt = time.Time{}
+		s.settleAll(now, a, statedSilent)
 	}
 	if !a.attached {
 		if len(a.runs) == 0 && now.Sub(a.lastReport) > forgetAfter {
@@ -49,21 +48,6 @@
 	}
 }
 
-// endLostRuns ends the agent's runs that count as lost.
-func (s *Scheduler) endLostRuns(now time.Time, a *agent) {
-	a.lostAt = time.Time{}
-	for _, p := range slices.Clone(a.runs) {
-		tk := &p.job.tasks[p.index]
-		switch {
-		case tk.lostAt.IsZero():
-		case now.Before(tk.lostAt):
-			a.lostAt = earliest(a.lostAt, tk.lostAt)
-		default:
-			s.endRun(now, p.job, p.index, ccwire.RunResult{Outcome: ccwire.RunLost, Reason: "agent is silent for longer than its runs can live"})
-		}
-	}
-}
-
 // earliest returns the earlier of two times. Zero stands for no time.
 func earliest(a, b time.Time) time.Time {
 	if a.IsZero() || b.Before(a) {
