Poll a silent worker on after its lease is over

What callers would see: a worker that is well gets no tasks any more, until it or its agent starts again. It had not answered for as long as a lease, about 0.8 s, while it had runs.

Cause: its runs ended with the lease, and nothing was left to poll for: the poll that could show that it answers again was only sent while there were runs, or a late start that the agent knew of. Heartbeats don't clear "worker does not answer".

Ruled out: clearing it by a heartbeat, which says nothing of the worker's calls.

--- a/core/cclease/fence.go
+++ b/core/cclease/fence.go
@@ -42,7 +42,8 @@
 	return id != "" && (now.Sub(m.cfg.StartTime) < maxCallDelay || m.starts.at(now, id) > 0)
 }
 
-// pollDue reports whether the worker must be polled now.
-func (m *Manager) pollDue() bool {
-	return len(m.runs) > 0 || !m.runsListed || m.ackedEnd != m.lastEnd
+// pollDue reports whether the worker must be polled now. One that did not answer is polled
+// until it does, also after its runs have ended with its lease.
+func (m *Manager) pollDue(now time.Time) bool {
+	return len(m.runs) > 0 || !m.runsListed || m.ackedEnd != m.lastEnd || m.missedPolls > 0 && now.Sub(m.polledAt) >= pollWait
 }
--- a/core/cclease/manager.go
+++ b/core/cclease/manager.go
@@ -75,6 +75,7 @@
 	ackedEnd    uint64 // The number of the last end that a poll has acknowledged.
 	polling     bool
 	pollingNow  bool
+	polledAt    time.Time // When the last poll that may wait was sent.
 	missedPolls int
 	probes      int       // Probes without an answer so far.
 	probedAt    time.Time // When the last probe was sent.
--- a/core/cclease/poll.go
+++ b/core/cclease/poll.go
@@ -11,10 +11,10 @@
 // active. Polling continues until the last ends are acknowledged. At most one such poll
 // is in flight.
 func (m *Manager) poll(now time.Time) {
-	if m.worker == nil || m.polling || !m.pollDue() {
+	if m.worker == nil || m.polling || !m.pollDue(now) {
 		return
 	}
-	m.polling = true
+	m.polling, m.polledAt = true, now
 	call := PollCall{Worker: m.worker.ID, Token: m.token, Ack: m.lastEnd, Sent: now}
 	if m.missedPolls == 0 && len(m.runs) > 0 {
 		call.Wait = pollWait
