Merge: poll a silent worker on after its lease is over

Both sides had their own reason to poll at an interval: the pace of lists that can't be read, and a worker that did not answer. Both hold; polledAt stands once.

--- a/core/cclease/poll.go
+++ b/core/cclease/poll.go
@@ -11,7 +11,7 @@
 // active. Polling continues until the last ends are acknowledged. At most one such poll
 // is in flight.
 func (m *Manager) poll(now time.Time) {
-	if m.worker == nil || m.polling || !m.pollDue() || m.pollPaced && now.Sub(m.polledAt) < pollWait {
+	if m.worker == nil || m.polling || !m.pollDue(now) || m.pollPaced && now.Sub(m.polledAt) < pollWait {
 		return
 	}
 	m.polling, m.polledAt = true, now
