Test: show runs settled by a list under a low token

An agent whose clock was set back learns the token of its earlier incarnation with the reply to its request, but the request says already that no earlier run is active. Fails: the entry takes the run for over at once, while its start, which has the higher token, may still arrive.

--- a/core/cclease/prior_token_test.go
+++ b/core/cclease/prior_token_test.go
@@ -45,3 +45,22 @@
 		}
 	})
 }
+
+// Guards against a report that no earlier run is active, on the grounds of a list that was
+// requested under a lower token than that of a start that may still arrive.
+func TestPriorRunsAreListedUnderTheRaisedToken(t *testing.T) {
+	f := newFixture(t)
+	low := PollCall{Worker: "w-1", Token: f.manager.token, Wait: pollWait, Sent: f.now}
+	f.manager.RaiseTokenAbove(1000)
+	if f.manager.priorRunsEnded() {
+		t.Error("earlier runs count as ended before a list under the raised token")
+	}
+	f.completePoll(low, okPollResponse(nil, nil))
+	if f.manager.priorRunsEnded() {
+		t.Error("earlier runs count as ended after a list under the lower token")
+	}
+	f.completePoll(f.nextPoll(), okPollResponse(nil, nil))
+	if !f.manager.priorRunsEnded() {
+		t.Error("earlier runs don't count as ended after a list under the raised token")
+	}
+}
--- a/core/ccreplay/prior_token_test.go
+++ b/core/ccreplay/prior_token_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"camphorcroft/core/ccnode"
+	"camphorcroft/core/ccresource"
 	"camphorcroft/core/ccwire"
 )
 
@@ -43,3 +44,31 @@
 		want(t, f, 507)
 	})
 }
+
+// Guards against a run that counts as over because a new incarnation of its agent has seen no
+// run, while the worker still accepts its start: the list was requested under a lower token.
+func TestListUnderALowTokenSettlesNothing(t *testing.T) {
+	f := newFixture(t, "north")
+	attach := func(incarnation ccnode.Incarnation, token uint64) {
+		f.session++
+		f.s.Attach(f.now, ccwire.Attach{
+			Node: ccnode.Ref{ID: "agent-1", Incarnation: incarnation}, Session: f.session,
+			Report: ccwire.RunReport{Token: token, PriorRunsEnded: true, ClosedReason: "test"},
+		})
+	}
+	f.s.Report(f.now, "agent-1", ccwire.RunReport{Token: 1000, Free: ccresource.Amount{CPU: 4000}})
+	f.submit("j1", 1)
+	f.wantStarts(f.take(), 1)
+	attach(2, 500)
+	if n := f.s.jobs["j1"].placed; n != 1 {
+		t.Fatalf("placed runs after a request under token 500: got %d, want 1", n)
+	}
+	f.s.Report(f.now, "agent-1", ccwire.RunReport{Token: 2000, ClosedReason: "test"})
+	if n := f.s.jobs["j1"].placed; n != 1 {
+		t.Errorf("placed runs before the agent has listed under token 2000: got %d, want 1", n)
+	}
+	f.s.Report(f.now, "agent-1", ccwire.RunReport{PriorRunsEnded: true, ClosedReason: "test"})
+	if n := f.s.jobs["j1"].placed; n != 0 {
+		t.Errorf("placed runs after the agent has listed under token 2000: got %d, want 0", n)
+	}
+}
