Settle runs of an earlier agent only by a list under a higher token

An agent whose wall clock was set back said in its first request that no earlier run was active, on the grounds of a list under its low token; the entry took the runs for over before its reply told the prior token. A restarted worker then accepted their late starts. The entry now waits for a token above the prior one, and the agent lists again under it.

--- a/core/cclease/fence.go
+++ b/core/cclease/fence.go
@@ -24,9 +24,14 @@
 func (m *Manager) RaiseTokenAbove(prior uint64) {
 	if prior > 0 && m.token <= prior+tokenMargin {
 		m.raiseToken(prior+tokenMargin+1-m.token, "an earlier incarnation of the agent had a higher one")
+		m.minListToken = m.token
 	}
 }
 
+// listedFenced reports whether the worker has listed its runs in answer to a call whose token
+// fences off the starts of earlier incarnations of the agent.
+func (m *Manager) listedFenced() bool { return m.listedToken >= m.minListToken }
+
 // raiseToken raises the fencing token of all later calls.
 func (m *Manager) raiseToken(by uint64, reason string) {
 	m.token += by
@@ -45,5 +50,5 @@
 // pollDue reports whether the worker must be polled now. One that did not answer is polled
 // until it does, also after its runs have ended with its lease.
 func (m *Manager) pollDue(now time.Time) bool {
-	return len(m.runs) > 0 || !m.runsListed || m.ackedEnd != m.lastEnd || m.missedPolls > 0 && now.Sub(m.polledAt) >= pollWait
+	return len(m.runs) > 0 || !m.runsListed || !m.listedFenced() || m.ackedEnd != m.lastEnd || m.missedPolls > 0 && now.Sub(m.polledAt) >= pollWait
 }
--- a/core/cclease/lifecycle.go
+++ b/core/cclease/lifecycle.go
@@ -83,6 +83,7 @@
 	m.lastEnd, m.ackedEnd, m.missedPolls = 0, 0, 0
 	m.runsListed, m.heartbeatSeen, m.polling, m.pollingNow = false, false, false, false
 	m.leaseEnd, m.unreadSince, m.pollPaced = time.Time{}, time.Time{}, false
+	m.listedToken = 0
 }
 
 // workerRestarted switches to a new incarnation of the same worker. Runs that the
--- a/core/cclease/manager.go
+++ b/core/cclease/manager.go
@@ -90,6 +90,10 @@
 	heartbeatSeen bool
 	// runsListed is set once the worker's current incarnation has listed its runs.
 	runsListed bool
+	// listedToken is the highest token of a call to which the worker's current incarnation
+	// has listed its runs. Under minListToken, a list shows nothing of earlier incarnations of
+	// the agent: one of their starts with a higher token may still arrive.
+	listedToken, minListToken uint64
 	// unreadSince is when the worker's current incarnation first listed a run that could
 	// not be read. Zero is never.
 	unreadSince time.Time
@@ -205,7 +209,7 @@
 }
 
 // priorRunsEnded reports whether no run of an earlier incarnation of this agent is
-// active.
+// listed as active.
 func (m *Manager) priorRunsEnded() bool { return m.runsListed && m.orphans() == 0 }
 
 // orphans returns the number of active runs that no order of this incarnation started.
--- a/core/cclease/poll.go
+++ b/core/cclease/poll.go
@@ -73,14 +73,17 @@
 		m.actions.Changes = append(m.actions.Changes, Change{Message: "Worker answers again."})
 		m.reportAll(now)
 	}
-	if !m.runsListed && m.listsPriorRuns(now, response) {
-		m.runsListed = true
-		defer m.reportAll(now)
+	unreadable := false
+	if !m.runsListed || !m.listedFenced() {
+		if unreadable = !m.listsPriorRuns(now, response); !unreadable {
+			m.runsListed, m.listedToken = true, max(m.listedToken, call.Token)
+			defer m.reportAll(now)
+		}
 	}
 	if !call.Probe {
 		m.ackedEnd = call.Ack
 	}
-	m.pollPaced = response.EndsUnnumbered || !m.runsListed
+	m.pollPaced = response.EndsUnnumbered || unreadable
 	m.processEnds(now, response)
 	m.reconcileRuns(now, call, response)
 	m.poll(now)
--- a/core/cclease/prior_token_test.go
+++ b/core/cclease/prior_token_test.go
@@ -52,15 +52,16 @@
 	f := newFixture(t)
 	low := PollCall{Worker: "w-1", Token: f.manager.token, Wait: pollWait, Sent: f.now}
 	f.manager.RaiseTokenAbove(1000)
-	if f.manager.priorRunsEnded() {
+	ended := func() bool { return f.manager.newReport(f.now, nil, false).PriorRunsEnded }
+	if ended() {
 		t.Error("earlier runs count as ended before a list under the raised token")
 	}
 	f.completePoll(low, okPollResponse(nil, nil))
-	if f.manager.priorRunsEnded() {
+	if ended() {
 		t.Error("earlier runs count as ended after a list under the lower token")
 	}
 	f.completePoll(f.nextPoll(), okPollResponse(nil, nil))
-	if !f.manager.priorRunsEnded() {
+	if !ended() {
 		t.Error("earlier runs don't count as ended after a list under the raised token")
 	}
 }
--- a/core/cclease/report.go
+++ b/core/cclease/report.go
@@ -77,7 +77,7 @@
 		ClockMS:        now.Sub(m.cfg.StartTime).Milliseconds(),
 		Free:           m.freeFor(now, o),
 		ClosedReason:   m.closedReasonFor(now, o),
-		PriorRunsEnded: m.priorRunsEnded(),
+		PriorRunsEnded: m.priorRunsEnded() && m.listedFenced(),
 		Pace:           m.pace.value(),
 	}
 	if m.plan != nil {
--- a/core/ccreplay/agent.go
+++ b/core/ccreplay/agent.go
@@ -160,7 +160,7 @@
 		a.domain, a.service, a.labels, a.capacity = w.Domain, w.Service, w.Labels, w.Capacity
 	}
 	s.adoptNewerPlan(now, a, report)
-	if report.PriorRunsEnded && a.settledIncarnation != a.ref.Incarnation {
+	if report.PriorRunsEnded && a.settledIncarnation != a.ref.Incarnation && a.knownToken.fencesPrior() {
 		a.settledIncarnation = a.ref.Incarnation
 		s.settleAll(now, a, statedSettled)
 	}
--- a/core/ccreplay/prior_token.go
+++ b/core/ccreplay/prior_token.go
@@ -21,6 +21,10 @@
 	k.token = max(k.token, token)
 }
 
+// fencesPrior reports whether the agent's calls fence off the starts of its other incarnations,
+// so that a list of its runs is the last word on theirs.
+func (k *knownToken) fencesPrior() bool { return k.prior == 0 || k.token > k.prior }
+
 // PriorToken returns the highest fencing token that the entry has known of an agent's
 // incarnations other than the last one that opened a session. Zero is none.
 func (s *Scheduler) PriorToken(id ccnode.ID) uint64 {
