Drop answers of calls that an earlier life of the worker got

Callers saw runs of the present life end as lost while they went on, leases by the clock of the life before, and a job that stayed placed until its time was over. Answers to starts and stops and refused connections name no incarnation, so each call now has its time of sending; one from before the present life tells nothing, and its run is settled by the next list.

--- a/core/cclease/lifecycle.go
+++ b/core/cclease/lifecycle.go
@@ -63,7 +63,7 @@
 	m.pace = pace{}
 	m.setWorkerInfo(worker)
 	runNumbers := m.runNumbers
-	m.resetWorkerState()
+	m.resetWorkerState(now)
 	if m.lost.isIncarnation(*worker) {
 		m.runNumbers = runNumbers
 	}
@@ -77,7 +77,8 @@
 }
 
 // resetWorkerState discards the state of an earlier incarnation of the worker.
-func (m *Manager) resetWorkerState() {
+func (m *Manager) resetWorkerState(now time.Time) {
+	m.workerSince = now
 	m.runNumbers = map[ccwire.TaskRef]lastRunNumber{}
 	m.workerClockAt = time.Time{}
 	m.lastEnd, m.ackedEnd, m.missedPolls = 0, 0, 0
@@ -93,7 +94,7 @@
 func (m *Manager) workerRestarted(now time.Time, startTime time.Time) {
 	m.raiseToken(1, "worker has a new life")
 	m.recordLateStarts(now, "worker has a new life")
-	m.resetWorkerState()
+	m.resetWorkerState(now)
 	worker := *m.worker
 	worker.StartTime = startTime
 	m.worker = &worker
--- a/core/cclease/manager.go
+++ b/core/cclease/manager.go
@@ -66,6 +66,7 @@
 	cfg          Config
 	token        uint64
 	worker       *Worker
+	workerSince  time.Time // When the worker's current incarnation became known.
 	lost         lostWorker
 	workerInfo   *ccwire.WorkerInfo // The description of the worker that is sent to entries.
 	pausedReason string             // Why the worker gets no starts until pausedUntil.
--- a/core/cclease/response.go
+++ b/core/cclease/response.go
@@ -23,11 +23,17 @@
 		m.recordCall("Start has no answer.", call, "")
 		m.fenceTask(now, call.Task, "start has no answer")
 	}
-	if dropped := m.checkResponse(now, call.Worker, call.Token, response); dropped != "" {
+	dropped := m.checkResponse(now, call.Worker, call.Token, call.Sent, response)
+	r := m.runs[call.Task]
+	if dropped != "" {
 		m.recordCall("Answer to a start dropped.", call, dropped)
+		if r != nil && r.number == call.Run && r.phase == phaseStarting && m.worker.ID == call.Worker {
+			// The next list shows whether the current incarnation has the run.
+			r.phase, r.absentAfter = phaseUnconfirmed, now
+			m.pollNow(now)
+		}
 		return
 	}
-	r := m.runs[call.Task]
 	if r == nil || r.number != call.Run {
 		m.recordCall("Answer to a start dropped.", call, "run is over")
 		return
@@ -87,7 +93,7 @@
 
 // StopCompleted processes the response to a StopCall.
 func (m *Manager) StopCompleted(now time.Time, call StopCall, response Response) {
-	if m.checkResponse(now, call.Worker, call.Token, response) != "" {
+	if m.checkResponse(now, call.Worker, call.Token, call.Sent, response) != "" {
 		return
 	}
 	r := m.runs[call.Task]
@@ -106,8 +112,9 @@
 // checkResponse handles what every response may reveal: the worker's clock, a
 // restart of the worker, or a fencing token that is too low. It returns why
 // the response must be dropped. Empty means that it comes from the current incarnation of
-// the current worker.
-func (m *Manager) checkResponse(now time.Time, worker string, token uint64, response Response) string {
+// the current worker. A response that names no incarnation is from an earlier one, or from
+// none, if the call was sent before the current one was known.
+func (m *Manager) checkResponse(now time.Time, worker string, token uint64, sent time.Time, response Response) string {
 	switch {
 	case m.worker == nil:
 		return "worker is lost"
@@ -115,6 +122,8 @@
 		return "worker has been replaced"
 	}
 	switch {
+	case response.StartTime.IsZero() && sent.Before(m.workerSince):
+		return "call was sent to an earlier incarnation of the worker"
 	case response.Status == StatusConnRefused:
 		m.workerLost(now, "nothing listens at the worker's address", true)
 		return "worker is gone"
