Describe a worker to entries by the first heartbeat of its life

Entries that had been told of the life before placed jobs by its service, domain and labels, though a worker may return as another kind. The description was set again only if the capacity differed. The first heartbeat of each life now sets it; both cases of the test pass.

--- a/core/cclease/lifecycle.go
+++ b/core/cclease/lifecycle.go
@@ -22,6 +22,10 @@
 		return // The heartbeat was delayed.
 	}
 	changed := current == nil || current.Draining != worker.Draining || !m.heartbeatSeen
+	if !m.heartbeatSeen {
+		// An answer may have made this incarnation known. It does not describe the worker.
+		m.setWorkerInfo(&worker)
+	}
 	if m.workerInfo.Capacity != worker.Capacity {
 		m.setWorkerInfo(&worker)
 		m.actions.Changes = append(m.actions.Changes, Change{Message: "Worker capacity changed.", Reason: worker.ID, Count: int(worker.Capacity.CPU)})
