--- a/core/cclease/lifecycle.go
+++ b/core/cclease/lifecycle.go
@@ -22,6 +22,10 @@
 		return // The heartbeat was delayed.
 	}
 	changed := current == nil || current.Draining != worker.Draining || !m.heartbeatSeen
+	if !m.heartbeatSeen {
+		// An answer may have made this incarnation known. It does not describe the worker.
+		m.setWorkerInfo(&worker)
+	}
 	if m.workerInfo.Capacity != worker.Capacity {
 		m.setWorkerInfo(&worker)
 		m.actions.Changes = append(m.actions.Changes, Change{Message: "Worker capacity changed.", Reason: worker.ID, Count: int(worker.Capacity.CPU)})
@@ -63,7 +67,7 @@
 	m.pace = pace{}
 	m.setWorkerInfo(worker)
 	runNumbers := m.runNumbers
-	m.resetWorkerState()
+	m.resetWorkerState(now)
 	if m.lost.isIncarnation(*worker) {
 		m.runNumbers = runNumbers
 	}
@@ -77,12 +81,14 @@
 }
 
 // resetWorkerState discards the state of an earlier incarnation of the worker.
-func (m *Manager) resetWorkerState() {
+func (m *Manager) resetWorkerState(now time.Time) {
+	m.workerSince = now
 	m.runNumbers = map[ccwire.TaskRef]lastRunNumber{}
 	m.workerClockAt = time.Time{}
 	m.lastEnd, m.ackedEnd, m.missedPolls = 0, 0, 0
 	m.runsListed, m.heartbeatSeen, m.polling, m.pollingNow = false, false, false, false
 	m.leaseEnd, m.unreadSince, m.pollPaced = time.Time{}, time.Time{}, false
+	m.listedToken = 0
 }
 
 // workerRestarted switches to a new incarnation of the same worker. Runs that the
@@ -92,7 +98,7 @@
 func (m *Manager) workerRestarted(now time.Time, startTime time.Time) {
 	m.raiseToken(1, "worker has a new life")
 	m.recordLateStarts(now, "worker has a new life")
-	m.resetWorkerState()
+	m.resetWorkerState(now)
 	worker := *m.worker
 	worker.StartTime = startTime
 	m.worker = &worker
