Tests for the workers and the starts of a class that crashes workers

And while the verdict on one job is due, other jobs of the class whose runs were as long are run again beside it, each on another worker.

The first test wants the isolated class on the workers that crashed under it, the second one task at a time after two crashes that are alike. Both fail on this code: "agents: got two others" and "starts: got 1, want 0". A case in which the runs differ passes before and after, so that innocent classes are not stopped.

--- a/core/ccreplay/crash_test.go
+++ b/core/ccreplay/crash_test.go
@@ -65,14 +65,20 @@
 // otherRoute is a route whose jobs crash no workers.
 var otherRoute = ccroute.Route{Name: "other", Service: "proof", MaxAttempts: 3, Stretch: 1.6, Allowance: 60 * time.Millisecond}
 
-// isolate makes a job of route crash two workers.
-func (f *fixture) isolate() {
+// isolate makes a job of route crash two workers, and returns their agents in the order of
+// the crashes.
+func (f *fixture) isolate() []ccnode.ID {
 	f.t.Helper()
 	f.s.SetPlan(f.now, &ccroute.Plan{Revision: 2, Routes: []ccroute.Route{route, otherRoute}})
 	f.submit("culprit", 1)
-	f.crashed(1, 12*time.Millisecond, f.wantStarts(f.take(), 1)...)
-	f.crashed(2, 12*time.Millisecond, f.wantStarts(f.take(), 1)...)
+	var crashed []ccnode.ID
+	for number := range uint64(2) {
+		starts := f.wantStarts(f.take(), 1)
+		f.crashed(number+1, 12*time.Millisecond, starts...)
+		crashed = append(crashed, starts[0].agent)
+	}
 	f.take()
+	return crashed
 }
 
 // agentsOf returns the agents that the starts went to.
@@ -103,6 +109,16 @@
 			}
 		}
 	})
+	// Guards against a class that costs the others workers beside those that it has crashed.
+	t.Run("the class is kept on the workers that crashed under it", func(t *testing.T) {
+		f := newFixture(t, "north", "north", "north", "north", "north", "north", "north")
+		crashed := f.isolate()
+		f.submit("same", 8)
+		got := agentsOf(f.wantStarts(f.take(), 8))
+		if len(got) != 2 || !got[crashed[0]] || !got[crashed[1]] {
+			t.Errorf("agents: got %v, want %v", got, crashed)
+		}
+	})
 	t.Run("jobs of the class are refused at once while their workers are down", func(t *testing.T) {
 		f := newFixture(t, "north", "north", "north", "north")
 		f.isolate()
@@ -132,3 +148,41 @@
 		}
 	})
 }
+
+// Guards against several jobs of a class that crash worker after worker before one of them
+// is found to be the cause.
+func TestAlikeCrashesHoldTheClass(t *testing.T) {
+	// crashTwo makes two jobs crash a worker each after runs of the given lengths, and
+	// returns what is placed then.
+	crashTwo := func(t *testing.T, first, second time.Duration) (*fixture, Actions) {
+		f := newFixture(t, "north", "north", "north", "north", "north")
+		f.s.SetPlan(f.now, &ccroute.Plan{Revision: 2, Routes: []ccroute.Route{route, otherRoute}})
+		f.submit("first", 1)
+		a := f.wantStarts(f.take(), 1)
+		f.submit("second", 1)
+		b := f.wantStarts(f.take(), 1)
+		if a[0].agent == b[0].agent {
+			t.Fatalf("both run at %s", a[0].agent)
+		}
+		f.crashed(1, first, a...)
+		f.wantStarts(f.take(), 1)
+		f.crashed(1, second, b...)
+		return f, f.take()
+	}
+	t.Run("only the suspect of the first crash runs until it may have crashed again", func(t *testing.T) {
+		f, out := crashTwo(t, 12*time.Millisecond, 13*time.Millisecond)
+		f.wantStarts(out, 0)
+		f.submit("third", 2)
+		f.wantStarts(f.take(), 0)
+		f.submit("other", 2, func(r *Request) { r.Route = otherRoute })
+		f.wantStarts(f.take(), 2)
+		f.advance(50 * time.Millisecond)
+		f.wantStarts(f.take(), 3)
+	})
+	t.Run("the class is not held if the runs differ", func(t *testing.T) {
+		f, out := crashTwo(t, 12*time.Millisecond, 25*time.Millisecond)
+		f.wantStarts(out, 1)
+		f.submit("third", 2)
+		f.wantStarts(f.take(), 2)
+	})
+}
