Keep a class that crashes workers on those that it has crashed

Causes, from the order of the crashes: the class was isolated on workers chosen by hash, so the others missed those as well as the ones that it had crashed; and suspects of several jobs ran again beside each other while the verdict on the first was due.

Change: the workers that crashed under the tasks for which a class is isolated are the first of those that it may use. Two crashes within 150 ms with suspects of one class whose runs were alike hold the class, but for the suspect of the first: for 80 ms at most, once a second at most, runs up to 50 ms. Entries that know the same crashes choose the same workers. Nothing is done while no worker has crashed.

--- a/core/cccrash/ledger.go
+++ b/core/cccrash/ledger.go
@@ -70,6 +70,7 @@
 	// What was found so far may explain crashes of the other tasks.
 	l.accuse(now, selectRecords(c.suspects, (*taskRecord).isAccused), &found)
 	l.giveUp(selectRecords(c.suspects, (*taskRecord).isExhausted), &found)
+	l.hold(now, c)
 	return found, true
 }
 
@@ -84,7 +85,10 @@
 	for _, r := range fresh {
 		l.explain(now, r)
 		r.isolates = true
-		if l.class(r.class).extend(now) {
+		class := l.class(r.class)
+		wasIsolated := !class.extend(now)
+		class.addAgents(l.agentsOf(r))
+		if !wasIsolated {
 			found.Isolated = append(found.Isolated, r.class)
 		}
 	}
@@ -112,6 +116,7 @@
 			continue
 		}
 		for _, r := range c.suspects {
+			l.class(r.class).heldUntil = now
 			others := r.task.Job != cause.task.Job && (c.cause == nil || r.task.Job == c.cause.task.Job)
 			if others && r.exonerate() && r.isolates {
 				r.isolates = false
@@ -164,6 +169,27 @@
 	return isolated
 }
 
+// IsolationAgents returns the agents whose workers crashed under the tasks for which a class
+// is isolated, in ascending order. Entries that know the same crashes get the same agents,
+// whichever crash they heard of first.
+func (l *Ledger) IsolationAgents(now time.Time, class uint32) []ccnode.ID {
+	if c := l.classes[class]; c != nil && c.isolated(now) {
+		return c.agents
+	}
+	return nil
+}
+
+// agentsOf returns the agents whose workers crashed while they ran a task.
+func (l *Ledger) agentsOf(r *taskRecord) []ccnode.ID {
+	var agents []ccnode.ID
+	for id, c := range l.crashes {
+		if slices.Contains(c.suspects, r) {
+			agents = append(agents, id.agent.ID)
+		}
+	}
+	return agents
+}
+
 func (l *Ledger) class(id uint32) *classRecord {
 	c := l.classes[id]
 	if c == nil {
@@ -186,7 +212,7 @@
 // prune drops what is older than retention, and the oldest records above maxTasks.
 func (l *Ledger) prune(now time.Time) {
 	maps.DeleteFunc(l.crashes, func(_ crashID, c *crashRecord) bool { return now.Sub(c.at) > retention })
-	maps.DeleteFunc(l.classes, func(_ uint32, c *classRecord) bool { return !c.isolated(now) })
+	maps.DeleteFunc(l.classes, func(_ uint32, c *classRecord) bool { return !c.isolated(now) && now.Sub(c.heldAt) >= holdInterval })
 	excess := len(l.order) - maxTasks
 	l.order = slices.DeleteFunc(l.order, func(r *taskRecord) bool {
 		excess--
--- a/core/cccrash/ledger_test.go
+++ b/core/cccrash/ledger_test.go
@@ -23,9 +23,13 @@
 func newFixture() *fixture { return &fixture{ledger: NewLedger(), now: start} }
 
 func (f *fixture) crash(suspects ...ccwire.CrashSuspect) Findings {
+	return f.crashAt("agent", suspects...)
+}
+
+func (f *fixture) crashAt(agent ccnode.ID, suspects ...ccwire.CrashSuspect) Findings {
 	f.number++
 	f.now = f.now.Add(100 * time.Millisecond)
-	found, _ := f.ledger.Record(f.now, ccnode.Ref{ID: "agent", Incarnation: 1}, ccwire.CrashReport{Number: f.number, Suspects: suspects})
+	found, _ := f.ledger.Record(f.now, ccnode.Ref{ID: agent, Incarnation: 1}, ccwire.CrashReport{Number: f.number, Suspects: suspects})
 	return found
 }
 
@@ -189,3 +193,83 @@
 		t.Errorf("order: got %d records, want %d", got, want)
 	}
 }
+
+// Guards against an isolated class that takes more workers from the others than those that
+// it has crashed.
+func TestIsolationAgents(t *testing.T) {
+	f := newFixture()
+	for _, id := range []ccnode.ID{"b", "a", "b"} {
+		f.crashAt(id, suspect("culprit", 12))
+	}
+	if got, want := f.ledger.IsolationAgents(f.now, 7), []ccnode.ID{"a", "b"}; !slices.Equal(got, want) {
+		t.Errorf("agents: got %v, want %v", got, want)
+	}
+	f.now = f.now.Add(quietTime)
+	if got := f.ledger.IsolationAgents(f.now, 7); len(got) != 0 {
+		t.Errorf("agents of a class that was released: got %v, want none", got)
+	}
+}
+
+// Guards against further crashes of a class while the verdict on its first one is due, and
+// against a class that is stopped because workers crash by themselves.
+func TestHeld(t *testing.T) {
+	wantHeld := func(t *testing.T, f *fixture, class uint32, job string, want bool) {
+		t.Helper()
+		if got := f.ledger.Held(f.now, class, ccwire.TaskRef{Job: job}); got != want {
+			t.Errorf("class %d, job %s, held: got %t, want %t", class, job, got, want)
+		}
+	}
+	t.Run("a class is held after two crashes with runs alike, but for the first suspect", func(t *testing.T) {
+		f := newFixture()
+		f.crash(suspect("a", 40))
+		wantHeld(t, f, 7, "new", false)
+		f.now = f.now.Add(-90 * time.Millisecond)
+		f.crash(suspect("b", 41))
+		wantHeld(t, f, 7, "a", false)
+		wantHeld(t, f, 7, "b", true)
+		wantHeld(t, f, 7, "new", true)
+		wantHeld(t, f, 8, "new", false)
+		f.now = f.now.Add(62 * time.Millisecond)
+		wantHeld(t, f, 7, "new", false)
+	})
+	t.Run("a class is held once a second at most", func(t *testing.T) {
+		f := newFixture()
+		f.now = f.now.Add(-90 * time.Millisecond)
+		for i, job := range []string{"a", "b", "c", "d", "e"} {
+			f.now = f.now.Add(-60 * time.Millisecond)
+			f.crash(suspect(job, int64(30+i/2)))
+		}
+		wantHeld(t, f, 7, "new", false)
+	})
+	t.Run("runs that differ, are long or lie apart hold nothing", func(t *testing.T) {
+		for _, second := range []struct {
+			ranMS int64
+			after time.Duration
+		}{{35, 0}, {30, holdWindow}} {
+			f := newFixture()
+			f.crash(suspect("a", 30))
+			f.now = f.now.Add(second.after)
+			f.crash(suspect("b", second.ranMS))
+			wantHeld(t, f, 7, "new", false)
+		}
+		f := newFixture()
+		f.crash(suspect("a", 200))
+		f.crash(suspect("b", 200))
+		wantHeld(t, f, 7, "new", false)
+	})
+	t.Run("a verdict releases the classes of its crashes", func(t *testing.T) {
+		f := newFixture()
+		beside := func(job string) ccwire.CrashSuspect {
+			s := suspect(job, 40)
+			s.Class = 8
+			return s
+		}
+		f.crash(suspect("a", 20), beside("x"))
+		f.now = f.now.Add(-90 * time.Millisecond)
+		f.crash(suspect("b", 30), beside("y"))
+		wantHeld(t, f, 8, "new", true)
+		f.now = f.now.Add(-90 * time.Millisecond)
+		f.crash(suspect("a", 20))
+		wantHeld(t, f, 8, "new", false)
+	})
+}
--- a/core/cccrash/task.go
+++ b/core/cccrash/task.go
@@ -43,13 +43,18 @@
 func (r *taskRecord) add(now time.Time, c *crashRecord, suspect ccwire.CrashSuspect) bool {
 	ran := time.Duration(suspect.RanMS) * time.Millisecond
 	r.gap = (r.lastRun - ran).Abs()
-	similar := r.last != nil && r.last.admits(r.gap) && r.gap <= max(runLengthTolerance, min(r.lastRun, ran)/runLengthFactor)
+	similar := r.last != nil && r.last.admits(r.gap) && similarRuns(r.lastRun, ran)
 	r.crashes = max(r.crashes, min(suspect.Crashes, maxCrashes)) + 1
 	r.class, r.last, r.lastRun, r.at = suspect.Class, c, ran, now
 	c.suspects = append(c.suspects, r)
 	return similar
 }
 
+// similarRuns reports whether two runs have the same length, as far as can be told.
+func similarRuns(a, b time.Duration) bool {
+	return (a - b).Abs() <= max(runLengthTolerance, min(a, b)/runLengthFactor)
+}
+
 // isAccused reports whether the number of crashes alone makes the task their cause.
 func (r *taskRecord) isAccused() bool { return r.crashes-r.explained >= maxCrashes }
 
--- a/core/ccreplay/isolation.go
+++ b/core/ccreplay/isolation.go
@@ -37,8 +37,8 @@
 	return ccroute.Route{}, false
 }
 
-// updateIsolation chooses the agents of the isolated classes: those with the highest
-// scores, so that all entries choose the same ones.
+// updateIsolation chooses the agents of the isolated classes: those that crashed under the
+// class and then those with the highest scores, so that all entries choose the same ones.
 func (s *Scheduler) updateIsolation(now time.Time) {
 	isolated := s.crashes.Isolated(now)
 	if len(isolated) == 0 && len(s.isolated) == 0 {
@@ -71,8 +71,9 @@
 	s.refuseIsolated(now)
 }
 
-// isolationAgents returns the agents for the jobs of a route that is isolated. Agents that
-// are down for a while keep their place, so that no others take it.
+// isolationAgents returns the agents for the jobs of a route that is isolated: first those
+// whose workers crashed under it, which the other routes miss anyway. Agents that are down
+// for a while keep their place, so that no others take it.
 func (s *Scheduler) isolationAgents(now time.Time, route ccroute.Route) []*agent {
 	var candidates []*agent
 	for _, a := range s.agentList {
@@ -82,7 +83,14 @@
 	}
 	n := (len(candidates) + isolationShare - 1) / isolationShare
 	candidates = slices.DeleteFunc(candidates, func(a *agent) bool { return a.isolatedFor != 0 })
+	crashed := s.crashes.IsolationAgents(now, classOf(route))
 	slices.SortFunc(candidates, func(a, b *agent) int {
+		if c := slices.Contains(crashed, a.ref.ID); c != slices.Contains(crashed, b.ref.ID) {
+			if c {
+				return -1
+			}
+			return 1
+		}
 		return cmp.Compare(ccsubset.Score(b.ref.ID, route.Name), ccsubset.Score(a.ref.ID, route.Name))
 	})
 	return candidates[:min(n, len(candidates))]
--- a/core/ccreplay/place.go
+++ b/core/ccreplay/place.go
@@ -127,6 +127,9 @@
 		if tk.state != taskQueued || now.Before(tk.notBefore) {
 			continue
 		}
+		if s.crashes.Held(now, j.class, ccwire.TaskRef{Job: j.request.ID, Index: i}) {
+			continue
+		}
 		a := s.chooseAgent(now, j, i, open)
 		if a == nil {
 			if tk.avoidAgent == "" {
