Keep the runs of a worker that is leaving until it is gone

What callers could see: a task runs twice at the same time. A worker's notice that it leaves ended all its runs at once, and their tasks started elsewhere, while the worker may still run them; a notice of an earlier incarnation that was delivered late did the same to the runs of the next one under its ID, whose heartbeats were then ignored for good.

Cause: the notice names only the worker's ID, and was taken for the end of its runs. It now closes the worker to starts and has it probed every 20 ms; the runs end as they always do, by the worker's lists, at a refused connection, at a new incarnation, or with the lease. A later heartbeat that does not drain reopens it. A worker that is leaving still has not crashed when its connection is refused.

Ruled out: not renewing the lease of a worker that is leaving, which would end the runs of the next incarnation after a late notice.

Evidence: TestLeavingWorkerKeepsItsRuns fails on the code before (the run ends with the notice) and, with the probe put off, in its first case. Tests in which a worker has left now have it say so and then refuse the connection; what they check is unchanged.

--- a/core/cclease/crash.go
+++ b/core/cclease/crash.go
@@ -19,7 +19,7 @@
 // recordCrash reports a crash of the worker to all entries, with the runs that it ended. A
 // worker that was about to leave has not crashed.
 func (m *Manager) recordCrash(now time.Time, runs []*run) {
-	if len(runs) == 0 || m.worker == nil || m.worker.Draining {
+	if len(runs) == 0 || m.worker == nil || m.worker.Draining || m.leaving {
 		return
 	}
 	m.crashCount++
--- a/core/cclease/crash_test.go
+++ b/core/cclease/crash_test.go
@@ -81,7 +81,7 @@
 		f := newFixture(t)
 		f.startRunning(entryA, "job")
 		f.take()
-		f.manager.WorkerLeft(f.now, "w-1")
+		f.leave()
 		if got := crashesIn(f.take(), entryA); len(got) != 0 {
 			t.Errorf("crashes: got %+v, want none", got)
 		}
--- a/core/cclease/late_start_test.go
+++ b/core/cclease/late_start_test.go
@@ -46,7 +46,7 @@
 		{"another worker answers another call", func(f *fixture) {
 			f.completePoll(f.nextPoll(), PollResponse{Response: Response{Status: StatusWrongInstance}})
 		}},
-		{"the worker leaves", func(f *fixture) { f.manager.WorkerLeft(f.now, "w-1") }},
+		{"the worker leaves", func(f *fixture) { f.leave() }},
 		{"another worker is there", func(f *fixture) {
 			other := f.worker()
 			other.ID, other.StartTime = "w-2", f.now
--- a/core/cclease/lifecycle.go
+++ b/core/cclease/lifecycle.go
@@ -31,6 +31,9 @@
 		m.actions.Changes = append(m.actions.Changes, Change{Message: "Worker capacity changed.", Reason: worker.ID, Count: int(worker.Capacity.CPU)})
 		changed = true
 	}
+	if m.leaving && !worker.Draining && worker.Sequence > current.Sequence {
+		m.leaving, changed = false, true
+	}
 	m.worker = &worker
 	m.heartbeatSeen = true
 	m.heartbeatAt = now
@@ -49,19 +52,24 @@
 	return !worker.StartTime.IsZero() && worker.StartTime.Before(current.StartTime)
 }
 
-// WorkerLeft processes the worker's notice that it is shutting down.
+// WorkerLeft processes the worker's notice that it is shutting down. Until nothing listens
+// at its address, its runs may be active, and the notice may be of an earlier incarnation. A
+// later heartbeat that does not drain shows that it was.
 func (m *Manager) WorkerLeft(now time.Time, id string) {
-	if m.worker != nil && m.worker.ID == id {
-		m.workerLost(now, "worker left", false)
-		m.lost.left = true
+	if m.worker == nil || m.worker.ID != id || m.leaving {
+		return
 	}
+	m.leaving = true
+	m.actions.Changes = append(m.actions.Changes, Change{Message: "Worker is leaving.", Worker: id, Count: len(m.runs)})
+	m.reportAll(now)
+	m.probe(now)
 }
 
 // replaceWorker starts tracking another worker. Calls to the previous worker carry its
 // ID, so the new one refuses them.
 func (m *Manager) replaceWorker(now time.Time, worker *Worker) {
 	if m.worker != nil {
-		m.workerLost(now, "another worker is here", true)
+		m.workerLost(now, "another worker is here")
 	}
 	m.worker = worker
 	m.pace = pace{}
@@ -104,6 +112,7 @@
 	m.worker = &worker
 	n := 0
 	m.recordCrash(now, confirmedRuns(m.runList))
+	m.leaving = false
 	for _, r := range slices.Clone(m.runList) {
 		if r.listed {
 			n++
@@ -142,16 +151,14 @@
 
 // workerLost ends all runs, because the worker that executed them no longer exists. It
 // either crashed or left.
-func (m *Manager) workerLost(now time.Time, reason string, crashed bool) {
+func (m *Manager) workerLost(now time.Time, reason string) {
 	n := len(m.runs)
 	m.recordLateStarts(now, reason)
-	if crashed {
-		m.recordCrash(now, answeredRuns(m.runList))
-	}
+	m.recordCrash(now, answeredRuns(m.runList))
 	for _, r := range slices.Clone(m.runList) {
 		m.endRun(now, r, ccwire.RunLost, reason)
 	}
-	m.lost, m.worker = lostWorker{Worker: *m.worker}, nil
+	m.lost, m.worker, m.leaving = lostWorker{Worker: *m.worker, left: m.leaving}, nil, false
 	m.actions.Changes = append(m.actions.Changes, Change{Message: "Worker lost.", Reason: reason, Count: n})
 	m.reportAll(now)
 }
--- a/core/cclease/lost_test.go
+++ b/core/cclease/lost_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"camphorcroft/core/ccwire"
 )
 
 // Guards against the use of a worker that has left or crashed, because of a heartbeat that
@@ -17,7 +19,7 @@
 	}
 	left := func(t *testing.T) *fixture {
 		f := newFixture(t)
-		f.manager.WorkerLeft(f.now, "w-1")
+		f.leave()
 		return f
 	}
 	crashed := func(t *testing.T) *fixture {
@@ -66,3 +68,66 @@
 		wantWorker(t, f, restarted, true)
 	})
 }
+
+// leave has the worker say that it is leaving, and end.
+func (f *fixture) leave() {
+	f.t.Helper()
+	f.manager.WorkerLeft(f.now, "w-1")
+	f.now = f.now.Add(time.Millisecond)
+	f.completePoll(PollCall{Worker: "w-1", Probe: true, Sent: f.now}, PollResponse{Response: Response{Status: StatusConnRefused}})
+	if f.manager.worker != nil {
+		f.t.Fatal("worker that has left is still known")
+	}
+}
+
+// Guards against a rerun beside a run of a worker that has said that it is leaving: its runs
+// go on until it is gone, and the notice may be of its earlier life.
+func TestLeavingWorkerKeepsItsRuns(t *testing.T) {
+	leaving := func(t *testing.T) *fixture {
+		f := newFixture(t)
+		f.now = f.now.Add(maxCallDelay) // No start of an earlier incarnation may arrive.
+		heartbeat := f.worker()
+		heartbeat.Sequence++
+		f.manager.Heartbeat(f.now, heartbeat)
+		f.keepAlive(entryA, entryB)
+		f.startRunning(entryA, "j1")
+		f.take()
+		f.manager.WorkerLeft(f.now, "w-1")
+		if ends := endsIn(f.take(), entryA); len(ends) != 0 {
+			t.Errorf("ends when it says that it is leaving: %+v", ends)
+		}
+		return f
+	}
+	t.Run("until it is gone", func(t *testing.T) {
+		f := leaving(t)
+		probed := false
+		for range 40 {
+			f.advance(time.Millisecond)
+			f.keepAlive(entryA, entryB)
+			for _, call := range f.take().Polls {
+				probed = probed || call.Probe
+			}
+		}
+		if !probed {
+			t.Error("it is not probed for 40 ms")
+		}
+		f.completePoll(PollCall{Worker: "w-1", Probe: true, Sent: f.now}, PollResponse{Response: Response{Status: StatusConnRefused}})
+		out := f.take()
+		if ends := endsIn(out, entryA); len(ends) != 1 || ends[0].Outcome != ccwire.RunLost || len(crashesIn(out, entryA)) != 0 {
+			t.Errorf("ends once it is gone: got %+v, want one lost, and no crash", ends)
+		}
+	})
+	t.Run("and gets no starts until a later heartbeat", func(t *testing.T) {
+		f := leaving(t)
+		f.keepAlive(entryA, entryB)
+		if out := f.orderStart(entryA, "j2", 1000); len(out.Starts) != 0 {
+			t.Errorf("starts: got %+v, want none", out.Starts)
+		}
+		later := f.worker()
+		later.Sequence += 2
+		f.manager.Heartbeat(f.now, later)
+		if out := f.orderStart(entryA, "j3", 1000); len(out.Starts) != 1 {
+			t.Errorf("starts after a later heartbeat: got %+v, want one", out.Starts)
+		}
+	})
+}
--- a/core/cclease/manager.go
+++ b/core/cclease/manager.go
@@ -68,6 +68,7 @@
 	worker       *Worker
 	workerSince  time.Time // When the worker's current incarnation became known.
 	lost         lostWorker
+	leaving      bool               // The worker has said that it is leaving, and may still be there.
 	workerInfo   *ccwire.WorkerInfo // The description of the worker that is sent to entries.
 	pausedReason string             // Why the worker gets no starts until pausedUntil.
 	pausedUntil  time.Time
@@ -188,6 +189,8 @@
 		return "runs of an earlier incarnation are not over"
 	case m.draining:
 		return "agent is stopping"
+	case m.leaving:
+		return "worker is leaving"
 	case m.worker.Draining:
 		return "worker is draining"
 	case now.Sub(m.heartbeatAt) > heartbeatTimeout:
--- a/core/cclease/probe.go
+++ b/core/cclease/probe.go
@@ -11,12 +11,13 @@
 	maxProbes = 3
 )
 
-// probe calls the worker while a start may still arrive, so that a restarted one learns the
-// fencing token and shows a start that was quicker. It doesn't wait for other polls, and
-// goes on after the worker is lost, under the ID of that worker, which may return. It
-// acknowledges no ends, since a restarted worker numbers its ends anew.
+// probe calls the worker while it is leaving, to learn when it is gone, and while a start
+// may still arrive, so that a restarted one learns the fencing token and shows a start that
+// was quicker. It doesn't wait for other polls, and goes on after the worker is lost, under
+// the ID of that worker, which may return. It acknowledges no ends, since a restarted worker
+// numbers its ends anew.
 func (m *Manager) probe(now time.Time) {
-	if m.probes >= maxProbes || now.Sub(m.probedAt) < probeInterval || !m.lateStartPossible(now) {
+	if m.probes >= maxProbes || now.Sub(m.probedAt) < probeInterval || !m.leaving && !m.lateStartPossible(now) {
 		return
 	}
 	m.probes++
--- a/core/cclease/repeat.go
+++ b/core/cclease/repeat.go
@@ -11,7 +11,7 @@
 // the first start from then on.
 func (m *Manager) canRepeatStart(now time.Time, r *run) bool {
 	return r.unanswered && r.repeats < maxStartRepeats && r.stopRequestedAt.IsZero() && r.owner.ID != "" &&
-		!m.draining && !m.worker.Draining && !now.Before(m.pausedUntil) && !m.workerClockAt.IsZero() &&
+		!m.draining && !m.leaving && !m.worker.Draining && !now.Before(m.pausedUntil) && !m.workerClockAt.IsZero() &&
 		r.need.Fits(m.Free().Plus(r.need))
 }
 
--- a/core/cclease/response.go
+++ b/core/cclease/response.go
@@ -125,10 +125,10 @@
 	case response.StartTime.IsZero() && sent.Before(m.workerSince):
 		return "call was sent to an earlier incarnation of the worker"
 	case response.Status == StatusConnRefused:
-		m.workerLost(now, "nothing listens at the worker's address", true)
+		m.workerLost(now, "nothing listens at the worker's address")
 		return "worker is gone"
 	case response.Status == StatusWrongInstance:
-		m.workerLost(now, "another worker answered", true)
+		m.workerLost(now, "another worker answered")
 		return "another worker answered"
 	case !response.StartTime.IsZero() && !m.worker.StartTime.IsZero() && response.StartTime.After(m.worker.StartTime):
 		m.workerRestarted(now, response.StartTime)
