Proof: search for further faults, and put each guard off in the model

The product has session order, run identity, fencing and probes now, so the model no longer assumes them but can put them off. Found from seed 0 on: session order at seed 11, run identity 24, fencing 1, probes 0, the worker's token and run number together 238, its lease 57; none of them is of that class with the guard on.

--- /dev/null
+++ b/core/ccproof/search_guards_test.go
@@ -0,0 +1,47 @@
+package ccproof
+
+import "testing"
+
+// searchGuards lists guards and the search that finds a violation when one is put off. CI tries
+// the given number of schedules from the first seed on.
+var searchGuards = []struct {
+	name             string
+	putOff           func(*searchConfig)
+	search           func() searchConfig
+	class            violationClass
+	first, schedules uint64
+}{
+	{"session order", func(c *searchConfig) { c.off.sessionOrder = true }, sessionSearch, classSession, 8, 8},
+	{"run identity", func(c *searchConfig) { c.off.orderIdentity = true }, repeatSearch, classStaleEnd, 20, 8},
+	{"fencing", func(c *searchConfig) { c.off.fencing = true }, func() searchConfig { return closeWindow(crashSearch()) }, classLateUnfenced, 0, 8},
+	{"probes", func(c *searchConfig) { c.off.probes = true }, crashSearch, classLateFirst, 0, 8},
+	{"token and run number", func(c *searchConfig) { c.off.worker.token, c.off.worker.run = true, true }, lateSearch, classLateSame, 236, 8},
+	{"lease", func(c *searchConfig) { c.off.worker.lease = true }, entrySearch, classEntry, 54, 8},
+}
+
+// TestSearchEachGuard guards against a search that finds nothing: it has to find a violation
+// when a guard is put off, in a schedule that has none of the kind with the guard.
+func TestSearchEachGuard(t *testing.T) {
+	for _, g := range searchGuards {
+		t.Run(g.name, func(t *testing.T) {
+			cfg, first, schedules := g.search(), g.first, g.schedules
+			if *searchSeeds > 0 {
+				first, schedules = *searchFirst, uint64(*searchSeeds)
+			}
+			off := cfg
+			g.putOff(&off)
+			for seed := first; seed < first+schedules; seed++ {
+				w := newSearchWorld(off, seed)
+				if w.run() == "" || w.decisions.class != g.class {
+					continue
+				}
+				if on := newSearchWorld(cfg, seed); on.run() != "" && on.decisions.class == g.class {
+					continue
+				}
+				t.Logf("seed %d: %s", seed, w.violation)
+				return
+			}
+			t.Errorf("no violation of class %q in %d schedules", g.class, schedules)
+		})
+	}
+}
