Ignore the list of a probe that a later list has overtaken

What callers would see: a worker that takes no tasks for some 100 ms though it is free. A probe's answer is overtaken by that of a poll which shows the end of a run; the run in the older list then counts as one of an earlier incarnation, is stopped and closes the agent.

Cause: probes are sent beside the other polls, so lists can arrive out of order; reading a list assumed that they don't. The worker's clock in each answer orders them: a probe's list from before the last one that was processed is dropped.

Evidence: the new case of TestProbes has the ended run active again without the check, and passes with it.

--- a/core/cclease/lifecycle.go
+++ b/core/cclease/lifecycle.go
@@ -81,6 +81,7 @@
 	m.runNumbers = map[ccwire.TaskRef]lastRunNumber{}
 	m.workerClockAt = time.Time{}
 	m.lastEnd, m.ackedEnd, m.missedPolls = 0, 0, 0
+	m.listClock = 0
 	m.runsListed, m.heartbeatSeen, m.polling, m.pollingNow = false, false, false, false
 	m.leaseEnd = time.Time{}
 }
--- a/core/cclease/manager.go
+++ b/core/cclease/manager.go
@@ -71,8 +71,9 @@
 	workerClockAt time.Time
 	// leaseEnd is when the last lease that the worker may have received expires.
 	leaseEnd    time.Time
-	lastEnd     uint64 // The number of the last end that was processed.
-	ackedEnd    uint64 // The number of the last end that a poll has acknowledged.
+	lastEnd     uint64        // The number of the last end that was processed.
+	ackedEnd    uint64        // The number of the last end that a poll has acknowledged.
+	listClock   time.Duration // The worker's clock at its last list.
 	polling     bool
 	pollingNow  bool
 	polledAt    time.Time // When the last poll that may wait was sent.
--- a/core/cclease/poll.go
+++ b/core/cclease/poll.go
@@ -60,8 +60,10 @@
 	if m.checkResponse(now, call.Worker, call.Token, response.Response) != "" {
 		return
 	}
-	if response.Status != StatusOK && call.Probe {
-		return // A lost answer to a probe says nothing that one to a poll doesn't say.
+	if call.Probe && (response.Status != StatusOK || response.Clock < m.listClock) {
+		// A lost answer says nothing that one to a poll doesn't say. A list that a later one
+		// has overtaken shows runs that have ended since.
+		return
 	}
 	if response.Status != StatusOK {
 		m.pollFailed(now, response.Status)
@@ -69,6 +71,7 @@
 	}
 	unresponsive := m.missedPolls > maxMissedPolls
 	m.missedPolls = 0
+	m.listClock = max(m.listClock, response.Clock)
 	if unresponsive {
 		m.actions.Changes = append(m.actions.Changes, Change{Message: "Worker answers again."})
 		m.reportAll(now)
--- a/core/cclease/probe_test.go
+++ b/core/cclease/probe_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"camphorcroft/core/ccwire"
 )
@@ -95,6 +96,21 @@
 			t.Errorf("no start is accepted: %s", reason)
 		}
 	})
+	t.Run("a list that a later one has overtaken does not bring an ended run back", func(t *testing.T) {
+		f := newFixture(t)
+		f.startRunning(entryA, "j1")
+		f.advance(probeInterval)
+		probe := probes(f)[0]
+		ended := okPollResponse(nil, []EndedRun{{Number: 1, Task: ccwire.TaskRef{Job: "j1"}, Run: 1, End: ccwire.RunDone}})
+		ended.Clock = 2 * time.Second
+		f.completePoll(f.nextPoll(), ended)
+		overtaken := okPollResponse([]ActiveRun{{Task: ccwire.TaskRef{Job: "j1"}, Run: 1}}, nil)
+		overtaken.Clock = ended.Clock - time.Millisecond
+		f.completePoll(probe, overtaken)
+		if n := f.manager.ActiveRuns(); n != 0 {
+			t.Errorf("active runs: got %d, want 0", n)
+		}
+	})
 	t.Run("a worker that no start can reach is not probed", func(t *testing.T) {
 		f := newFixture(t)
 		f.now = epoch.Add(maxCallDelay)
