Probe for starts that are late, not for all in flight

What callers would see: other jobs slowed down by a class that crashes workers, below what they had.

Cause: a start in flight counted as one that may still arrive, so a busy worker was probed at nearly every tick, and for the first 12 s of an agent any worker was. How the denser lists lead to the crashes is not traced.

A start now counts as late once its answer is missing or its run has ended without one.

--- a/core/cclease/fence.go
+++ b/core/cclease/fence.go
@@ -34,16 +34,24 @@
 }
 
 // lateStartPossible reports whether the worker may still execute a start without an
-// answer, of this incarnation of the agent or of an earlier one, which left no record. A
-// restarted worker knows no token before its first call, so it is probed until then, even
-// if it is idle.
+// answer. A restarted worker knows no token before its first call, so it is probed until
+// then, even if it is idle.
 func (m *Manager) lateStartPossible(now time.Time) bool {
-	id := m.lateStartWorker()
-	return id != "" && (now.Sub(m.cfg.StartTime) < maxCallDelay || m.starts.at(now, id) > 0)
+	return m.starts.lateAt(now, m.lateStartWorker())
+}
+
+// priorStartPossible reports whether a start of an earlier incarnation of the agent, which
+// left no record of it, may still arrive.
+func (m *Manager) priorStartPossible(now time.Time) bool {
+	return now.Sub(m.cfg.StartTime) < maxCallDelay
 }
 
 // pollDue reports whether the worker must be polled now. One that did not answer is polled
-// until it does, also after its runs have ended with its lease.
+// until it does, also after its runs have ended with its lease, and an idle one while a
+// start of an earlier incarnation of the agent may still arrive.
 func (m *Manager) pollDue(now time.Time) bool {
-	return len(m.runs) > 0 || !m.runsListed || m.ackedEnd != m.lastEnd || m.missedPolls > 0 && now.Sub(m.polledAt) >= pollWait
+	if len(m.runs) > 0 || !m.runsListed || m.ackedEnd != m.lastEnd {
+		return true
+	}
+	return now.Sub(m.polledAt) >= pollWait && (m.missedPolls > 0 || m.priorStartPossible(now))
 }
--- a/core/cclease/late_start_test.go
+++ b/core/cclease/late_start_test.go
@@ -85,9 +85,9 @@
 // executes, because the new incarnation knows nothing of it and leaves the worker alone.
 func TestStartsOfAnEarlierIncarnationAreExpected(t *testing.T) {
 	f := newFixture(t)
-	for end := epoch.Add(maxCallDelay - probeInterval); f.now.Before(end); {
+	for end := epoch.Add(maxCallDelay - pollWait); f.now.Before(end); {
 		f.keepAlive(entryA, entryB)
-		f.advance(probeInterval)
+		f.advance(pollWait)
 		f.take()
 		if len(f.pendingPolls) == 0 {
 			t.Fatalf("no poll of an idle worker %v after the start of the agent", f.now.Sub(epoch))
--- a/core/cclease/pending_starts.go
+++ b/core/cclease/pending_starts.go
@@ -15,6 +15,8 @@
 type pendingStart struct {
 	call  StartCall
 	until time.Time
+	// late is set once the start has got no answer, or its run has ended without one.
+	late bool
 }
 
 // pendingStarts holds each start call from its sending until its answer, and without an
@@ -38,7 +40,14 @@
 func (p *pendingStarts) complete(now time.Time, call StartCall, status Status) {
 	p.starts = slices.DeleteFunc(p.starts, func(s pendingStart) bool { return s.call.Number == call.Number })
 	if status == StatusNoResponse {
-		p.starts = append(p.starts, pendingStart{call: call, until: now.Add(maxCallDelay)})
+		p.starts = append(p.starts, pendingStart{call: call, until: now.Add(maxCallDelay), late: true})
+	}
+}
+
+// abandon records that the run of a task has ended.
+func (p *pendingStarts) abandon(task ccwire.TaskRef) {
+	for i := range p.starts {
+		p.starts[i].late = p.starts[i].late || p.starts[i].call.Task == task
 	}
 }
 
@@ -70,3 +79,8 @@
 	}
 	return n
 }
+
+// lateAt reports whether the worker with an ID may still execute a late start.
+func (p *pendingStarts) lateAt(now time.Time, worker string) bool {
+	return slices.ContainsFunc(p.starts, func(s pendingStart) bool { return s.late && s.call.Worker == worker && now.Before(s.until) })
+}
--- a/core/cclease/pending_starts_test.go
+++ b/core/cclease/pending_starts_test.go
@@ -61,6 +61,21 @@
 			t.Errorf("token: got %d, want 9", s.call.Token)
 		}
 	})
+	t.Run("a start is late once its answer is missing or its run has ended", func(t *testing.T) {
+		p, _ := sent()
+		if p.lateAt(epoch, "w-1") {
+			t.Error("a start in flight is late")
+		}
+		p.abandon(task)
+		if !p.lateAt(epoch, "w-1") {
+			t.Error("a start whose run has ended is not late")
+		}
+		p, call := sent()
+		p.complete(epoch, call, StatusNoResponse)
+		if !p.lateAt(epoch.Add(maxCallDelay-1), "w-1") || p.lateAt(epoch.Add(maxCallDelay), "w-1") || p.lateAt(epoch, "w-2") {
+			t.Error("a start without an answer is not late at its worker for as long as it may arrive")
+		}
+	})
 	t.Run("a start to another worker does not count at this one", func(t *testing.T) {
 		p, _ := sent()
 		if n := p.at(epoch, "w-2"); n != 0 {
--- a/core/cclease/probe.go
+++ b/core/cclease/probe.go
@@ -16,7 +16,8 @@
 // goes on after the worker is lost, under the ID of that worker, which may return. It
 // acknowledges no ends, since a restarted worker numbers its ends anew.
 func (m *Manager) probe(now time.Time) {
-	if m.probes >= maxProbes || now.Sub(m.probedAt) < probeInterval || !m.lateStartPossible(now) {
+	due := m.lateStartPossible(now) || m.worker == nil && m.lost.ID != "" && m.priorStartPossible(now)
+	if !due || m.probes >= maxProbes || now.Sub(m.probedAt) < probeInterval {
 		return
 	}
 	m.probes++
--- a/core/cclease/probe_test.go
+++ b/core/cclease/probe_test.go
@@ -88,6 +88,7 @@
 	})
 	t.Run("lost answers to probes do not make the worker unresponsive", func(t *testing.T) {
 		f := newFixture(t)
+		unansweredStart(f)
 		for range maxMissedPolls + 2 {
 			f.advance(probeInterval)
 			f.completePoll(probes(f)[0], PollResponse{Response: Response{Status: StatusNoResponse}})
@@ -98,28 +99,33 @@
 	})
 	t.Run("a list that a later one has overtaken does not bring an ended run back", func(t *testing.T) {
 		f := newFixture(t)
-		f.startRunning(entryA, "j1")
+		unansweredStart(f)
+		f.completePoll(f.nextPoll(), okPollResponse(nil, nil))
+		f.pendingPolls = nil
+		f.startRunning(entryA, "j2")
 		f.advance(probeInterval)
 		probe := probes(f)[0]
-		ended := okPollResponse(nil, []EndedRun{{Number: 1, Task: ccwire.TaskRef{Job: "j1"}, Run: 1, End: ccwire.RunDone}})
+		ended := okPollResponse(nil, []EndedRun{{Number: 1, Task: ccwire.TaskRef{Job: "j2"}, Run: 1, End: ccwire.RunDone}})
 		ended.Clock = 2 * time.Second
 		f.completePoll(f.nextPoll(), ended)
-		overtaken := okPollResponse([]ActiveRun{{Task: ccwire.TaskRef{Job: "j1"}, Run: 1}}, nil)
+		overtaken := okPollResponse([]ActiveRun{{Task: ccwire.TaskRef{Job: "j2"}, Run: 1}}, nil)
 		overtaken.Clock = ended.Clock - time.Millisecond
 		f.completePoll(probe, overtaken)
-		if n := f.manager.ActiveRuns(); n != 0 {
-			t.Errorf("active runs: got %d, want 0", n)
+		if f.manager.runs[ccwire.TaskRef{Job: "j2"}] != nil {
+			t.Error("the run is active again")
 		}
 	})
-	t.Run("a worker that no start can reach is not probed", func(t *testing.T) {
+	t.Run("a worker that no late start can reach is not probed", func(t *testing.T) {
 		f := newFixture(t)
 		f.now = epoch.Add(maxCallDelay)
 		f.manager.Heartbeat(f.now, f.worker())
 		f.keepAlive(entryA, entryB)
 		f.startRunning(entryA, "j1")
 		f.advance(probeInterval)
+		f.orderStart(entryA, "j2", 1000)
+		f.advance(probeInterval)
 		if calls := probes(f); len(calls) != 0 {
-			t.Errorf("probes: got %d, want 0", len(calls))
+			t.Errorf("probes beside a run and a start in flight: got %d, want 0", len(calls))
 		}
 	})
 }
--- a/core/cclease/response.go
+++ b/core/cclease/response.go
@@ -142,6 +142,7 @@
 // of it that may still arrive is fenced off, since the owner may rerun the task elsewhere.
 func (m *Manager) endRun(now time.Time, r *run, end ccwire.RunOutcome, reason string) {
 	m.fenceTask(now, r.task, "run ended while its start may still arrive")
+	m.starts.abandon(r.task)
 	delete(m.runs, r.task)
 	m.runList = slices.DeleteFunc(m.runList, func(other *run) bool { return other == r })
 	m.reserved = m.reserved.Minus(r.need)
