Don't repeat a start for an entry that is silent

What callers would see: a task runs twice at the same time. An agent stands still for longer than its entry waits, the entry places the task elsewhere, and the agent, when it goes on, handles the worker's list before its timers and repeats an unanswered start.

Cause: a repeat was sent unless the entry's runs had been stopped, which the next tick would have done. It now has the condition of any other start: the entry's last echo is at most OwnerTimeout old. Otherwise the run is stopped as before the repeats.

Evidence: the new case of TestLostResponse repeats the start without the check.

--- a/core/cclease/manager_test.go
+++ b/core/cclease/manager_test.go
@@ -181,6 +181,19 @@
 			t.Errorf("starts: got %+v, want none", out.Starts)
 		}
 	})
+	t.Run("an unanswered start is not repeated for an entry that is silent", func(t *testing.T) {
+		f := newFixture(t)
+		call := f.orderStart(entryA, "j1", 1000).Starts[0]
+		f.manager.StartCompleted(f.now, call, Response{Status: StatusNoResponse})
+		f.take()
+		f.now = f.now.Add(OwnerTimeout + time.Millisecond)
+		f.completePoll(PollCall{Worker: "w-1", Sent: f.now}, okPollResponse(nil, nil))
+		out := f.take()
+		wantStops(t, out, "j1")
+		if len(out.Starts) != 0 {
+			t.Errorf("starts: got %+v, want none", out.Starts)
+		}
+	})
 	t.Run("an unanswered start is not repeated at a worker that has restarted since", func(t *testing.T) {
 		f := newFixture(t)
 		call := f.orderStart(entryA, "j1", 1000).Starts[0]
--- a/core/cclease/repeat.go
+++ b/core/cclease/repeat.go
@@ -8,9 +8,10 @@
 
 // canRepeatStart reports whether a start without an answer, whose run a later list lacks,
 // may be repeated. The worker has received the higher token of that poll, so it refuses
-// the first start from then on.
+// the first start from then on. An entry that is silent may have placed the task elsewhere.
 func (m *Manager) canRepeatStart(now time.Time, r *run) bool {
-	return r.unanswered && r.repeats < maxStartRepeats && r.stopRequestedAt.IsZero() && r.owner != "" &&
+	o := m.owners[r.owner]
+	return o != nil && now.Sub(o.lastHeard) <= OwnerTimeout && r.unanswered && r.repeats < maxStartRepeats && r.stopRequestedAt.IsZero() &&
 		!m.draining && !m.worker.Draining && !now.Before(m.pausedUntil) && !m.workerClockAt.IsZero() &&
 		r.need.Fits(m.Free().Plus(r.need))
 }
