--- a/core/cclease/probe.go
+++ b/core/cclease/probe.go
@@ -17,7 +17,8 @@
 // the ID of that worker, which may return. It acknowledges no ends, since a restarted worker
 // numbers its ends anew.
 func (m *Manager) probe(now time.Time) {
-	if m.probes >= maxProbes || now.Sub(m.probedAt) < probeInterval || !m.leaving && !m.lateStartPossible(now) {
+	due := m.leaving || m.lateStartPossible(now) || m.worker == nil && m.lost.ID != "" && m.priorStartPossible(now)
+	if !due || m.probes >= maxProbes || now.Sub(m.probedAt) < probeInterval {
 		return
 	}
 	m.probes++
