--- a/core/ccproof/search_guards_test.go
+++ b/core/ccproof/search_guards_test.go
@@ -3,7 +3,7 @@
 import "testing"
 
 // searchGuards lists guards and the search that finds a violation when one is put off. CI tries
-// the given number of schedules from the first seed on.
+// the given number of schedules from the first seed on, and stops at the first that is found.
 var searchGuards = []struct {
 	name             string
 	putOff           func(*searchConfig)
@@ -11,12 +11,12 @@
 	class            violationClass
 	first, schedules uint64
 }{
-	{"session order", func(c *searchConfig) { c.off.sessionOrder = true }, sessionSearch, classSession, 8, 8},
-	{"run identity", func(c *searchConfig) { c.off.orderIdentity = true }, repeatSearch, classStaleEnd, 20, 8},
-	{"fencing", func(c *searchConfig) { c.off.fencing = true }, func() searchConfig { return closeWindow(crashSearch()) }, classLateUnfenced, 0, 8},
-	{"probes", func(c *searchConfig) { c.off.probes = true }, crashSearch, classLateFirst, 0, 8},
-	{"token and run number", func(c *searchConfig) { c.off.worker.token, c.off.worker.run = true, true }, lateSearch, classLateSame, 236, 8},
-	{"lease", func(c *searchConfig) { c.off.worker.lease = true }, entrySearch, classEntry, 54, 8},
+	{"session order", func(c *searchConfig) { c.off.sessionOrder = true }, sessionSearch, classSession, 0, 40},
+	{"run identity", func(c *searchConfig) { c.off.orderIdentity = true }, repeatSearch, classStaleEnd, 0, 60},
+	{"fencing", func(c *searchConfig) { c.off.fencing = true }, func() searchConfig { return closeWindow(crashSearch()) }, classLateUnfenced, 0, 20},
+	{"probes", func(c *searchConfig) { c.off.probes = true }, crashSearch, classLateFirst, 0, 40},
+	{"token and run number", func(c *searchConfig) { c.off.worker.token, c.off.worker.run = true, true }, lateSearch, classLateSame, 80, 20},
+	{"lease", func(c *searchConfig) { c.off.worker.lease = true }, entrySearch, classEntry, 120, 20},
 }
 
 // TestSearchEachGuard guards against a search that finds nothing: it has to find a violation
