Proof: search for faults beside the known ones, and put each guard off

Three guards that the product lacks stand in the model: an entry ignores a request for a session older than the newest, the end of a replaced order, and a worker ignores a start sent to its earlier life.

A closed connection still delivers for a moment what has been read, as the queues of io/ do.

--- a/core/ccproof/replay_worker_test.go
+++ b/core/ccproof/replay_worker_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"camphorcroft/core/cclease"
-	"camphorcroft/core/ccnode"
 	"camphorcroft/core/ccresource"
 	"camphorcroft/core/ccwire"
 )
@@ -34,13 +33,23 @@
 type workerModel struct {
 	minRun, maxRun time.Duration // The bounds of a run's length.
 	maxLease       time.Duration // The longest lease from a call. Zero is no limit.
+	// noCallAfterRestart has a worker ignore starts that were sent to its earlier life.
+	noCallAfterRestart bool
+	off                workerGuardsOff
+}
+
+// workerGuardsOff are guards of the worker that the model disables.
+type workerGuardsOff struct {
+	token bool // A call with a token below the highest one is refused.
+	run   bool // A start with a number up to that of a run that was stopped or ended is refused.
+	lease bool // Runs end with their lease.
 }
 
 // callOrigin is where a start came from, for the classification of violations.
 type callOrigin struct {
 	agent   *replayAgent
 	manager *cclease.Manager
-	owner   ccnode.ID // The entry that ordered the start.
+	order   orderOrigin
 	sent    time.Time
 }
 
@@ -118,7 +127,7 @@
 // fenced reports whether a call's token is lower than the highest one so far, and
 // records it otherwise.
 func (m *modelWorker) fenced(token uint64) bool {
-	if token < m.token {
+	if token < m.token && !m.w.workerModel.off.token {
 		return true
 	}
 	m.token = token
@@ -126,7 +135,7 @@
 }
 
 func (m *modelWorker) start(c cclease.StartCall, origin callOrigin) cclease.Response {
-	if m.down {
+	if m.down || m.w.workerModel.noCallAfterRestart && origin.sent.Before(m.startedAt) {
 		return refused()
 	}
 	m.update()
@@ -145,7 +154,7 @@
 		return m.response(cclease.StatusLeaseExpired)
 	}
 	m.extendLease(c.LeaseEnd)
-	if c.Run <= m.closed[c.Task] {
+	if c.Run <= m.closed[c.Task] && !m.w.workerModel.off.run {
 		return m.response(cclease.StatusStaleRun)
 	}
 	if len(m.runs) >= modelCapacity/1000 {
@@ -223,7 +232,7 @@
 
 // update advances the runs to the current time and ends those that are due.
 func (m *modelWorker) update() {
-	expired := m.clock() > m.leaseEnd
+	expired := m.clock() > m.leaseEnd && !m.w.workerModel.off.lease
 	for _, task := range m.tasks() {
 		r := m.runs[task]
 		r.remaining -= m.w.now.Sub(r.updatedAt)
--- a/core/ccproof/replay_world_test.go
+++ b/core/ccproof/replay_world_test.go
@@ -121,8 +121,14 @@
 	worker      *modelWorker
 	// links has one link for each entry that the agent uses.
 	links map[ccnode.ID]*replayLink
-	// owners has the entry of the last order for each task.
-	owners map[ccwire.TaskRef]ccnode.ID
+	// orders has the last order for each task.
+	orders map[ccwire.TaskRef]orderOrigin
+}
+
+// orderOrigin is where an order came from.
+type orderOrigin struct {
+	entry ccnode.ID
+	sent  time.Time
 }
 
 func (w *replayWorld) schedule(d time.Duration, do func()) {
@@ -179,7 +185,7 @@
 	for _, c := range out.Starts {
 		a.w.logf("%s: calls start for %v run %d, lease until %v", a.ref, c.Task, c.Run, c.LeaseEnd)
 		a.w.call(func() cclease.Response {
-			return a.worker.start(c, callOrigin{agent: a, manager: manager, owner: a.owners[c.Task], sent: sent})
+			return a.worker.start(c, callOrigin{agent: a, manager: manager, order: a.orders[c.Task], sent: sent})
 		}, 150*time.Millisecond, func(answer cclease.Response) {
 			ifCurrent(func() { manager.StartCompleted(a.w.now, c, answer) })
 		})
@@ -515,7 +521,7 @@
 	i := len(w.agents)
 	a := &replayAgent{
 		w: w, ref: ccnode.Ref{ID: ccnode.ID(fmt.Sprintf("agent-%d", i)), Incarnation: 1}, links: map[ccnode.ID]*replayLink{},
-		owners: map[ccwire.TaskRef]ccnode.ID{}, manager: cclease.NewManager(cclease.Config{Token: 1, StartTime: w.start}),
+		orders: map[ccwire.TaskRef]orderOrigin{}, manager: cclease.NewManager(cclease.Config{Token: 1, StartTime: w.start}),
 	}
 	a.worker = newModelWorker(w, i)
 	for n, e := range w.entries {
--- a/core/ccproof/search_class_test.go
+++ b/core/ccproof/search_class_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"camphorcroft/core/cclease"
+	"camphorcroft/core/ccnode"
 	"camphorcroft/core/ccreplay"
 	"camphorcroft/core/ccwire"
 )
@@ -34,15 +35,38 @@
 	classTwoEntries violationClass = "two entries"
 )
 
+// decisions records what processes decide on runs, in order to classify a violation.
+type decisions struct {
+	w       *replayWorld
+	agents  []agentDecision
+	entries []entryDecision
+	class   violationClass
+	detail  string
+}
+
+// agentDecision is an end that an agent has decided on.
+type agentDecision struct {
+	agent  *replayAgent
+	at     time.Time
+	change cclease.Change
+}
+
+// entryDecision is an end other than success that an entry has decided on.
+type entryDecision struct {
+	entry  ccnode.ID
+	at     time.Time
+	change ccreplay.Change
+}
+
 func (d *decisions) agentChanged(a *replayAgent, c cclease.Change) {
 	if c.Message == "Run ended." {
-		d.agents = append(d.agents, agentDecision{agent: a, change: c})
+		d.agents = append(d.agents, agentDecision{agent: a, at: d.w.now, change: c})
 	}
 }
 
 func (d *decisions) entryChanged(e *replayEntry, c ccreplay.Change) {
 	if c.Message == "Run is over." || c.Message == "Start refused." || c.Message == "Run failed." {
-		d.entry = append(d.entry, entryDecision{entry: e.ref.ID, at: d.w.now, change: c})
+		d.entries = append(d.entries, entryDecision{entry: e.ref.ID, at: d.w.now, change: c})
 	}
 }
 
@@ -52,7 +76,7 @@
 	}
 	for _, r := range []*modelRun{first, second} {
 		d.w.logf("run %d of %v at worker %s: ordered by %s, sent at %v, started at %v, first call %v",
-			r.number, task, r.worker.id, r.origin.owner, r.origin.sent.Sub(d.w.start), r.startedAt.Sub(d.w.start), r.firstCall)
+			r.number, task, r.worker.id, r.origin.order.entry, r.origin.sent.Sub(d.w.start), r.startedAt.Sub(d.w.start), r.firstCall)
 	}
 	d.class, d.detail = d.classify(first, second)
 	d.w.violation = fmt.Sprintf("%s (%s): %s", d.class, d.detail, d.w.violation)
@@ -68,13 +92,13 @@
 		}
 	}
 	for _, e := range d.agents {
-		if e.agent == first.origin.agent && e.change.Task == first.task && e.change.Run == first.number && !d.w.now.Before(first.startedAt) {
+		if e.agent == first.origin.agent && e.change.Task == first.task && e.change.Run == first.number && !e.at.Before(first.origin.sent) {
 			return classAgent, string(e.change.End) + " " + e.change.Reason
 		}
 	}
-	for _, e := range d.entry {
-		if e.entry != first.origin.owner || e.change.Agent != first.origin.agent.ref.ID || e.change.Job != first.task.Job ||
-			e.change.Index != first.task.Index || e.at.Before(first.origin.sent) {
+	for _, e := range d.entries {
+		if e.entry != first.origin.order.entry || e.change.Agent != first.origin.agent.ref.ID || e.change.Job != first.task.Job ||
+			e.change.Index != first.task.Index || e.at.Before(first.origin.order.sent) {
 			continue
 		}
 		if strings.Contains(e.change.Reason, "agent attached without") {
@@ -85,8 +109,8 @@
 		}
 		return classStaleEnd, e.change.Message + " " + e.change.Reason
 	}
-	if first.origin.owner != second.origin.owner {
-		return classTwoEntries, fmt.Sprintf("%s and %s", first.origin.owner, second.origin.owner)
+	if first.origin.order.entry != second.origin.order.entry {
+		return classTwoEntries, fmt.Sprintf("%s and %s", first.origin.order.entry, second.origin.order.entry)
 	}
 	return classStaleEnd, "taken for done"
 }
--- a/core/ccproof/search_config_test.go
+++ b/core/ccproof/search_config_test.go
@@ -29,6 +29,34 @@
 	// handshakeTimeout is that of io/cclease.
 	handshakeTimeout time.Duration
 	worker           workerModel
+	assumed          assumed
+	off              guardsOff
+}
+
+// assumed are guards that the product lacks and that the model has in its place, so that a
+// search finds what else is missing. A guard that the product gets is removed here.
+type assumed struct {
+	// sessionOrder has an entry ignore a request for a session that the agent sent before
+	// the one of the current session.
+	sessionOrder bool
+	// orderIdentity has an entry ignore the end of a run that a later order has replaced.
+	orderIdentity bool
+	// noCallAfterRestart has a worker ignore a call that was sent to its earlier life.
+	noCallAfterRestart bool
+}
+
+// assumeAll returns all assumed guards.
+func assumeAll() assumed {
+	return assumed{sessionOrder: true, orderIdentity: true, noCallAfterRestart: true}
+}
+
+// guardsOff are guards of the product or of the worker that the model disables.
+type guardsOff struct {
+	entryReports bool // io/ccreplay drops reports of a session that was replaced.
+	entryClose   bool // io/ccreplay ignores the close of a session that was replaced.
+	agentOrders  bool // io/cclease drops orders of a session that was replaced.
+	agentClose   bool // io/cclease ignores the close of a session that was replaced.
+	worker       workerGuardsOff
 }
 
 // faultWeights are the relative frequencies of the kinds of faults.
@@ -95,3 +123,47 @@
 	c.maxAway = 600 * time.Millisecond
 	return c
 }
+
+// restartSearch dwells on agents that are killed and start again, at hosts whose clocks are
+// set back, while calls to their workers are under way.
+func restartSearch() searchConfig {
+	c := calmSearch()
+	c.weights = faultWeights{killAgent: 4, crashWorker: 3, freezeAgent: 1}
+	c.calls.late, c.calls.lost, c.calls.maxDelay, c.calls.lateHeartbeats = 15, 2, 4*time.Second, 5
+	c.maxAway, c.clockSetBack = 600*time.Millisecond, 40
+	return c
+}
+
+// entrySearch dwells on entries that are killed, stand still or are cut off.
+func entrySearch() searchConfig {
+	c := calmSearch()
+	c.weights = faultWeights{killEntry: 2, freezeEntry: 4, cut: 3, cutAgent: 1, freezeAgent: 1}
+	c.calls.lost, c.resendAnswered, c.clockSetBack = 3, 30, 25
+	return c
+}
+
+// subsetSearch dwells on agents that turn to other entries and back.
+func subsetSearch() searchConfig {
+	c := calmSearch()
+	c.weights = faultWeights{turnAway: 6, cut: 2, reset: 1, freezeEntry: 1}
+	c.entries, c.faults = 3, 40
+	c.calls.lost, c.resendAnswered = 3, 30
+	return c
+}
+
+// orderSearch dwells on orders and reports that are delivered late, and sessions that are
+// replaced meanwhile.
+func orderSearch() searchConfig {
+	c := calmSearch()
+	c.weights = faultWeights{reset: 4, cut: 2, turnAway: 2, freezeAgent: 1}
+	c.faults, c.holds = 60, holds{orders: 4, report: 2}
+	return c
+}
+
+// lateSearch dwells on calls to workers that are executed late.
+func lateSearch() searchConfig {
+	c := calmSearch()
+	c.weights = faultWeights{killAgent: 3, freezeAgent: 1, cutAgent: 1}
+	c.calls.late, c.calls.lost, c.calls.maxDelay = 25, 3, 3*time.Second
+	return c
+}
--- a/core/ccproof/search_connection_test.go
+++ b/core/ccproof/search_connection_test.go
@@ -29,6 +29,8 @@
 	// session is the agent whose session the entry has on the connection. Empty is none.
 	session ccnode.ID
 	reset   bool
+	// closedByAgent and closedByEntry are set once that end is closed.
+	closedByAgent, closedByEntry bool
 }
 
 // lane delivers the messages of one direction in order.
--- a/core/ccproof/search_network_test.go
+++ b/core/ccproof/search_network_test.go
@@ -19,8 +19,56 @@
 	// agentSessions and entrySessions are the sessions maps of io/cclease and io/ccreplay.
 	agentSessions map[*replayAgent]map[ccnode.ID]*connection
 	entrySessions map[*replayEntry]map[ccnode.ID]*connection
+	// lastRequest is when the newest request for a session was sent, by the life of the
+	// entry that it has reached.
+	lastRequest map[*replayEntry]map[ccnode.ID]time.Time
 	// links are those of io/cclease.
-	links map[*replayAgent]map[ccnode.ID]*dialer
+	links        map[*replayAgent]map[ccnode.ID]*dialer
+	orderNumbers orderNumbers
+}
+
+// orderNumbers has the attempts in orders replaced by numbers that no two orders share, and
+// those in reports by the attempts again. It is disabled if it is nil.
+type orderNumbers map[int]*numberedOrder
+
+type numberedOrder struct {
+	scheduler *ccreplay.Scheduler
+	task      ccwire.TaskRef
+	attempt   int
+	replaced  bool // A later order of the scheduler has the same task.
+}
+
+// replace numbers the starts of a scheduler.
+func (o orderNumbers) replace(e *replayEntry, starts []ccwire.StartOrder) {
+	if o == nil {
+		return
+	}
+	for i := range starts {
+		for _, other := range o {
+			if other.scheduler == e.scheduler && other.task == starts[i].Task {
+				other.replaced = true
+			}
+		}
+		number := len(o) + 1
+		o[number] = &numberedOrder{scheduler: e.scheduler, task: starts[i].Task, attempt: starts[i].Attempt}
+		starts[i].Attempt = number
+	}
+}
+
+// restore removes the results of orders that were replaced or are of another life of the
+// entry, and restores the attempts of the others.
+func (o orderNumbers) restore(e *replayEntry, report *ccwire.RunReport) {
+	if o == nil {
+		return
+	}
+	var kept []ccwire.RunResult
+	for _, result := range report.Results {
+		if order := o[result.Attempt]; order.scheduler == e.scheduler && !order.replaced {
+			result.Attempt = order.attempt
+			kept = append(kept, result)
+		}
+	}
+	report.Results = kept
 }
 
 // The sessions of io/ccreplay/session.go.
@@ -32,8 +80,13 @@
 }
 
 // attach registers a session and closes the one before.
-func (n *searchNetwork) attach(c *connection, attach ccwire.Attach) {
+func (n *searchNetwork) attach(c *connection, sent time.Time, attach ccwire.Attach) {
 	e, id := c.entry, attach.Node.ID
+	if n.cfg.assumed.sessionOrder && sent.Before(n.lastRequest[e][id]) {
+		n.closeByEntry(c)
+		return
+	}
+	n.lastRequest[e][id] = sent
 	c.session = id
 	if previous := n.entrySessions[e][id]; previous != nil {
 		n.closeByEntry(previous)
@@ -42,13 +95,15 @@
 	reply := ccwire.AttachReply{Node: e.ref}
 	c.toAgent.send(n.cfg.holds.attachReply, func() { n.attached(c, reply) })
 	n.logf("%s: request for a session of %s with %d runs, clock %d ms", e.ref, attach.Node, len(attach.Runs), attach.Report.ClockMS)
+	n.orderNumbers.restore(e, &attach.Report)
 	e.scheduler.Attach(n.now, attach)
 	e.flush()
 }
 
 // report passes on a report of the current session.
 func (n *searchNetwork) report(c *connection, report ccwire.RunReport) {
-	if c.session != "" && n.entrySessions[c.entry][c.session] == c {
+	if c.session != "" && (n.entrySessions[c.entry][c.session] == c || n.cfg.off.entryReports) {
+		n.orderNumbers.restore(c.entry, &report)
 		c.entry.scheduler.Report(n.now, c.session, report)
 		c.entry.flush()
 	}
@@ -57,7 +112,7 @@
 // entryLearnsClosed ends the session on a connection that has closed.
 func (n *searchNetwork) entryLearnsClosed(c *connection) {
 	n.closeByEntry(c)
-	if c.session != "" && n.entrySessions[c.entry][c.session] == c {
+	if c.session != "" && (n.entrySessions[c.entry][c.session] == c || n.cfg.off.entryClose) {
 		delete(n.entrySessions[c.entry], c.session)
 		c.entry.scheduler.Detach(n.now, c.session)
 		c.entry.flush()
@@ -65,8 +120,10 @@
 }
 
 func (n *searchNetwork) sendOrders(e *replayEntry, m ccreplay.Message) {
+	n.orderNumbers.replace(e, m.Orders.Starts)
 	if c := n.entrySessions[e][m.To]; c != nil {
-		c.toAgent.send(n.cfg.holds.orders, func() { n.orders(c, m.Orders) })
+		sent := n.now
+		c.toAgent.send(n.cfg.holds.orders, func() { n.orders(c, sent, m.Orders) })
 	}
 }
 
@@ -77,19 +134,34 @@
 	}
 }
 
-// closeByEntry closes the entry's end of a connection.
+// closeByEntry closes the entry's end of a connection, of which its session learns a little
+// later. What has been read before is still handled.
 func (n *searchNetwork) closeByEntry(c *connection) {
-	c.toEntry.closed = true
+	if c.closedByEntry {
+		return
+	}
+	c.closedByEntry = true
 	c.toAgent.end(func() { n.agentLearnsClosed(c) })
+	scheduler := c.entry.scheduler
+	n.schedule(n.networkDelay(), func() {
+		c.toEntry.closed = true
+		c.entry.deliver(func() {
+			if c.entry.scheduler == scheduler {
+				n.entryLearnsClosed(c)
+			}
+		})
+	})
 }
 
 func (n *searchNetwork) entryKilled(e *replayEntry) {
 	for _, c := range n.connections {
 		if c.entry == e {
-			n.closeByEntry(c)
+			c.toEntry.closed = true
+			c.toAgent.end(func() { n.agentLearnsClosed(c) })
 		}
 	}
 	n.entrySessions[e] = map[ccnode.ID]*connection{}
+	n.lastRequest[e] = map[ccnode.ID]time.Time{}
 }
 
 // The sessions of io/cclease/session.go.
@@ -105,10 +177,11 @@
 		delete(n.agentSessions[a], id)
 		a.manager.SessionClosed(id)
 	}
-	c.phase, c.sentAt = phaseAttach, n.now
+	sent := n.now
+	c.phase, c.sentAt = phaseAttach, sent
 	attach := a.manager.AttachRequest(n.now, a.ref, id)
 	n.logf("%s: requests a session with %s", a.ref, reply.Node)
-	c.toEntry.send(n.cfg.holds.attach, func() { n.attach(c, attach) })
+	c.toEntry.send(n.cfg.holds.attach, func() { n.attach(c, sent, attach) })
 	a.flush()
 }
 
@@ -126,11 +199,11 @@
 }
 
 // orders passes on orders of the current session.
-func (n *searchNetwork) orders(c *connection, orders ccwire.Orders) {
+func (n *searchNetwork) orders(c *connection, sent time.Time, orders ccwire.Orders) {
 	a, id := c.dialer.agent, c.entry.ref.ID
-	if n.agentSessions[a][id] == c {
+	if n.agentSessions[a][id] == c || n.cfg.off.agentOrders {
 		for _, start := range orders.Starts {
-			a.owners[start.Task] = id
+			a.orders[start.Task] = orderOrigin{entry: id, sent: sent}
 		}
 		a.manager.OrdersReceived(n.now, id, orders)
 		a.flush()
@@ -146,7 +219,7 @@
 	wasOpen := c.phase == phaseOpen
 	c.phase = phaseClosed
 	a, id := c.dialer.agent, c.entry.ref.ID
-	if wasOpen && n.agentSessions[a][id] == c {
+	if wasOpen && (n.agentSessions[a][id] == c || n.cfg.off.agentClose) {
 		delete(n.agentSessions[a], id)
 		a.manager.SessionClosed(id)
 		a.flush()
@@ -162,24 +235,22 @@
 
 func (n *searchNetwork) closeFromAgent(a *replayAgent, entry ccnode.ID) {
 	if c := n.agentSessions[a][entry]; c != nil {
-		n.dropByAgent(c)
+		n.closeByAgent(c)
 	}
 }
 
-// closeByAgent closes the agent's end of a connection.
+// closeByAgent closes the agent's end of a connection, of which its session learns a little
+// later. What has been read before is still handled.
 func (n *searchNetwork) closeByAgent(c *connection) {
-	c.toAgent.closed = true
+	if c.closedByAgent {
+		return
+	}
+	c.closedByAgent = true
 	c.toEntry.end(func() { n.entryLearnsClosed(c) })
-}
-
-// dropByAgent closes the agent's end of a connection, of which its session learns a little
-// later.
-func (n *searchNetwork) dropByAgent(c *connection) {
-	n.closeByAgent(c)
-	manager := c.dialer.manager
 	n.schedule(n.networkDelay(), func() {
+		c.toAgent.closed = true
 		c.dialer.agent.deliver(func() {
-			if c.dialer.agent.manager == manager {
+			if c.dialer.agent.manager == c.dialer.manager {
 				n.agentLearnsClosed(c)
 			}
 		})
@@ -189,8 +260,8 @@
 func (n *searchNetwork) agentKilled(a *replayAgent) {
 	for _, c := range n.connections {
 		if c.dialer.agent == a {
-			n.closeByAgent(c)
-			c.phase = phaseClosed
+			c.toAgent.closed, c.phase = true, phaseClosed
+			c.toEntry.end(func() { n.entryLearnsClosed(c) })
 		}
 	}
 	n.agentSessions[a] = map[ccnode.ID]*connection{}
--- a/core/ccproof/search_world_test.go
+++ b/core/ccproof/search_world_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"time"
 
-	"camphorcroft/core/cclease"
 	"camphorcroft/core/ccnode"
 	"camphorcroft/core/ccreplay"
 	"camphorcroft/core/ccresource"
@@ -26,10 +25,14 @@
 	w := &searchWorld{replayWorld: newEmptyWorld(seed), cfg: cfg, setBack: map[ccnode.ID]time.Duration{}}
 	w.decisions = decisions{w: w.replayWorld}
 	w.net = &searchNetwork{
-		replayWorld: w.replayWorld, cfg: cfg, links: map[*replayAgent]map[ccnode.ID]*dialer{},
+		replayWorld: w.replayWorld, cfg: cfg, links: map[*replayAgent]map[ccnode.ID]*dialer{}, lastRequest: map[*replayEntry]map[ccnode.ID]time.Time{},
 		agentSessions: map[*replayAgent]map[ccnode.ID]*connection{}, entrySessions: map[*replayEntry]map[ccnode.ID]*connection{},
 	}
 	w.network, w.watch, w.calls, w.workerModel = w.net, &w.decisions, cfg.calls, cfg.worker
+	if cfg.assumed.orderIdentity {
+		w.net.orderNumbers = orderNumbers{}
+	}
+	w.workerModel.noCallAfterRestart, w.workerModel.off = cfg.assumed.noCallAfterRestart, cfg.off.worker
 	w.incarnation = w.wallClock
 	for range cfg.entries {
 		w.killEntry(w.addEntry())
@@ -174,25 +177,3 @@
 		dice -= k.weight
 	}
 }
-
-// decisions records what processes decide on runs, in order to classify a violation.
-type decisions struct {
-	w      *replayWorld
-	agents []agentDecision
-	entry  []entryDecision
-	class  violationClass
-	detail string
-}
-
-// agentDecision is an end that an agent has decided on.
-type agentDecision struct {
-	agent  *replayAgent
-	change cclease.Change
-}
-
-// entryDecision is an end other than success that an entry has decided on.
-type entryDecision struct {
-	entry  ccnode.ID
-	at     time.Time
-	change ccreplay.Change
-}
