Lease: a refused connection says nothing about a later incarnation

Calls carry when they were sent. One that was refused and was sent before the worker's current incarnation was known no longer ends that incarnation's runs: its start or stop counts as not executed, and the next poll shows a worker that is gone. The test of the refused connection passes, and all others of core/cclease do.

--- a/core/cclease/lifecycle.go
+++ b/core/cclease/lifecycle.go
@@ -59,7 +59,7 @@
 	if m.worker != nil {
 		m.workerLost(now, "another worker is here", true)
 	}
-	m.worker = worker
+	m.worker, m.incarnationAt = worker, now
 	m.pace = pace{}
 	m.setWorkerInfo(worker)
 	runNumbers := m.runNumbers
@@ -95,7 +95,7 @@
 	m.resetWorkerState()
 	worker := *m.worker
 	worker.StartTime = startTime
-	m.worker = &worker
+	m.worker, m.incarnationAt = &worker, now
 	n := 0
 	m.recordCrash(now, confirmedRuns(m.runList))
 	for _, r := range slices.Clone(m.runList) {
--- a/core/cclease/manager.go
+++ b/core/cclease/manager.go
@@ -63,14 +63,16 @@
 // Manager holds the agent's runs, its sessions with entries and the worker's lease. It
 // is not safe for concurrent use: one goroutine owns it.
 type Manager struct {
-	cfg          Config
-	token        uint64
-	worker       *Worker
-	lost         lostWorker
-	workerInfo   *ccwire.WorkerInfo // The description of the worker that is sent to entries.
-	pausedReason string             // Why the worker gets no starts until pausedUntil.
-	pausedUntil  time.Time
-	heartbeatAt  time.Time
+	cfg    Config
+	token  uint64
+	worker *Worker
+	lost   lostWorker
+	// incarnationAt is when the worker's current incarnation became known.
+	incarnationAt time.Time
+	workerInfo    *ccwire.WorkerInfo // The description of the worker that is sent to entries.
+	pausedReason  string             // Why the worker gets no starts until pausedUntil.
+	pausedUntil   time.Time
+	heartbeatAt   time.Time
 
 	// workerClock is the worker's clock at workerClockAt on the agent's clock.
 	workerClock   time.Duration
--- a/core/cclease/order.go
+++ b/core/cclease/order.go
@@ -107,7 +107,7 @@
 	r.phase = phaseStarting
 	m.runNumbers[r.task] = lastRunNumber{number: r.number, at: now}
 	m.actions.Starts = append(m.actions.Starts, m.starts.add(now, StartCall{
-		Worker: m.worker.ID, Task: r.task, Run: r.number, Payload: r.payload, Token: m.token, LeaseEnd: m.extendLease(now),
+		Worker: m.worker.ID, Task: r.task, Run: r.number, Payload: r.payload, Token: m.token, LeaseEnd: m.extendLease(now), Sent: now,
 	}))
 }
 
@@ -132,7 +132,7 @@
 		return
 	}
 	r.phase = phaseStopping
-	m.actions.Stops = append(m.actions.Stops, StopCall{Worker: m.worker.ID, Task: r.task, Run: r.number, Token: m.token})
+	m.actions.Stops = append(m.actions.Stops, StopCall{Worker: m.worker.ID, Task: r.task, Run: r.number, Token: m.token, Sent: now})
 }
 
 // retryStops repeats the stops that the worker has not confirmed.
--- a/core/cclease/poll.go
+++ b/core/cclease/poll.go
@@ -57,7 +57,7 @@
 	default:
 		m.polling = false
 	}
-	if m.checkResponse(now, call.Worker, call.Token, response.Response) != "" {
+	if m.checkResponse(now, call.Worker, call.Token, call.Sent, response.Response) != "" {
 		return
 	}
 	if response.Status != StatusOK && call.Probe {
--- a/core/cclease/response.go
+++ b/core/cclease/response.go
@@ -23,7 +23,7 @@
 		m.recordCall("Start has no answer.", call, "")
 		m.fenceTask(now, call.Task, "start has no answer")
 	}
-	if dropped := m.checkResponse(now, call.Worker, call.Token, response); dropped != "" {
+	if dropped := m.checkResponse(now, call.Worker, call.Token, call.Sent, response); dropped != "" {
 		m.recordCall("Answer to a start dropped.", call, dropped)
 		return
 	}
@@ -87,7 +87,7 @@
 
 // StopCompleted processes the response to a StopCall.
 func (m *Manager) StopCompleted(now time.Time, call StopCall, response Response) {
-	if m.checkResponse(now, call.Worker, call.Token, response) != "" {
+	if m.checkResponse(now, call.Worker, call.Token, call.Sent, response) != "" {
 		return
 	}
 	r := m.runs[call.Task]
@@ -107,7 +107,7 @@
 // restart of the worker, or a fencing token that is too low. It returns why
 // the response must be dropped. Empty means that it comes from the current incarnation of
 // the current worker.
-func (m *Manager) checkResponse(now time.Time, worker string, token uint64, response Response) string {
+func (m *Manager) checkResponse(now time.Time, worker string, token uint64, sent time.Time, response Response) string {
 	switch {
 	case m.worker == nil:
 		return "worker is lost"
@@ -115,6 +115,8 @@
 		return "worker has been replaced"
 	}
 	switch {
+	case response.Status == StatusConnRefused && sent.Before(m.incarnationAt):
+		// The call did not reach any worker, and says nothing about one that started later.
 	case response.Status == StatusConnRefused:
 		m.workerLost(now, "nothing listens at the worker's address", true)
 		return "worker is gone"
--- a/core/cclease/worker.go
+++ b/core/cclease/worker.go
@@ -64,6 +64,7 @@
 	Token   uint64
 	// LeaseEnd is when the worker's lease ends, on the worker's clock.
 	LeaseEnd time.Duration
+	Sent     time.Time
 }
 
 // StopCall requests the stop of a run. If the worker does not have the run, it must
@@ -73,6 +74,7 @@
 	Task   ccwire.TaskRef
 	Run    uint64
 	Token  uint64
+	Sent   time.Time
 }
 
 // PollCall renews the worker's lease and requests its active and ended runs.
