--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -84,3 +84,23 @@
 	out.ended, out.err = time.Now(), err
 	return out
 }
+
+// resendAfter is the bound resend_ms: how long after a broken channel or an answer that
+// leaves the job open a client sends it again.
+const resendAfter = 1300 * time.Millisecond
+
+// sendUntilEnded hands a job in at entries, one after the other, as a client does.
+func (f *fleet) sendUntilEnded(first int, j job) outcome {
+	for try := 0; ; try++ {
+		out := f.send(f.entries[(first+try)%len(f.entries)], j)
+		switch out.status {
+		case 0, 502, 504:
+		default:
+			return out
+		}
+		if try == 2 {
+			return out
+		}
+		time.Sleep(resendAfter)
+	}
+}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -2,10 +2,14 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"time"
 )
@@ -36,18 +40,26 @@
 	ended    chan struct{} // Closed at each end.
 	history  []*workerRun
 	stopped  chan struct{}
+
+	// lateShare is the share of orders, starts and stops, that get no answer and are
+	// carried out lateMin to lateMax later.
+	lateShare float64
 }
 
+const (
+	lateMin = 2 * time.Second
+	lateMax = 12 * time.Second
+)
+
 type workerRun struct {
-	task         string
-	number       uint64
-	spec         string
-	cpu          int
-	work         time.Duration
-	start, end   time.Time // An end of zero is an active run.
-	how          string
-	worker       string
-	startedAfter time.Duration
+	task       string
+	number     uint64
+	spec       string
+	cpu        int
+	work       time.Duration
+	start, end time.Time // An end of zero is an active run.
+	how        string
+	worker     string
 }
 
 type workerEnd struct {
@@ -61,8 +73,8 @@
 	w.born, w.runs, w.closed = time.Now(), map[string]*workerRun{}, map[string]uint64{}
 	w.ended, w.stopped = make(chan struct{}), make(chan struct{})
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /run-start", w.handleStart)
-	mux.HandleFunc("POST /run-stop", w.handleStop)
+	mux.HandleFunc("POST /run-start", w.orLate(w.handleStart))
+	mux.HandleFunc("POST /run-stop", w.orLate(w.handleStop))
 	mux.HandleFunc("POST /hold", w.handleHold)
 	mux.HandleFunc("GET /health", func(rw http.ResponseWriter, _ *http.Request) { reply(rw, http.StatusOK, struct{}{}) })
 	w.server = &http.Server{Handler: mux}
@@ -286,3 +298,32 @@
 	}
 	return runs
 }
+
+// setLate sets the share of orders that get no answer.
+func (w *worker) setLate(share float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lateShare = share
+}
+
+// orLate carries an order out late, and leaves it unanswered, if its lot falls so.
+func (w *worker) orLate(handle http.HandlerFunc) http.HandlerFunc {
+	return func(rw http.ResponseWriter, r *http.Request) {
+		w.mu.Lock()
+		late := rand.Float64() < w.lateShare
+		w.mu.Unlock()
+		if !late {
+			handle(rw, r)
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		delay := lateMin + rand.N(lateMax-lateMin)
+		w.record.add("%s: %s gets no answer, and is carried out in %.1f s: %.60s", w.id, r.URL.Path, delay.Seconds(), body)
+		copied := r.Clone(context.Background())
+		time.AfterFunc(delay, func() {
+			copied.Body = io.NopCloser(bytes.NewReader(body))
+			handle(httptest.NewRecorder(), copied)
+		})
+		<-r.Context().Done()
+	}
+}
