--- a/review/standin/case_overdue.go
+++ b/review/standin/case_overdue.go
@@ -4,12 +4,11 @@
 	"os"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 )
 
-// stopUnanswered kills an entry while workers leave a share of their orders unanswered.
-// Other entries go on to start tasks at the same workers.
+// stopUnanswered has workers leave a share of their orders unanswered, for some seconds at a
+// time, while jobs reach their callers' time limit and are sent again.
 func stopUnanswered(rec *record, trouble bool) (bool, error) {
 	f, err := startFleet(rec, 3, 4)
 	if f != nil {
@@ -34,38 +33,30 @@
 					return
 				default:
 				}
-				f.sendUntilEnded(1+c%2, job{id: newID(), tasks: 1, workMS: 60, cpu: 100, deadline: 1500 * time.Millisecond})
+				f.sendUntilEnded(c, job{id: newID(), tasks: 1, workMS: 60, cpu: 100, deadline: 1500 * time.Millisecond})
 				time.Sleep(20 * time.Millisecond)
 			}
 		}()
 	}
-	for range 8 {
-		for range 30 {
+	for range 9 {
+		for i := range 40 {
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
-				f.sendUntilEnded(0, job{id: newID(), tasks: 4, workMS: 3600, cpu: 300, deadline: 8 * time.Second})
+				f.sendUntilEnded(i, job{id: newID(), tasks: 4, workMS: 3600, cpu: 300, deadline: 1500 * time.Millisecond})
 			}()
 		}
-		time.Sleep(600 * time.Millisecond)
+		time.Sleep(1000 * time.Millisecond)
 		if trouble {
 			for _, w := range f.workers {
 				w.setLate(share)
 			}
-			time.Sleep(200 * time.Millisecond)
-			f.signal(f.entries[0], syscall.SIGKILL)
-			<-f.entries[0].exited
 		}
-		time.Sleep(3 * time.Second)
+		time.Sleep(5 * time.Second)
 		for _, w := range f.workers {
 			w.setLate(0)
 		}
-		if trouble {
-			if err := f.start(f.entries[0]); err != nil {
-				return false, err
-			}
-		}
-		time.Sleep(7 * time.Second)
+		time.Sleep(4 * time.Second)
 		if f.overlaps() > 0 {
 			break
 		}
