--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -44,6 +44,7 @@
 	// lateShare is the share of orders, starts and stops, that get no answer and are
 	// carried out lateMin to lateMax later.
 	lateShare float64
+	dead      bool
 }
 
 const (
@@ -70,8 +71,10 @@
 func (w *worker) clock() time.Duration { return time.Since(w.born) }
 
 func (w *worker) serve(listener net.Listener) {
+	w.mu.Lock()
 	w.born, w.runs, w.closed = time.Now(), map[string]*workerRun{}, map[string]uint64{}
 	w.ended, w.stopped = make(chan struct{}), make(chan struct{})
+	w.mu.Unlock()
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /run-start", w.orLate(w.handleStart))
 	mux.HandleFunc("POST /run-stop", w.orLate(w.handleStop))
@@ -79,12 +82,39 @@
 	mux.HandleFunc("GET /health", func(rw http.ResponseWriter, _ *http.Request) { reply(rw, http.StatusOK, struct{}{}) })
 	w.server = &http.Server{Handler: mux}
 	go func() { _ = w.server.Serve(listener) }()
-	go w.beat()
-	go w.watch()
+	go w.beat(w.stopped)
+	go w.watch(w.stopped)
+}
+
+// crash ends the worker with all that runs there.
+func (w *worker) crash() {
+	w.mu.Lock()
+	w.dead = true
+	close(w.stopped)
+	for _, r := range w.runs {
+		w.end(r, "crashed")
+	}
+	w.mu.Unlock()
+	_ = w.server.Close()
+	w.record.add("%s crashes", w.id)
+}
+
+// restart starts the worker again under its ID. It holds and knows nothing of before.
+func (w *worker) restart() error {
+	listener, err := net.Listen("tcp", w.addr)
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	w.dead, w.fence, w.deadline, w.ends, w.lastEnd = false, 0, 0, nil, 0
+	w.mu.Unlock()
+	w.serve(listener)
+	w.record.add("%s is back", w.id)
+	return nil
 }
 
 // beat sends the worker's pings.
-func (w *worker) beat() {
+func (w *worker) beat(stopped chan struct{}) {
 	for sequence := 1; ; sequence++ {
 		body, _ := json.Marshal(map[string]any{
 			"service": w.service, "address": w.addr, "zone": w.zone, "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
@@ -102,18 +132,18 @@
 		}
 		select {
 		case <-time.After(wait):
-		case <-w.stopped:
+		case <-stopped:
 			return
 		}
 	}
 }
 
 // watch ends runs whose work is done, and all runs when the lease is over.
-func (w *worker) watch() {
+func (w *worker) watch(stopped chan struct{}) {
 	for {
 		select {
 		case <-time.After(2 * time.Millisecond):
-		case <-w.stopped:
+		case <-stopped:
 			return
 		}
 		w.mu.Lock()
@@ -168,6 +198,10 @@
 		return call, false
 	}
 	w.mu.Lock()
+	if w.dead {
+		w.mu.Unlock()
+		return call, false
+	}
 	if instance := r.Header.Get("Expect-Instance"); instance != "" && instance != w.id {
 		w.answer(rw, http.StatusMisdirectedRequest, map[string]any{})
 		w.mu.Unlock()
