A heartbeat of another incarnation is no proof that the worker is gone

What callers saw: a task runs twice at the same time.

Cause: Manager.Heartbeat replaced the worker, or began a new incarnation, by the heartbeat alone. Anybody can send one, and one may be late.

Ruled out: that the service's name is what matters. Heartbeats with the right service, with the worker's own ID and a later start time, without a start time, or in series ended runs, too.

Change: such a heartbeat is a claim. The agent probes its worker at once under its ID, and only the answer ends runs: a refused connection, another worker's answer, or a later start time. A list of the current incarnation refutes the claim; without an answer the runs end with their lease. On proof the claim's heartbeat is used without waiting for the next one, so a worker that has crashed and returned under a new ID is used one call later than before. Heartbeats that are not accepted have a log line, ten a second at most.

Tests that assumed that a heartbeat ends runs now answer the call that it raises; what they check is unchanged.

--- a/core/cclease/earlier_life_test.go
+++ b/core/cclease/earlier_life_test.go
@@ -13,7 +13,7 @@
 	f.t.Helper()
 	restarted := f.worker()
 	restarted.StartTime, restarted.Clock = f.now, time.Millisecond
-	f.manager.Heartbeat(f.now, restarted)
+	f.restartWorker(restarted)
 	f.take()
 	for _, call := range f.pendingPolls {
 		if call.Token == f.manager.token {
--- a/core/cclease/fixture_test.go
+++ b/core/cclease/fixture_test.go
@@ -1,6 +1,7 @@
 package cclease
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -135,6 +136,27 @@
 	return call
 }
 
+// answerClaim answers the call that a heartbeat of another incarnation has raised.
+func (f *fixture) answerClaim(response Response) {
+	f.t.Helper()
+	f.take()
+	for i, call := range f.pendingPolls {
+		if call.Probe && !call.Sent.Before(f.now) {
+			f.pendingPolls = slices.Delete(f.pendingPolls, i, i+1)
+			f.completePoll(call, PollResponse{Response: response})
+			return
+		}
+	}
+	f.t.Fatal("the worker is not called to settle a heartbeat of another incarnation")
+}
+
+// restartWorker delivers a heartbeat of a new incarnation of the worker, which answers.
+func (f *fixture) restartWorker(restarted Worker) {
+	f.t.Helper()
+	f.manager.Heartbeat(f.now, restarted)
+	f.answerClaim(Response{Status: StatusOK, Clock: restarted.Clock, StartTime: restarted.StartTime})
+}
+
 func (f *fixture) completePoll(call PollCall, response PollResponse) {
 	f.manager.PollCompleted(f.now, call, response)
 }
--- a/core/cclease/late_start_test.go
+++ b/core/cclease/late_start_test.go
@@ -51,6 +51,7 @@
 			other := f.worker()
 			other.ID, other.StartTime = "w-2", f.now
 			f.manager.Heartbeat(f.now, other)
+			f.answerClaim(Response{Status: StatusWrongInstance})
 		}},
 		{"the lease expires", func(f *fixture) {
 			for range maxMissedPolls + 1 {
@@ -70,6 +71,10 @@
 			restarted := f.worker()
 			restarted.StartTime = f.now.Add(time.Second)
 			f.manager.Heartbeat(f.now, restarted)
+			if f.manager.worker.ID != restarted.ID {
+				f.advance(probeInterval)
+				f.answerClaim(Response{Status: StatusWrongInstance})
+			}
 			if f.manager.token <= late.Token {
 				t.Errorf("token after the end: got %d, want above %d, that of the start", f.manager.token, late.Token)
 			}
--- a/core/cclease/lifecycle.go
+++ b/core/cclease/lifecycle.go
@@ -7,19 +7,29 @@
 	"camphorcroft/core/ccwire"
 )
 
-// Heartbeat processes a heartbeat of the worker.
+// Heartbeat processes a heartbeat of the worker. Any process can send one, and it may have
+// been delayed, so one of another incarnation than the current one ends no run: the answer to
+// a call settles whether that incarnation has replaced the current one.
 func (m *Manager) Heartbeat(now time.Time, worker Worker) {
 	current := m.worker
 	switch {
-	case current == nil && m.lost.sent(worker), current != nil && startedBefore(worker, *current):
-		return // The heartbeat was delayed until its sender was gone.
-	case current == nil || current.ID != worker.ID:
+	case current == nil && m.lost.sent(worker):
+		m.recordHeartbeat(now, worker, "sent before the worker was lost")
+		return
+	case current != nil && startedBefore(worker, *current):
+		m.recordHeartbeat(now, worker, "of an incarnation before the current one")
+		return
+	case current == nil:
 		m.replaceWorker(now, &worker)
-	case worker.StartTime.After(current.StartTime):
-		m.workerRestarted(now, worker.StartTime)
-		m.setWorkerInfo(&worker)
-	case worker.StartTime.Before(current.StartTime) || worker.Sequence < current.Sequence:
-		return // The heartbeat was delayed.
+	case current.ID != worker.ID || worker.StartTime.After(current.StartTime):
+		m.raiseClaim(now, worker)
+		return
+	case worker.StartTime.Before(current.StartTime):
+		m.recordHeartbeat(now, worker, "names no incarnation")
+		return
+	case worker.Sequence < current.Sequence:
+		m.recordHeartbeat(now, worker, "delayed")
+		return
 	}
 	changed := current == nil || current.Draining != worker.Draining || !m.heartbeatSeen
 	if !m.heartbeatSeen {
@@ -65,12 +75,9 @@
 	m.probe(now)
 }
 
-// replaceWorker starts tracking another worker. Calls to the previous worker carry its
-// ID, so the new one refuses them.
+// replaceWorker starts tracking a worker after the previous one was lost. Calls to that one
+// carry its ID, so the new one refuses them.
 func (m *Manager) replaceWorker(now time.Time, worker *Worker) {
-	if m.worker != nil {
-		m.workerLost(now, "another worker is here")
-	}
 	m.worker = worker
 	m.pace = pace{}
 	m.setWorkerInfo(worker)
--- a/core/cclease/lost.go
+++ b/core/cclease/lost.go
@@ -9,7 +9,7 @@
 
 // isIncarnation reports whether the worker is the one that was lost, and has not restarted.
 func (l lostWorker) isIncarnation(worker Worker) bool {
-	return l.ID == worker.ID && !l.StartTime.IsZero() && l.StartTime.Equal(worker.StartTime)
+	return !l.StartTime.IsZero() && l.sameIncarnation(worker)
 }
 
 // sent reports whether a heartbeat was sent before the worker was lost. A worker that was
--- a/core/cclease/manager.go
+++ b/core/cclease/manager.go
@@ -1,6 +1,7 @@
 package cclease
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -58,6 +59,10 @@
 	Session uint64
 	// Pace is the ratio of actual to estimated run time.
 	Pace float64
+	// StartTime, Sequence and Address are those of a heartbeat.
+	StartTime time.Time
+	Sequence  uint64
+	Address   netip.AddrPort
 }
 
 // Manager holds the agent's runs, its sessions with entries and the worker's lease. It
@@ -73,6 +78,13 @@
 	pausedReason string             // Why the worker gets no starts until pausedUntil.
 	pausedUntil  time.Time
 	heartbeatAt  time.Time
+	claim        claim
+	// claimProbedAt is when a claim was last followed by a probe at once.
+	claimProbedAt time.Time
+	// heartbeatsUnrecorded counts heartbeats that were not accepted since the last record of
+	// one, at heartbeatRecordedAt.
+	heartbeatsUnrecorded int
+	heartbeatRecordedAt  time.Time
 
 	// workerClock is the worker's clock at workerClockAt on the agent's clock.
 	workerClock   time.Duration
--- a/core/cclease/poll.go
+++ b/core/cclease/poll.go
@@ -60,6 +60,7 @@
 	if m.checkResponse(now, call.Worker, call.Token, call.Sent, response.Response) != "" {
 		return
 	}
+	m.refuteClaim(now, call, response)
 	if call.Probe && (response.Status != StatusOK || response.Clock < m.listClock) {
 		// A lost answer says nothing that one to a poll doesn't say. A list that a later one
 		// has overtaken shows runs that have ended since.
--- a/core/cclease/refused_test.go
+++ b/core/cclease/refused_test.go
@@ -16,7 +16,7 @@
 	restarted := f.worker()
 	f.now = f.now.Add(10 * time.Millisecond)
 	restarted.StartTime = f.now
-	f.manager.Heartbeat(f.now, restarted)
+	f.restartWorker(restarted)
 	f.completePoll(f.nextPoll(), PollResponse{Response: Response{Status: StatusOK, Clock: time.Second, StartTime: f.now}})
 	f.now = f.now.Add(10 * time.Millisecond)
 	f.startRunning(entryA, "j2")
--- a/core/cclease/response.go
+++ b/core/cclease/response.go
@@ -126,12 +126,15 @@
 		return "call was sent to an earlier incarnation of the worker"
 	case response.Status == StatusConnRefused:
 		m.workerLost(now, "nothing listens at the worker's address")
+		m.acceptClaim(now)
 		return "worker is gone"
 	case response.Status == StatusWrongInstance:
 		m.workerLost(now, "another worker answered")
+		m.acceptClaim(now)
 		return "another worker answered"
 	case !response.StartTime.IsZero() && !m.worker.StartTime.IsZero() && response.StartTime.After(m.worker.StartTime):
 		m.workerRestarted(now, response.StartTime)
+		m.acceptClaim(now)
 		m.poll(now)
 		return "worker has restarted"
 	case !response.StartTime.IsZero() && response.StartTime.Before(m.worker.StartTime):
--- a/core/cclease/worker.go
+++ b/core/cclease/worker.go
@@ -1,6 +1,7 @@
 package cclease
 
 import (
+	"net/netip"
 	"time"
 
 	"camphorcroft/core/ccresource"
@@ -14,15 +15,23 @@
 	StartTime time.Time
 	Service   string
 	Domain    string
-	Labels    []string
-	Capacity  ccresource.Amount
-	Draining  bool
+	// Address is where the worker says that it listens. The agent calls the address in its
+	// own configuration.
+	Address  netip.AddrPort
+	Labels   []string
+	Capacity ccresource.Amount
+	Draining bool
 	// Sequence increases with each heartbeat of one incarnation.
 	Sequence uint64
 	// Clock is the worker's clock when it sent the heartbeat. Zero means unknown.
 	Clock time.Duration
 }
 
+// sameIncarnation reports whether two heartbeats are of the same incarnation of a worker.
+func (w Worker) sameIncarnation(other Worker) bool {
+	return w.ID == other.ID && w.StartTime.Equal(other.StartTime)
+}
+
 // Status classifies the outcome of a call to the worker.
 type Status string
 
--- a/core/ccproof/replay_worker_test.go
+++ b/core/ccproof/replay_worker_test.go
@@ -125,6 +125,9 @@
 // refused is the response of a worker that is down.
 func refused() cclease.Response { return cclease.Response{Status: cclease.StatusConnRefused} }
 
+// wrongInstance is the response to a call that names another worker.
+func wrongInstance() cclease.Response { return cclease.Response{Status: cclease.StatusWrongInstance} }
+
 // reached records a call. A late one to an earlier incarnation says nothing of what the agent
 // knows of this one.
 func (m *modelWorker) reached(sent time.Time) {
@@ -145,6 +148,9 @@
 	if m.down || m.w.workerModel.noEarlyLateStart && !m.called && origin.sent.Before(m.startedAt) {
 		return refused()
 	}
+	if c.Worker != m.id {
+		return wrongInstance()
+	}
 	m.update()
 	firstCall := !m.called
 	m.reached(origin.sent)
@@ -184,6 +190,9 @@
 	if m.down {
 		return refused()
 	}
+	if c.Worker != m.id {
+		return wrongInstance()
+	}
 	m.update()
 	m.reached(sent)
 	if m.fenced(c.Token) {
@@ -200,6 +209,9 @@
 	if m.down {
 		return cclease.PollResponse{Response: refused()}
 	}
+	if c.Worker != m.id {
+		return cclease.PollResponse{Response: wrongInstance()}
+	}
 	m.update()
 	m.reached(c.Sent)
 	if m.fenced(c.Token) {
--- a/core/ccproof/search_config_test.go
+++ b/core/ccproof/search_config_test.go
@@ -42,6 +42,7 @@
 	entryClose    bool // io/ccreplay ignores the close of a session that was replaced.
 	agentOrders   bool // io/cclease drops orders of a session that was replaced.
 	agentClose    bool // io/cclease ignores the close of a session that was replaced.
+	claims        bool // An agent asks its worker before it believes that it is gone.
 	worker        workerGuardsOff
 }
 
@@ -56,6 +57,7 @@
 	freezeAgent int
 	crashWorker int
 	turnAway    int // An agent turns away from an entry, and later back.
+	foreign     int // Another process sends heartbeats to an agent.
 }
 
 // holds are the percentages of the messages that are delivered 0.1 to 3 s late, together
@@ -154,6 +156,17 @@
 	return c
 }
 
+// foreignSearch dwells on heartbeats of other processes, and on workers that crash and return
+// meanwhile.
+func foreignSearch() searchConfig {
+	c := calmSearch()
+	c.weights = faultWeights{foreign: 12, crashWorker: 2, killAgent: 1, freezeAgent: 1}
+	c.faults = 60
+	c.calls.lost, c.calls.lateHeartbeats = 5, 10
+	c.maxAway = 600 * time.Millisecond
+	return c
+}
+
 // closeWindow has a restarted worker refuse late starts until its agent's first call has
 // reached it, so that the window of KNOWN-RED.txt, entry 1, can't occur.
 func closeWindow(c searchConfig) searchConfig {
--- a/core/ccproof/search_test.go
+++ b/core/ccproof/search_test.go
@@ -34,6 +34,7 @@
 	{"subsets", subsetSearch, 3},
 	{"orders", orderSearch, 3},
 	{"late", lateSearch, 3},
+	{"foreign", foreignSearch, 10},
 	{"all but early late starts", func() searchConfig { return closeWindow(defaultSearch()) }, 15},
 	{"crashes but early late starts", func() searchConfig { return closeWindow(crashSearch()) }, 20},
 	{"restarts but early late starts", func() searchConfig { return closeWindow(restartSearch()) }, 3},
--- a/core/ccproof/search_world_test.go
+++ b/core/ccproof/search_world_test.go
@@ -157,6 +157,7 @@
 		{"freeze entry", weights.freezeEntry, func() { e.frozenUntil = w.now.Add(span) }},
 		{"freeze agent", weights.freezeAgent, func() { a.frozenUntil = w.now.Add(span) }},
 		{"crash worker", weights.crashWorker, func() { w.crash(a) }},
+		{"foreign heartbeats", weights.foreign, func() { w.sendForeignHeartbeats(a, span) }},
 		{"turn away", weights.turnAway, func() { w.net.turnAway(a, e, span) }},
 	}
 	total := 0
--- a/io/cclease/record.go
+++ b/io/cclease/record.go
@@ -53,6 +53,15 @@
 	if c.Worker != "" {
 		fields = append(fields, "worker", c.Worker)
 	}
+	if c.Address.IsValid() {
+		fields = append(fields, "address", c.Address.String())
+	}
+	if !c.StartTime.IsZero() {
+		fields = append(fields, "startTimeMs", c.StartTime.UnixMilli())
+	}
+	if c.Sequence != 0 {
+		fields = append(fields, "sequence", c.Sequence)
+	}
 	if c.Token != 0 {
 		fields = append(fields, "token", c.Token)
 	}
--- a/io/cclease/record_test.go
+++ b/io/cclease/record_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net/netip"
 	"regexp"
 	"testing"
 	"time"
@@ -45,6 +46,10 @@
 		{Message: "Fencing token raised.", Token: 10, Reason: "start has no answer"},
 		{Message: "Start repeated.", Task: task, Run: 2, Worker: "i-7f3a", Token: 10},
 		{Message: "Lost worker answers.", Worker: "i-7f3a"},
+		{
+			Message: "Heartbeat not accepted.", Worker: "i-1a2b", Reason: "the current worker is asked", Count: 3,
+			StartTime: time.UnixMilli(1767322145000), Sequence: 8, Address: netip.MustParseAddrPort("10.1.0.9:8080"),
+		},
 		{Message: "Starts may still arrive.", Worker: "i-7f3a", Count: 2, Reason: "worker has a new life"},
 	} {
 		agent.recordChange(c)
