Starts don't renew the lease while a stop is overdue

What callers saw: a task runs twice at the same time.

Cause: the lease, which ends all runs of a worker, is no longer renewed by polls once a stop has been unconfirmed for StopGrace. Each start renewed it all the same, new ones of any entry and repeated ones, so that it never ended while entries went on to start tasks.

Ruled out as the cause: stops that wait behind unanswered starts for a connection.

While it may not, a start carries the lease that was granted before, and an order is refused once that is over. Closing the agent meanwhile was weighed: it would tell all entries twice for each stop without an answer.

--- a/core/cclease/manager.go
+++ b/core/cclease/manager.go
@@ -90,17 +90,19 @@
 	workerClock   time.Duration
 	workerClockAt time.Time
 	// leaseEnd is when the last lease that the worker may have received expires.
-	leaseEnd    time.Time
-	lastEnd     uint64        // The number of the last end that was processed.
-	ackedEnd    uint64        // The number of the last end that a poll has acknowledged.
-	listClock   time.Duration // The worker's clock at its last list.
-	polling     bool
-	pollingNow  bool
-	polledAt    time.Time // When the last poll that may wait was sent.
-	missedPolls int
-	probes      int       // Probes without an answer so far.
-	probedAt    time.Time // When the last probe was sent.
-	starts      pendingStarts
+	leaseEnd time.Time
+	// leaseGranted is when the last lease that the worker may have received ends, on its clock.
+	leaseGranted time.Duration
+	lastEnd      uint64        // The number of the last end that was processed.
+	ackedEnd     uint64        // The number of the last end that a poll has acknowledged.
+	listClock    time.Duration // The worker's clock at its last list.
+	polling      bool
+	pollingNow   bool
+	polledAt     time.Time // When the last poll that may wait was sent.
+	missedPolls  int
+	probes       int       // Probes without an answer so far.
+	probedAt     time.Time // When the last probe was sent.
+	starts       pendingStarts
 	// heartbeatSeen is set once the worker's current incarnation has sent a heartbeat.
 	heartbeatSeen bool
 	// runsListed is set once the worker's current incarnation has listed its runs.
--- a/core/cclease/order.go
+++ b/core/cclease/order.go
@@ -71,6 +71,10 @@
 		m.refuseOrder(now, o.ref, order, ccwire.RunRefused, "an earlier run is not over")
 		return
 	}
+	if m.startLease(now) <= m.workerTime(now) {
+		m.refuseOrder(now, o.ref, order, ccwire.RunRefused, "lease is over and can't be renewed")
+		return
+	}
 	if !order.Need.Fits(m.freeFor(now, o)) {
 		m.refuseOrder(now, o.ref, order, ccwire.RunNoCapacity, "no room in the agent's ledger")
 		return
@@ -107,20 +111,10 @@
 	r.phase = phaseStarting
 	m.runNumbers[r.task] = lastRunNumber{number: r.number, at: now}
 	m.actions.Starts = append(m.actions.Starts, m.starts.add(now, StartCall{
-		Worker: m.worker.ID, Task: r.task, Run: r.number, Payload: r.payload, Token: m.token, LeaseEnd: m.extendLease(now), Sent: now,
+		Worker: m.worker.ID, Task: r.task, Run: r.number, Payload: r.payload, Token: m.token, LeaseEnd: m.startLease(now), Sent: now,
 	}))
 }
 
-// extendLease returns the end of a lease that starts now, on the worker's clock, and
-// records the latest time at which it expires on the agent's clock.
-func (m *Manager) extendLease(now time.Time) time.Duration {
-	end := now.Add(maxLeaseDuration)
-	if end.After(m.leaseEnd) {
-		m.leaseEnd = end
-	}
-	return m.workerClock + now.Sub(m.workerClockAt) + LeaseDuration
-}
-
 // stopRun asks the worker to stop a run.
 func (m *Manager) stopRun(now time.Time, r *run) {
 	if r.stopRequestedAt.IsZero() {
@@ -143,13 +137,3 @@
 		}
 	}
 }
-
-// stopOverdue reports whether any stop has been unconfirmed for longer than StopGrace.
-func (m *Manager) stopOverdue(now time.Time) bool {
-	for _, r := range m.runList {
-		if r.phase != phaseStopped && !r.stopRequestedAt.IsZero() && now.Sub(r.stopRequestedAt) > StopGrace {
-			return true
-		}
-	}
-	return false
-}
--- a/core/cclease/poll.go
+++ b/core/cclease/poll.go
@@ -19,7 +19,7 @@
 	if m.missedPolls == 0 && len(m.runs) > 0 {
 		call.Wait = pollWait
 	}
-	if m.missedPolls <= maxMissedPolls && len(m.runs) > m.orphans() && !m.stopOverdue(now) && !m.workerClockAt.IsZero() {
+	if len(m.runs) > m.orphans() && m.canRenewLease(now) {
 		call.LeaseEnd = m.extendLease(now)
 	}
 	if m.anyStopping() {
@@ -254,14 +254,3 @@
 	m.runNumbers[item.Task] = lastRunNumber{number: max(item.Run, m.runNumbers[item.Task].number), at: now}
 	m.stopRun(now, r)
 }
-
-// expireLease ends all runs once the last lease that the worker may have received has
-// expired.
-func (m *Manager) expireLease(now time.Time) {
-	if m.worker == nil || m.missedPolls <= maxMissedPolls && !m.stopOverdue(now) || m.leaseEnd.IsZero() || !now.After(m.leaseEnd) {
-		return
-	}
-	for _, r := range slices.Clone(m.runList) {
-		m.endRun(now, r, ccwire.RunLost, "lease is over without an answer from the worker")
-	}
-}
--- a/core/ccproof/put_off_test.go
+++ b/core/ccproof/put_off_test.go
@@ -95,6 +95,11 @@
 			out.Polls[i].Token = first
 		}
 	}
+	if a.w.startsRenew {
+		for i := range out.Starts {
+			out.Starts[i].LeaseEnd = a.worker.clock() + cclease.LeaseDuration
+		}
+	}
 	if a.w.noProbes {
 		kept := out.Polls[:0]
 		for _, c := range out.Polls {
--- a/core/ccproof/replay_world_test.go
+++ b/core/ccproof/replay_world_test.go
@@ -62,6 +62,8 @@
 	workerModel workerModel
 	// firstTokenOnly gives all calls of an agent its first token, and noProbes drops probes.
 	firstTokenOnly, noProbes bool
+	// startsRenew has each start renew the lease.
+	startsRenew bool
 	// watch is told of what processes decide on runs. May be nil.
 	watch     runWatch
 	starts    int
@@ -87,6 +89,8 @@
 	// executed only minDelay to maxDelay later, or because the answer is lost.
 	late, lost         int
 	minDelay, maxDelay time.Duration
+	// lateOrders is the percentage of the starts and stops that are executed late, besides.
+	lateOrders int
 	// lateHeartbeats is the percentage of the heartbeats that arrive as late.
 	lateHeartbeats int
 }
@@ -171,9 +175,7 @@
 func (a *replayAgent) flush() {
 	out := a.manager.Take()
 	manager := a.manager
-	if a.w.firstTokenOnly || a.w.noProbes {
-		a.putOffGuards(&out)
-	}
+	a.putOffGuards(&out)
 	ifCurrent := func(do func()) {
 		a.deliver(func() {
 			if a.manager == manager {
@@ -190,7 +192,7 @@
 	sent := a.w.now
 	for _, c := range out.Starts {
 		a.w.logf("%s: calls start for %v run %d, lease until %v", a.ref, c.Task, c.Run, c.LeaseEnd)
-		a.w.call(func() cclease.Response {
+		a.w.order(func() cclease.Response {
 			return a.worker.start(c, callOrigin{agent: a, manager: manager, order: a.orders[c.Task], sent: sent})
 		}, 150*time.Millisecond, func(answer cclease.Response) {
 			ifCurrent(func() { manager.StartCompleted(a.w.now, c, answer) })
@@ -198,7 +200,7 @@
 	}
 	for _, c := range out.Stops {
 		a.w.logf("%s: calls stop for %v run %d", a.ref, c.Task, c.Run)
-		a.w.call(func() cclease.Response { return a.worker.stop(c, sent) }, 70*time.Millisecond, func(answer cclease.Response) {
+		a.w.order(func() cclease.Response { return a.worker.stop(c, sent) }, 70*time.Millisecond, func(answer cclease.Response) {
 			ifCurrent(func() { manager.StopCompleted(a.w.now, c, answer) })
 		})
 	}
@@ -240,6 +242,16 @@
 	}
 }
 
+// order makes a call that starts or stops a run.
+func (w *replayWorld) order(do func() cclease.Response, timeout time.Duration, done func(cclease.Response)) {
+	if w.calls.lateOrders > 0 && w.rng.IntN(100) < w.calls.lateOrders {
+		w.schedule(w.between(w.calls.minDelay, w.calls.maxDelay), func() { do() })
+		w.schedule(timeout, func() { done(cclease.Response{Status: cclease.StatusNoResponse}) })
+		return
+	}
+	w.call(do, timeout, done)
+}
+
 // call makes a call to a worker. The call may be executed without its reply
 // arriving, or be executed only seconds after its timeout, perhaps by a new
 // incarnation under the same ID.
--- a/core/ccproof/search_config_test.go
+++ b/core/ccproof/search_config_test.go
@@ -23,6 +23,8 @@
 	// at most.
 	resendAnswered, resends int
 	resendWithin            time.Duration
+	// deadline is how long a caller waits for an answer.
+	deadline time.Duration
 	// clockSetBack is the percentage of the restarts before which the wall clock of the
 	// host is set back, by at most maxSetBack.
 	clockSetBack int
@@ -42,6 +44,7 @@
 	entryClose    bool // io/ccreplay ignores the close of a session that was replaced.
 	agentOrders   bool // io/cclease drops orders of a session that was replaced.
 	agentClose    bool // io/cclease ignores the close of a session that was replaced.
+	overdueStops  bool // An agent's starts don't renew a lease while a stop is overdue.
 	claims        bool // An agent asks its worker before it believes that it is gone.
 	worker        workerGuardsOff
 }
@@ -73,7 +76,7 @@
 		minAway: 100 * time.Millisecond, maxAway: 3 * time.Second,
 		calls:        callFaults{late: 5, lost: 4, minDelay: 20 * time.Millisecond, maxDelay: 12 * time.Second, lateHeartbeats: 3},
 		holds:        holds{identify: 2, identifyReply: 2, attach: 10, attachReply: 5, orders: 1, report: 1},
-		crashOnStart: 4, resendAnswered: 30, resends: 3, resendWithin: time.Second, clockSetBack: 25, handshakeTimeout: 500 * time.Millisecond,
+		crashOnStart: 4, resendAnswered: 30, resends: 3, resendWithin: time.Second, deadline: 3 * time.Second, clockSetBack: 25, handshakeTimeout: 500 * time.Millisecond,
 		worker: workerModel{minRun: 30 * time.Millisecond, maxRun: 1500 * time.Millisecond, maxLease: time.Second},
 	}
 }
@@ -156,6 +159,16 @@
 	return c
 }
 
+// stopSearch dwells on stops that get no answer, of jobs that callers send again, while all
+// entries go on to start tasks.
+func stopSearch() searchConfig {
+	c := calmSearch()
+	c.entries, c.agents, c.jobs, c.faults = 3, 6, 300, 0
+	c.calls.lateOrders, c.calls.minDelay = 65, 2*time.Second
+	c.deadline, c.worker.maxRun = 1500*time.Millisecond, 3600*time.Millisecond
+	return c
+}
+
 // foreignSearch dwells on heartbeats of other processes, and on workers that crash and return
 // meanwhile.
 func foreignSearch() searchConfig {
--- a/core/ccproof/search_guards_test.go
+++ b/core/ccproof/search_guards_test.go
@@ -17,6 +17,7 @@
 	{"probes", func(c *searchConfig) { c.off.probes = true }, crashSearch, classLateFirst, 0, 40},
 	{"token and run number", func(c *searchConfig) { c.off.worker.token, c.off.worker.run = true, true }, lateSearch, classLateSame, 80, 20},
 	{"claims", func(c *searchConfig) { c.off.claims = true }, foreignSearch, classAgent, 0, 10},
+	{"overdue stops", func(c *searchConfig) { c.off.overdueStops = true }, stopSearch, classAgent, 10, 10},
 	{"lease", func(c *searchConfig) { c.off.worker.lease = true }, entrySearch, classEntry, 120, 20},
 }
 
--- a/core/ccproof/search_test.go
+++ b/core/ccproof/search_test.go
@@ -35,6 +35,7 @@
 	{"orders", orderSearch, 3},
 	{"late", lateSearch, 3},
 	{"foreign", foreignSearch, 10},
+	{"stops", stopSearch, 10},
 	{"all but early late starts", func() searchConfig { return closeWindow(defaultSearch()) }, 15},
 	{"crashes but early late starts", func() searchConfig { return closeWindow(crashSearch()) }, 20},
 	{"restarts but early late starts", func() searchConfig { return closeWindow(restartSearch()) }, 3},
--- a/core/ccproof/search_world_test.go
+++ b/core/ccproof/search_world_test.go
@@ -32,6 +32,7 @@
 	w.net.putOff = newPutOff()
 	w.decisions.putOff = &w.net.putOff
 	w.workerModel.off, w.firstTokenOnly, w.noProbes = cfg.off.worker, cfg.off.fencing, cfg.off.probes
+	w.startsRenew = cfg.off.overdueStops
 	w.incarnation = w.wallClock
 	for range cfg.entries {
 		w.killEntry(w.addEntry())
@@ -117,7 +118,7 @@
 // submit has a caller send a job. It sends it again after no answer, as callers do, and
 // sometimes sooner to the same entry, or to it after another answer.
 func (w *searchWorld) submit(e *replayEntry, request ccreplay.Request, resends int) {
-	request.Deadline = w.now.Add(3 * time.Second)
+	request.Deadline = w.now.Add(w.cfg.deadline)
 	ref := e.ref
 	w.send(e, request, func(state ccreplay.State) {
 		failed := state == "" || state == ccreplay.StateExpired || state == ccreplay.StateUnknown
