A refused connection is no proof while the worker answers on open ones

What callers would see: a task runs twice at the same time. A worker refuses new connections for a moment, its listener is replaced, while its runs go on and it answers on the open ones.

Cause: a refused connection of any call ended all runs of the worker as lost. Orders without an answer cost their connections, so the next one is refused.

Ruled out: the refusal alone; with no unanswered orders the open connections suffice.

Change: a refused start or stop raises a poll, and a refused poll is proof only if no other poll is in flight, whose connection would be reset. A start that was refused a connection is returned as refused; it never reached the worker. Tests that let a worker crash refuse all its polls now.

--- a/core/cclease/claim_test.go
+++ b/core/cclease/claim_test.go
@@ -114,7 +114,11 @@
 			other := f.worker()
 			other.ID, other.StartTime, other.Clock = "w-2", f.now, time.Millisecond
 			f.manager.Heartbeat(f.now, other)
-			f.answerClaim(Response{Status: status})
+			if status == StatusConnRefused {
+				f.refuseConnections()
+			} else {
+				f.answerClaim(Response{Status: status})
+			}
 			wantEnd(t, endsIn(f.take(), entryA), "j1", ccwire.RunLost)
 			f.pendingPolls = slicesOfWorker(f.pendingPolls, "w-2")
 			f.completePoll(f.nextPoll(), PollResponse{Response: Response{Status: StatusOK, Clock: time.Millisecond, StartTime: other.StartTime}})
--- a/core/cclease/fixture_test.go
+++ b/core/cclease/fixture_test.go
@@ -157,6 +157,25 @@
 	f.answerClaim(Response{Status: StatusOK, Clock: restarted.Clock, StartTime: restarted.StartTime})
 }
 
+// refuseConnections refuses the connections of all polls until the worker counts as gone.
+func (f *fixture) refuseConnections() {
+	f.t.Helper()
+	refusing := f.manager.worker.ID
+	for range 10 {
+		f.take()
+		calls := f.pendingPolls
+		f.pendingPolls = nil
+		for _, call := range calls {
+			f.completePoll(call, PollResponse{Response: Response{Status: StatusConnRefused}})
+		}
+		if f.manager.worker == nil || f.manager.worker.ID != refusing {
+			return
+		}
+		f.advance(probeInterval)
+	}
+	f.t.Fatal("a worker that refuses all connections is still known")
+}
+
 func (f *fixture) completePoll(call PollCall, response PollResponse) {
 	f.manager.PollCompleted(f.now, call, response)
 }
--- a/core/cclease/poll.go
+++ b/core/cclease/poll.go
@@ -57,7 +57,7 @@
 	default:
 		m.polling = false
 	}
-	if m.checkResponse(now, call.Worker, call.Token, call.Sent, response.Response) != "" {
+	if m.checkResponse(now, call.Worker, call.Token, call.Sent, true, response.Response) != "" {
 		return
 	}
 	m.refuteClaim(now, call, response)
@@ -66,6 +66,9 @@
 		// has overtaken shows runs that have ended since.
 		return
 	}
+	if response.Status == StatusConnRefused {
+		return // Other polls are in flight. The next tick polls again.
+	}
 	if response.Status != StatusOK {
 		m.pollFailed(now, response.Status)
 		return
--- a/core/cclease/response.go
+++ b/core/cclease/response.go
@@ -23,7 +23,7 @@
 		m.recordCall("Start has no answer.", call, "")
 		m.fenceTask(now, call.Task, "start has no answer")
 	}
-	dropped := m.checkResponse(now, call.Worker, call.Token, call.Sent, response)
+	dropped := m.checkResponse(now, call.Worker, call.Token, call.Sent, false, response)
 	r := m.runs[call.Task]
 	if dropped != "" {
 		m.recordCall("Answer to a start dropped.", call, dropped)
@@ -45,6 +45,8 @@
 	switch response.Status {
 	case StatusOK:
 		r.phase = phaseRunning
+	case StatusConnRefused:
+		m.endRun(now, r, ccwire.RunRefused, "nothing listens at the worker's address")
 	case StatusNoResponse:
 		r.phase, r.unanswered = phaseUnconfirmed, true
 		m.pollNow(now)
@@ -93,7 +95,7 @@
 
 // StopCompleted processes the response to a StopCall.
 func (m *Manager) StopCompleted(now time.Time, call StopCall, response Response) {
-	if m.checkResponse(now, call.Worker, call.Token, call.Sent, response) != "" {
+	if m.checkResponse(now, call.Worker, call.Token, call.Sent, false, response) != "" {
 		return
 	}
 	r := m.runs[call.Task]
@@ -113,8 +115,9 @@
 // restart of the worker, or a fencing token that is too low. It returns why
 // the response must be dropped. Empty means that it comes from the current incarnation of
 // the current worker. A response that names no incarnation is from an earlier one, or from
-// none, if the call was sent before the current one was known.
-func (m *Manager) checkResponse(now time.Time, worker string, token uint64, sent time.Time, response Response) string {
+// none, if the call was sent before the current one was known. poll is set for the answer to a
+// poll.
+func (m *Manager) checkResponse(now time.Time, worker string, token uint64, sent time.Time, poll bool, response Response) string {
 	switch {
 	case m.worker == nil:
 		return "worker is lost"
@@ -125,9 +128,9 @@
 	case response.StartTime.IsZero() && sent.Before(m.workerSince):
 		return "call was sent to an earlier incarnation of the worker"
 	case response.Status == StatusConnRefused:
-		m.workerLost(now, "nothing listens at the worker's address")
-		m.acceptClaim(now)
-		return "worker is gone"
+		if m.connRefused(now, poll) {
+			return "worker is gone"
+		}
 	case response.Status == StatusWrongInstance:
 		m.workerLost(now, "another worker answered")
 		m.acceptClaim(now)
@@ -150,6 +153,24 @@
 	return ""
 }
 
+// connRefused handles a refused connection to the current worker, and reports whether the
+// worker is gone. A worker may refuse new connections while its runs go on, but it answers on the
+// open ones; those of a worker that is gone are reset. So a refused start or stop raises a poll,
+// which uses an open connection if there is one, and a refused poll is proof if no other poll is
+// in flight.
+func (m *Manager) connRefused(now time.Time, poll bool) bool {
+	if !poll {
+		m.pollNow(now)
+		return false
+	}
+	if m.polling || m.pollingNow || m.probes > 0 {
+		return false
+	}
+	m.workerLost(now, "nothing listens at the worker's address")
+	m.acceptClaim(now)
+	return true
+}
+
 // endRun removes a run, releases its capacity and queues its end for the owner. A start
 // of it that may still arrive is fenced off, since the owner may rerun the task elsewhere.
 func (m *Manager) endRun(now time.Time, r *run, end ccwire.RunOutcome, reason string) {
