Count the heartbeats of a restarted worker anew

What callers would see: a worker that is not used for as long as its former life lasted. Nothing breaks a rule; service is lost.

Change: what is known of an incarnation before its first heartbeat is made in one place, for restarted and for lost workers.

--- a/core/cclease/lifecycle.go
+++ b/core/cclease/lifecycle.go
@@ -115,11 +115,9 @@
 	m.raiseToken(1, "worker has a new life")
 	m.recordLateStarts(now, "worker has a new life")
 	m.resetWorkerState(now)
-	worker := *m.worker
-	worker.StartTime = startTime
-	m.worker = &worker
 	n := 0
 	m.recordCrash(now, confirmedRuns(m.runList))
+	m.worker = m.worker.restarted(startTime)
 	m.leaving = false
 	for _, r := range slices.Clone(m.runList) {
 		if r.listed {
--- a/core/cclease/probe.go
+++ b/core/cclease/probe.go
@@ -44,9 +44,8 @@
 	if m.worker != nil || m.lost.ID != call.Worker || !response.StartTime.After(m.lost.StartTime) {
 		return
 	}
-	worker := m.lost.Worker
-	worker.StartTime, worker.Sequence, worker.Clock, worker.Draining = response.StartTime, 0, 0, false
-	m.replaceWorker(now, &worker)
+	worker := m.lost.restarted(response.StartTime)
+	m.replaceWorker(now, worker)
 	m.actions.Changes = append(m.actions.Changes, Change{Message: "Lost worker answers.", Worker: worker.ID})
 	m.reportAll(now)
 }
--- a/core/cclease/worker.go
+++ b/core/cclease/worker.go
@@ -32,6 +32,13 @@
 	return w.ID == other.ID && w.StartTime.Equal(other.StartTime)
 }
 
+// restarted returns what is known of the worker's incarnation that started at the given time,
+// before its first heartbeat: heartbeats and the clock of each incarnation count anew.
+func (w Worker) restarted(startTime time.Time) *Worker {
+	w.StartTime, w.Sequence, w.Clock, w.Draining = startTime, 0, 0, false
+	return &w
+}
+
 // Status classifies the outcome of a call to the worker.
 type Status string
 
