Believe the worker's answer, not its heartbeat, about when it started

What callers would see: a worker that is not used until its agent starts again. The agent's first heartbeat is of another process, under the worker's ID and with a start time in the future; the agent then drops the worker's answers and heartbeats as those of an earlier incarnation.

Cause: a heartbeat decided which incarnation is the current one.

Change: until an answer has named the current incarnation, an answer to a call that was sent since decides, also if it names an earlier start time or if the heartbeat named none. No order of answers can mislead it: an earlier incarnation doesn't answer a call that was sent after a heartbeat of the later one, unless that heartbeat was false.

--- a/core/cclease/lifecycle.go
+++ b/core/cclease/lifecycle.go
@@ -102,7 +102,7 @@
 	m.workerClockAt = time.Time{}
 	m.lastEnd, m.ackedEnd, m.missedPolls = 0, 0, 0
 	m.listClock, m.leaseGranted = 0, 0
-	m.runsListed, m.heartbeatSeen, m.polling, m.pollingNow = false, false, false, false
+	m.answered, m.runsListed, m.heartbeatSeen, m.polling, m.pollingNow = false, false, false, false, false
 	m.leaseEnd, m.unreadSince, m.pollPaced = time.Time{}, time.Time{}, false
 	m.listedToken = 0
 }
--- a/core/cclease/manager.go
+++ b/core/cclease/manager.go
@@ -105,6 +105,8 @@
 	starts       pendingStarts
 	// heartbeatSeen is set once the worker's current incarnation has sent a heartbeat.
 	heartbeatSeen bool
+	// answered is set once an answer has named the worker's current incarnation.
+	answered bool
 	// runsListed is set once the worker's current incarnation has listed its runs.
 	runsListed bool
 	// listedToken is the highest token of a call to which the worker's current incarnation
--- a/core/cclease/response.go
+++ b/core/cclease/response.go
@@ -137,16 +137,31 @@
 		return "another worker answered"
 	case !response.StartTime.IsZero() && !m.worker.StartTime.IsZero() && response.StartTime.After(m.worker.StartTime):
 		m.workerRestarted(now, response.StartTime)
+		m.answered = true
 		m.acceptClaim(now)
 		m.poll(now)
 		return "worker has restarted"
 	case !response.StartTime.IsZero() && response.StartTime.Before(m.worker.StartTime):
-		return "an earlier incarnation of the worker answered"
+		if m.answered || sent.Before(m.workerSince) {
+			return "an earlier incarnation of the worker answered"
+		}
+		// Only a heartbeat has named the current incarnation, and the worker denies it.
+		m.workerRestarted(now, response.StartTime)
+		m.answered = true
+		m.poll(now)
+		return "worker is of an earlier incarnation than its heartbeat"
 	case response.Status == StatusFenced && token == m.token:
 		// A token below the current one was only overtaken by a later call of this
 		// agent incarnation, so it needs no increase.
 		m.raiseToken(tokenStep, "worker knows a higher one")
 	}
+	if !response.StartTime.IsZero() {
+		m.answered = true
+		if m.worker.StartTime.IsZero() {
+			// Its heartbeat named no incarnation. The next one describes it.
+			m.worker, m.heartbeatSeen = m.worker.restarted(response.StartTime), false
+		}
+	}
 	if response.Clock > 0 {
 		m.workerClock, m.workerClockAt = response.Clock, now
 	}
