Compute the end of a lease for the slowest clock of a worker

What callers would see: a task runs twice at the same time, if a run that outlives its lease by the agent's count is rerun meanwhile. No order of events was played that does so.

Cause: the end of a lease was computed as if the worker's clock had run right since its last answer. For one that is 2 % slow the lease of the first start after 20 s without a call lasted 1 s in place of 600 ms, while the agent and the entries count on 617 ms.

Change: workerTime is the earliest time that the worker's clock may show. The first start after a very long time may be refused as late by a worker whose clock runs right; it is repeated at once with the clock of that answer.

Found by the review ("read in the code, not tried").

--- a/core/cclease/lease.go
+++ b/core/cclease/lease.go
@@ -21,13 +21,16 @@
 	})
 }
 
-// workerTime returns the time on the worker's clock.
+// workerTime returns the earliest time that the worker's clock may show. It runs slow by up to
+// maxClockDrift, and was last read with an answer.
 func (m *Manager) workerTime(now time.Time) time.Duration {
-	return m.workerClock + now.Sub(m.workerClockAt)
+	return m.workerClock + now.Sub(m.workerClockAt)*(100-maxClockDrift)/100
 }
 
 // extendLease returns the end of a lease that starts now, on the worker's clock, and
-// records the latest time at which it expires on the agent's clock.
+// records the latest time at which it expires on the agent's clock. After a long time without
+// an answer the lease may be over at once for a worker whose clock runs right; the start is
+// repeated then, with the clock of that answer.
 func (m *Manager) extendLease(now time.Time) time.Duration {
 	if end := now.Add(maxLeaseDuration); end.After(m.leaseEnd) {
 		m.leaseEnd = end
--- a/core/cclease/lease_test.go
+++ b/core/cclease/lease_test.go
@@ -91,3 +91,23 @@
 		f.completePoll(call, response)
 	}
 }
+
+// Guards against a lease that outlasts what entries count on: the worker's clock was taken to
+// run right since the last answer, and a slow one showed less when the lease began.
+func TestLeaseAfterAnIdleTime(t *testing.T) {
+	for _, idle := range []time.Duration{0, time.Second, 20 * time.Second, 60 * time.Second} {
+		f := newFixture(t)
+		f.now = f.now.Add(idle)
+		heartbeat := f.worker()
+		heartbeat.Sequence++
+		f.manager.Heartbeat(f.now, heartbeat)
+		f.keepAlive(entryA, entryB)
+		slow := time.Second + idle*(100-maxClockDrift)/100
+		if call := f.orderStart(entryA, "j1", 1000).Starts[0]; call.LeaseEnd > slow+LeaseDuration {
+			t.Errorf("after %v: the lease lasts %v by a slow clock, want %v at most", idle, call.LeaseEnd-slow, LeaseDuration)
+		}
+		if call := f.nextPoll(); call.LeaseEnd > slow+LeaseDuration {
+			t.Errorf("after %v: the lease of a poll lasts %v by a slow clock, want %v at most", idle, call.LeaseEnd-slow, LeaseDuration)
+		}
+	}
+}
--- a/core/cclease/order.go
+++ b/core/cclease/order.go
@@ -71,7 +71,7 @@
 		m.refuseOrder(now, o.ref, order, ccwire.RunRefused, "an earlier run is not over")
 		return
 	}
-	if m.startLease(now) <= m.workerTime(now) {
+	if !m.canRenewLease(now) && m.leaseGranted <= m.workerTime(now) {
 		m.refuseOrder(now, o.ref, order, ccwire.RunRefused, "lease is over and can't be renewed")
 		return
 	}
