--- a/core/cclease/doc.go
+++ b/core/cclease/doc.go
@@ -9,12 +9,14 @@
 // # When a run has ended
 //
 // A task may be started on another worker only when its previous run has certainly
-// ended. Three rules bound that time without any further communication:
+// ended: the worker's answers show that it is over or that the worker is gone, or the last
+// lease that the worker may have received has expired. A heartbeat shows neither, since any
+// process can send one. Three rules bound that time without any further communication:
 //
 //   - The runs of an entry that has not been heard from for OwnerTimeout are
 //     stopped.
 //   - If the worker has not confirmed a stop within StopGrace, the lease, which
-//     covers all runs of the worker, is no longer renewed.
+//     covers all runs of the worker, is no longer renewed, by calls of any kind.
 //   - A lease lasts at most LeaseDuration.
 //
 // So no run that an entry started on an agent is active RunsExpireAfter after the
--- a/core/cclease/probe.go
+++ b/core/cclease/probe.go
@@ -12,10 +12,11 @@
 )
 
 // probe calls the worker while it is leaving, to learn when it is gone, while a heartbeat
-// claims that another incarnation has replaced it, and while a start may still arrive, so that a restarted one learns the fencing token and shows a start that
-// was quicker. It doesn't wait for other polls, and goes on after the worker is lost, under
-// the ID of that worker, which may return. It acknowledges no ends, since a restarted worker
-// numbers its ends anew.
+// claims that another incarnation has replaced it, and while a start may still arrive, so
+// that a restarted one learns the fencing token and shows a start that was quicker. It
+// doesn't wait for other polls, and goes on after the worker is lost, under the ID of that
+// worker, which may return. It acknowledges no ends, since a restarted worker numbers its
+// ends anew.
 func (m *Manager) probe(now time.Time) {
 	due := m.leaving || m.claim.pending() || m.lateStartPossible(now) || m.worker == nil && m.lost.ID != "" && m.priorStartPossible(now)
 	if due && m.probes < maxProbes && now.Sub(m.probedAt) >= probeInterval {
