Entry: hold requests that are read after a pause

The caller had left and sent the job to another entry, which ran it. The first entry then read the request from its socket and placed the task at once, and stopped it only when it saw that the caller was gone.

Cause: after a pause the scheduler held the jobs that it had taken before, for 200 ms, until the loss of their callers is known. It counted a request as new if it was read after the pause, though its caller may have sent it before or during the pause. The deadline doesn't help: it counts from when the request is read.

Ruled out in the same schedules: orders that are read late by an agent (refused, the echo is old), and runs from before the pause (over after cclease.RunsExpireAfter, which counts from the last report that the entry has read, so from a time that no later echo goes beyond).

Change: nothing is placed during the hold, whenever its request was read.

--- a/core/ccreplay/place.go
+++ b/core/ccreplay/place.go
@@ -65,7 +65,7 @@
 // be placed end with it.
 func (s *Scheduler) schedule(now time.Time) {
 	s.detectPause(now)
-	if len(s.queue) == 0 {
+	if len(s.queue) == 0 || now.Before(s.holdUntil) {
 		return
 	}
 	open := s.openAgents(now)
@@ -74,8 +74,7 @@
 	}
 	s.pruneQueue()
 	for _, j := range s.queue {
-		// After a pause, callers of earlier jobs may have gone to another entry.
-		if now.Before(j.request.Deadline) && (!now.Before(s.holdUntil) || !j.arrived.Before(s.holdUntil.Add(-pauseHold))) {
+		if now.Before(j.request.Deadline) {
 			open = s.placeJob(now, j, open)
 		}
 		if len(open) == 0 {
--- a/core/ccreplay/scheduler.go
+++ b/core/ccreplay/scheduler.go
@@ -93,8 +93,8 @@
 	lastOrder        uint64   // The number of the last start order.
 	jobs             map[string]*job
 	jobList          []*job // In order of arrival.
-	// lastEvent is the time of the last event. holdUntil is when jobs from before a
-	// pause of this process may be placed again.
+	// lastEvent is the time of the last event. holdUntil is when tasks may be placed again
+	// after a pause of this process.
 	lastEvent  time.Time
 	firstEvent time.Time
 	// stopping is set by Stop: all requests are answered, and new ones are refused.
@@ -168,8 +168,9 @@
 	// that its process was paused; ticks come every 10 ms. It is shorter than the 1.3 s
 	// after which a caller sends a job to another entry.
 	pauseThreshold = 700 * time.Millisecond
-	// pauseHold is how long earlier jobs are held after a pause. It gives the entry time
-	// to see which callers left during the pause.
+	// pauseHold is how long no task is placed after a pause. It gives the entry time to see
+	// which callers left during the pause, and may have sent their jobs to another entry. A
+	// request that it reads only then may be from before the pause.
 	pauseHold = 200 * time.Millisecond
 )
 
