Entry: start nothing for a caller that has closed its connection

Cause: net/http looks at a connection only once the body of the request is read, and ends the context from another goroutine. The entry's control goroutine places the tasks before that, so that workers are started for callers whose connections were closed long before, beside the entry to which those callers have turned.

Change: the control goroutine looks at the socket (a peek that doesn't block) when it takes the request. Where the caller's end of the connection has been received, nothing is placed. The answer is 502, as for a caller that leaves later. What remains is a caller that leaves after that look; it sends the job again 1.3 s later, and the runs are over by then.

--- a/io/cccli/platform.go
+++ b/io/cccli/platform.go
@@ -12,6 +12,7 @@
 
 	"camphorcroft/core/ccconfig"
 	"camphorcroft/core/ccnode"
+	"camphorcroft/io/cccaller"
 	"camphorcroft/io/cclease"
 	"camphorcroft/io/cclog"
 	"camphorcroft/io/ccmetric"
@@ -30,7 +31,7 @@
 
 // serveHTTP serves a handler at addr until the application stops.
 func serveHTTP(lifecycle fx.Lifecycle, addr netip.AddrPort, handler http.Handler) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: keptIdle}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: keptIdle, ConnContext: cccaller.ConnContext}
 	lifecycle.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
 			listener, err := new(net.ListenConfig).Listen(ctx, "tcp", addr.String())
--- a/io/ccreplay/entry.go
+++ b/io/ccreplay/entry.go
@@ -25,6 +25,7 @@
 	"camphorcroft/core/ccnode"
 	"camphorcroft/core/ccreplay"
 	"camphorcroft/core/ccroute"
+	"camphorcroft/io/cccaller"
 	"camphorcroft/io/cclog"
 	"camphorcroft/io/ccmetric"
 	"camphorcroft/io/ccsession"
@@ -178,11 +179,17 @@
 func (e *Entry) PlanBehind() bool { return e.outdated.Load() }
 
 // Submit runs a job and waits for its answer. If ctx ends first, the caller has
-// disconnected, and the job's runs are stopped.
+// disconnected, and the job's runs are stopped. If cccaller finds that it has disconnected
+// before, as it may while this process stands still, no run is started.
 func (e *Entry) Submit(ctx context.Context, request ccreplay.Request) ccreplay.Answer {
 	request.Token = e.lastToken.Add(1)
 	answered := make(chan ccreplay.Answer, 1)
 	e.do(func(now time.Time) {
+		if cccaller.Left(ctx) {
+			e.log.Info("Caller left before its job was taken.", "job", request.ID)
+			answered <- callerLeft(request)
+			return
+		}
 		e.pending[request.Token] = answered
 		e.scheduler.Submit(now, request)
 	})
@@ -194,12 +201,17 @@
 			delete(e.pending, request.Token)
 			e.scheduler.Cancel(now, request.ID, request.Token)
 		})
-		return ccreplay.Answer{ID: request.ID, State: ccreplay.StateUnknown, Reason: "caller left"}
+		return callerLeft(request)
 	case <-e.ctx.Done():
 		return ccreplay.Answer{ID: request.ID, State: ccreplay.StateUnknown, Reason: "entry stopped"}
 	}
 }
 
+// callerLeft answers a request whose caller has disconnected. Another entry may have the job.
+func callerLeft(request ccreplay.Request) ccreplay.Answer {
+	return ccreplay.Answer{ID: request.ID, State: ccreplay.StateUnknown, Reason: "caller left"}
+}
+
 // pendingCount returns the number of requests without an answer, or 0 after Close.
 func (e *Entry) pendingCount() int {
 	count := make(chan int, 1)
