Agent: renew no lease for an entry that has been silent too long

Runs could outlive RunsExpireAfter, the time after which their tasks are placed again: an agent that stood still handles what has come in meanwhile before its timers. The answer to a poll raised the next poll, which renewed the lease once more for runs whose entry had been silent for longer than OwnerTimeout. If the stop that the timer raised then got no answer, the runs lived as long as that lease.

Cause: the rule that an overdue stop ends the renewal counted from when the agent had requested the stop, not from when it was due.

Change: a run whose entry has been silent for OwnerTimeout and StopGrace counts as an overdue stop, requested or not, so that no call of any kind renews the lease then.

No schedule with a task that ran twice by this is known; it takes an entry that is gone, an agent that stands still and a stop without an answer.

--- a/core/cclease/lease.go
+++ b/core/cclease/lease.go
@@ -14,10 +14,19 @@
 	return m.missedPolls <= maxMissedPolls && !m.stopOverdue(now) && !m.workerClockAt.IsZero()
 }
 
-// stopOverdue reports whether any stop has been unconfirmed for longer than StopGrace.
+// stopOverdue reports whether any stop has been unconfirmed for longer than StopGrace. The stop
+// of a run whose entry is silent counts from when it was due: an agent that stood still requests
+// it later.
 func (m *Manager) stopOverdue(now time.Time) bool {
 	return slices.ContainsFunc(m.runList, func(r *run) bool {
-		return r.phase != phaseStopped && !r.stopRequestedAt.IsZero() && now.Sub(r.stopRequestedAt) > StopGrace
+		switch o := m.owners[r.owner.ID]; {
+		case r.phase == phaseStopped:
+			return false
+		case !r.stopRequestedAt.IsZero() && now.Sub(r.stopRequestedAt) > StopGrace:
+			return true
+		default:
+			return o != nil && o.ref == r.owner && now.Sub(o.lastHeard) > OwnerTimeout+StopGrace
+		}
 	})
 }
 
