--- a/io/cccaller/caller.go
+++ b/io/cccaller/caller.go
@@ -48,8 +48,8 @@
 	err = raw.Control(func(fd uintptr) {
 		var next [1]byte
 		n, _, err := unix.Recvfrom(int(fd), next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		waiting := errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR)
-		left = !waiting && n <= 0
+		// Other errors, such as EAGAIN, say nothing of the caller.
+		left = err == nil && n == 0 || errors.Is(err, unix.ECONNRESET) || errors.Is(err, unix.ENOTCONN) || errors.Is(err, unix.ETIMEDOUT)
 	})
 	return left || err != nil
 }
