Agent: retry no start for an entry that has been silent too long

A task could run twice: an agent that stood still between the decision to start a run and the call sends the start when it wakes. The worker refuses it, since its lease is over by then, and the agent sent it again at once with a new lease, before its timers found that the entry had been silent for seconds and may have placed the task elsewhere.

Cause: the check of the entry's silence stood before starts by order and before the repetition of starts without an answer, not before the retry of a start that was refused for its lease, run number or token.

Change: such a run is given back as refused.

--- a/core/cclease/lease_stall_test.go
+++ b/core/cclease/lease_stall_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"camphorcroft/core/ccwire"
 )
 
 // Guards against runs that outlive RunsExpireAfter: an agent that stood still, and handles the
@@ -30,3 +32,20 @@
 		t.Errorf("lease: ends %s after the entry was heard, want at most %s", end, RunsExpireAfter)
 	}
 }
+
+// Guards against a start that is repeated for an entry that has placed the task elsewhere: an
+// agent that stood still sends it then, and the worker refuses it since its lease is over.
+func TestLateStartIsNotRetriedForSilentEntries(t *testing.T) {
+	f := newFixture(t)
+	out := f.orderStart(entryA, "j1", 1000)
+	if len(out.Starts) != 1 {
+		t.Fatalf("starts: got %d, want 1", len(out.Starts))
+	}
+	f.now = f.now.Add(3 * time.Second)
+	f.manager.StartCompleted(f.now, out.Starts[0], Response{Status: StatusLeaseExpired, Clock: time.Second + f.now.Sub(epoch)})
+	out = f.take()
+	for _, call := range out.Starts {
+		t.Errorf("the start is sent again, with a lease until %s, though its entry has been silent for 3 s", call.LeaseEnd)
+	}
+	wantEnd(t, endsIn(out, entryA), "j1", ccwire.RunRefused)
+}
--- a/core/cclease/repeat.go
+++ b/core/cclease/repeat.go
@@ -8,14 +8,20 @@
 
 // canRepeatStart reports whether a start without an answer, whose run a later list lacks,
 // may be repeated. The worker has received the higher token of that poll, so it refuses
-// the first start from then on. An entry that is silent may have placed the task elsewhere.
+// the first start from then on.
 func (m *Manager) canRepeatStart(now time.Time, r *run) bool {
-	o := m.owners[r.owner.ID]
-	return o != nil && o.ref == r.owner && now.Sub(o.lastHeard) <= OwnerTimeout && r.unanswered && r.repeats < maxStartRepeats && r.stopRequestedAt.IsZero() &&
+	return !m.ownerSilent(now, r) && r.unanswered && r.repeats < maxStartRepeats && r.stopRequestedAt.IsZero() &&
 		!m.draining && !m.leaving && !m.worker.Draining && !now.Before(m.pausedUntil) && !m.workerClockAt.IsZero() &&
 		r.need.Fits(m.Free().Plus(r.need))
 }
 
+// ownerSilent reports whether the entry of a run has been silent for longer than OwnerTimeout, or
+// has a new incarnation. It may have placed the task elsewhere.
+func (m *Manager) ownerSilent(now time.Time, r *run) bool {
+	o := m.owners[r.owner.ID]
+	return o == nil || o.ref != r.owner || now.Sub(o.lastHeard) > OwnerTimeout
+}
+
 // repeatStart sends the start again under the same run number, which the worker executes
 // once whichever of the calls arrives.
 func (m *Manager) repeatStart(now time.Time, r *run) {
--- a/core/cclease/response.go
+++ b/core/cclease/response.go
@@ -78,7 +78,7 @@
 // lease or token.
 func (m *Manager) retryStart(now time.Time, r *run, status Status) {
 	r.retries++
-	if r.retries > maxStartRetries || !r.stopRequestedAt.IsZero() || m.workerClockAt.IsZero() {
+	if r.retries > maxStartRetries || !r.stopRequestedAt.IsZero() || m.workerClockAt.IsZero() || m.ownerSilent(now, r) {
 		m.endRun(now, r, ccwire.RunRefused, "worker: "+string(status))
 		return
 	}
