Suspension: detect it before the first event, not at the first timer

A task could run twice on a host that is suspended and wakes: the steady clock doesn't count the time, and timers use it, so an agent handled the orders in its socket up to 20 ms before it found the suspension. To its clock they were fresh. The worker, whose clock had moved on, refused such a start for its lease, named its clock, and the agent sent the start again with a new lease. The entry had placed the task elsewhere 1.15 s after the agent's last report, or the caller had sent the job again. In the same way an entry placed tasks, for up to 10 ms, of jobs whose callers had left meanwhile, without the hold that follows a pause.

Cause: only the timers asked whether the host had been suspended.

Change: each event asks, and so does a new plan. ResumedAt compares the time of day with the steady clock, which the events read anyway, and makes the system call only if there is a gap. The timers make it each time, as before, in case the time of day is set back by as much.

Ruled out: orders that are handled after the suspension is known.

--- a/io/cclease/agent.go
+++ b/io/cclease/agent.go
@@ -82,14 +82,21 @@
 	subset   *ccsubset.Subset
 	links    map[netip.AddrPort]*link
 	syncedAt time.Time // When syncLinks was last called.
+	suspend  suspendDetector
 	metrics  metrics
 }
 
+// suspendDetector is a ccclock.SuspendDetector.
+type suspendDetector interface {
+	Resumed() bool
+	ResumedAt(now time.Time) bool
+}
+
 // New returns an agent that has not started.
 func New(cfg Config) *Agent {
 	a := &Agent{
 		cfg: cfg, events: make(chan func(time.Time), eventBuffer),
-		sessions: map[ccnode.ID]*session{}, links: map[netip.AddrPort]*link{},
+		sessions: map[ccnode.ID]*session{}, links: map[netip.AddrPort]*link{}, suspend: ccclock.NewSuspendDetector(),
 		subset: ccsubset.New(ccsubset.Config{Self: cfg.Node.ID, Domain: cfg.Domain, Local: localEntries, Remote: remoteEntries}),
 	}
 	a.metrics = a.newMetrics()
@@ -174,20 +181,24 @@
 	}
 }
 
-// control processes events and timer ticks until the agent stops.
+// control processes events and timer ticks until the agent stops. Before the first event after
+// a suspension, the entries count as silent: orders from before it must start nothing.
 func (a *Agent) control() {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	suspendDetector := ccclock.NewSuspendDetector()
 	for {
 		select {
 		case event := <-a.events:
-			event(time.Now())
-		case <-ticker.C:
-			if suspendDetector.Resumed() {
-				a.manager.Resumed(time.Now())
+			now := time.Now()
+			if a.suspend.ResumedAt(now) {
+				a.manager.Resumed(now)
 			}
+			event(now)
+		case <-ticker.C:
 			now := time.Now()
+			if a.suspend.Resumed() {
+				a.manager.Resumed(now)
+			}
 			a.manager.Tick(now)
 			if now.Sub(a.syncedAt) >= syncInterval {
 				a.syncLinks(now)
--- a/io/ccreplay/control.go
+++ b/io/ccreplay/control.go
@@ -5,7 +5,6 @@
 
 	"camphorcroft/core/ccroute"
 	"camphorcroft/core/ccwire"
-	"camphorcroft/io/ccclock"
 )
 
 // offerPlan passes a plan to the control goroutine, ahead of the queued events: an entry
@@ -21,15 +20,23 @@
 // applyPlan adopts a plan that was offered.
 func (e *Entry) applyPlan(plan *ccroute.Plan) {
 	now := time.Now()
+	e.detectSuspension(now)
 	e.scheduler.SetPlan(now, plan)
 	e.performActions(now)
 }
 
+// detectSuspension tells the scheduler of a suspension of the host before the first event
+// after it. Timers may come later.
+func (e *Entry) detectSuspension(now time.Time) {
+	if e.suspend.ResumedAt(now) {
+		e.scheduler.Resumed(now)
+	}
+}
+
 // control processes plans, events and timer ticks until the entry is closed.
 func (e *Entry) control() {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	suspendDetector := ccclock.NewSuspendDetector()
 	for {
 		select {
 		case plan := <-e.plans:
@@ -44,10 +51,11 @@
 			continue
 		case event := <-e.events:
 			now = time.Now()
+			e.detectSuspension(now)
 			event(now)
 		case <-ticker.C:
 			now = time.Now()
-			if suspendDetector.Resumed() {
+			if e.suspend.Resumed() {
 				e.scheduler.Resumed(now)
 			}
 			e.scheduler.Tick(now)
--- a/io/ccreplay/entry.go
+++ b/io/ccreplay/entry.go
@@ -26,6 +26,7 @@
 	"camphorcroft/core/ccreplay"
 	"camphorcroft/core/ccroute"
 	"camphorcroft/io/cccaller"
+	"camphorcroft/io/ccclock"
 	"camphorcroft/io/cclog"
 	"camphorcroft/io/ccmetric"
 	"camphorcroft/io/ccsession"
@@ -87,16 +88,23 @@
 	sessions      map[ccnode.ID]*session
 	pending       map[uint64]chan<- ccreplay.Answer
 	planAppliedAt time.Time // When this entry applied the current plan.
+	suspend       suspendDetector
 	metrics       metrics
 	log           logr.Logger
 }
 
+// suspendDetector is a ccclock.SuspendDetector.
+type suspendDetector interface {
+	Resumed() bool
+	ResumedAt(now time.Time) bool
+}
+
 // New returns an entry that has not started.
 func New(cfg Config) *Entry {
 	e := &Entry{
 		cfg: cfg, events: make(chan func(time.Time), eventBuffer), plans: make(chan *ccroute.Plan, 1),
 		scheduler: ccreplay.New(ccreplay.Config{Self: cfg.Node, Domain: cfg.Domain, AwayFactor: cfg.AwayFactor}),
-		sessions:  map[ccnode.ID]*session{}, pending: map[uint64]chan<- ccreplay.Answer{},
+		sessions:  map[ccnode.ID]*session{}, pending: map[uint64]chan<- ccreplay.Answer{}, suspend: ccclock.NewSuspendDetector(),
 	}
 	e.log, e.metrics = cfg.Log, e.newMetrics()
 	e.ctx, e.cancel = context.WithCancel(context.Background())
