Agent: open no session that was requested before a suspension

The reply to a request for a session from before a suspension opened the session as if the request were fresh, and the orders behind it started runs whose tasks the entry may have placed elsewhere since. The sessions that are open are closed when the host wakes; those about to open were not.

Change: requests from before the suspension are void.

--- a/core/cclease/owner.go
+++ b/core/cclease/owner.go
@@ -179,8 +179,14 @@
 
 // Resumed records that the process was suspended for a time that the clock passed to
 // the manager does not include: the entries have been silent for longer than it shows,
-// so all of them are treated as timed out.
+// so all of them are treated as timed out. It must be called before what was received
+// meanwhile is processed. The sessions that are about to open are refused, since their
+// requests are older than they seem.
 func (m *Manager) Resumed(now time.Time) {
+	for id, request := range m.requests {
+		request.opened = true
+		m.requests[id] = request
+	}
 	m.actions.Changes = append(m.actions.Changes, Change{Message: "Process was paused.", Count: len(m.runList)})
 	for _, o := range m.ownerList {
 		o.lastHeard = now.Add(-2 * OwnerTimeout)
