Proof: callers with a limit, in schedules with freezes, cuts and kills

Four entries, three agents, 80 callers who wait 1.5 s from when they send and send again 1.3 s after they have left, a broken connection, 502 or 504; twelve faults other than crashes of workers, most of them entries that stand still for up to 3.4 s.

Also a parameter of a test that the linter wants unnamed.

--- a/core/ccproof/frozen_entry_test.go
+++ b/core/ccproof/frozen_entry_test.go
@@ -48,30 +48,39 @@
 
 // sendWithLimit has a caller send a job to an entry, leave after callerLimit, and send it again
 // to the next entry resendAfter later. The entry knows of the caller's limit only from when
-// it reads the request.
+// it reads the request. The caller notices that the entry restarted by its broken connection.
 func (w *replayWorld) sendWithLimit(id string, entry, tries int) {
 	e := w.entries[entry]
 	w.token++
-	token, answered, left, read := w.token, false, false, false
-	again := func() {
-		if tries > 0 {
+	ref, token, done, left, read := e.ref, w.token, false, false, false
+	finish := func(again bool) {
+		done = true
+		delete(e.callers, token)
+		if again && tries > 0 {
 			w.schedule(resendAfter, func() { w.sendWithLimit(id, (entry+1)%len(w.entries), tries-1) })
 		}
 	}
 	e.callers[token] = func(answer ccreplay.Answer) {
-		answered = true
-		if answer.State == ccreplay.StateExpired || answer.State == ccreplay.StateUnknown {
-			again()
-		}
+		finish(answer.State == ccreplay.StateExpired || answer.State == ccreplay.StateUnknown)
+	}
+	atEntry := func(do func()) {
+		e.deliver(func() {
+			if e.ref == ref {
+				do()
+			}
+		})
 	}
 	cancel := func() {
 		w.schedule(w.between(time.Millisecond, noticeDelay), func() {
-			e.deliver(func() { e.scheduler.Cancel(w.now, id, token) })
+			atEntry(func() { e.scheduler.Cancel(w.now, id, token) })
 		})
 	}
 	w.logf("caller sends %s to %s", id, e.ref)
 	w.schedule(w.networkDelay(), func() {
-		e.deliver(func() {
+		atEntry(func() {
+			if left && w.seesClosed {
+				return
+			}
 			read = true
 			e.scheduler.Submit(w.now, ccreplay.Request{
 				Token: token, ID: id, Tasks: 1, Need: ccresource.Amount{CPU: 1000},
@@ -83,16 +92,23 @@
 			}
 		})
 	})
-	w.schedule(callerLimit, func() {
-		if answered {
-			return
-		}
-		w.logf("caller of %s leaves", id)
-		left = true
-		delete(e.callers, token)
-		if read {
-			cancel()
+	leaveAt := w.now.Add(callerLimit)
+	var watch func()
+	watch = func() {
+		switch {
+		case done:
+		case e.ref != ref:
+			finish(true)
+		case !w.now.Before(leaveAt):
+			w.logf("caller of %s leaves", id)
+			left = true
+			if read {
+				cancel()
+			}
+			finish(true)
+		default:
+			w.schedule(5*time.Millisecond, watch)
 		}
-		again()
-	})
+	}
+	watch()
 }
--- a/core/ccproof/replay_world_test.go
+++ b/core/ccproof/replay_world_test.go
@@ -64,6 +64,9 @@
 	firstTokenOnly, noProbes bool
 	// startsRenew has each start renew the lease.
 	startsRenew bool
+	// seesClosed has an entry see that a caller has left when it reads the request, and not
+	// only up to noticeDelay later.
+	seesClosed bool
 	// watch is told of what processes decide on runs. May be nil.
 	watch     runWatch
 	starts    int
--- a/io/ccreplay/suspend_test.go
+++ b/io/ccreplay/suspend_test.go
@@ -40,7 +40,7 @@
 	}
 	for revision := range uint64(5) {
 		applied := make(chan struct{})
-		entry.do(func(now time.Time) {
+		entry.do(func(time.Time) {
 			suspension.pending.Store(true)
 			entry.applyPlan(&ccroute.Plan{Revision: revision + 1})
 			close(applied)
