--- a/io/ccreplay/entry.go
+++ b/io/ccreplay/entry.go
@@ -25,6 +25,8 @@
 	"camphorcroft/core/ccnode"
 	"camphorcroft/core/ccreplay"
 	"camphorcroft/core/ccroute"
+	"camphorcroft/io/cccaller"
+	"camphorcroft/io/ccclock"
 	"camphorcroft/io/cclog"
 	"camphorcroft/io/ccmetric"
 	"camphorcroft/io/ccsession"
@@ -86,16 +88,23 @@
 	sessions      map[ccnode.ID]*session
 	pending       map[uint64]chan<- ccreplay.Answer
 	planAppliedAt time.Time // When this entry applied the current plan.
+	suspend       suspendDetector
 	metrics       metrics
 	log           logr.Logger
 }
 
+// suspendDetector is a ccclock.SuspendDetector.
+type suspendDetector interface {
+	Resumed() bool
+	ResumedAt(now time.Time) bool
+}
+
 // New returns an entry that has not started.
 func New(cfg Config) *Entry {
 	e := &Entry{
 		cfg: cfg, events: make(chan func(time.Time), eventBuffer), plans: make(chan *ccroute.Plan, 1),
 		scheduler: ccreplay.New(ccreplay.Config{Self: cfg.Node, Domain: cfg.Domain, AwayFactor: cfg.AwayFactor}),
-		sessions:  map[ccnode.ID]*session{}, pending: map[uint64]chan<- ccreplay.Answer{},
+		sessions:  map[ccnode.ID]*session{}, pending: map[uint64]chan<- ccreplay.Answer{}, suspend: ccclock.NewSuspendDetector(),
 	}
 	e.log, e.metrics = cfg.Log, e.newMetrics()
 	e.ctx, e.cancel = context.WithCancel(context.Background())
@@ -178,11 +187,17 @@
 func (e *Entry) PlanBehind() bool { return e.outdated.Load() }
 
 // Submit runs a job and waits for its answer. If ctx ends first, the caller has
-// disconnected, and the job's runs are stopped.
+// disconnected, and the job's runs are stopped. If cccaller finds that it has disconnected
+// before, as it may while this process stands still, no run is started.
 func (e *Entry) Submit(ctx context.Context, request ccreplay.Request) ccreplay.Answer {
 	request.Token = e.lastToken.Add(1)
 	answered := make(chan ccreplay.Answer, 1)
 	e.do(func(now time.Time) {
+		if cccaller.Left(ctx) {
+			e.log.Info("Caller left before its job was taken.", "job", request.ID)
+			answered <- callerLeft(request)
+			return
+		}
 		e.pending[request.Token] = answered
 		e.scheduler.Submit(now, request)
 	})
@@ -194,12 +209,17 @@
 			delete(e.pending, request.Token)
 			e.scheduler.Cancel(now, request.ID, request.Token)
 		})
-		return ccreplay.Answer{ID: request.ID, State: ccreplay.StateUnknown, Reason: "caller left"}
+		return callerLeft(request)
 	case <-e.ctx.Done():
 		return ccreplay.Answer{ID: request.ID, State: ccreplay.StateUnknown, Reason: "entry stopped"}
 	}
 }
 
+// callerLeft answers a request whose caller has disconnected. Another entry may have the job.
+func callerLeft(request ccreplay.Request) ccreplay.Answer {
+	return ccreplay.Answer{ID: request.ID, State: ccreplay.StateUnknown, Reason: "caller left"}
+}
+
 // pendingCount returns the number of requests without an answer, or 0 after Close.
 func (e *Entry) pendingCount() int {
 	count := make(chan int, 1)
