Lease: not renewed for a silent entry, however late the ticks

Cause: only Tick looked for silent entries, and a stop counted as overdue from when it was requested. Every poll, start and heartbeat renewed the lease meanwhile.

Ruled out: to look for silent entries in each event as well. After a freeze that would stop the runs of entries whose orders are queued.

Change: a stop is due when it is requested or, if that is sooner, when its entry has been silent for OwnerTimeout, whether or not a tick has seen that. The lease is not renewed from StopGrace after that on. The time stays with the run, so that neither a later order nor a new incarnation of the entry moves it.

--- a/core/cclease/doc.go
+++ b/core/cclease/doc.go
@@ -15,8 +15,9 @@
 //
 //   - The runs of an entry that has not been heard from for OwnerTimeout are
 //     stopped.
-//   - If the worker has not confirmed a stop within StopGrace, the lease, which
-//     covers all runs of the worker, is no longer renewed, by calls of any kind.
+//   - If the worker has not confirmed a stop within StopGrace of when it was due, the
+//     lease, which covers all runs of the worker, is no longer renewed, by calls of any
+//     kind. That holds even if ticks are so late that the stop has not been requested.
 //   - A lease lasts at most LeaseDuration.
 //
 // So no run that an entry started on an agent is active RunsExpireAfter after the
--- a/core/cclease/lease.go
+++ b/core/cclease/lease.go
@@ -14,13 +14,27 @@
 	return m.missedPolls <= maxMissedPolls && !m.stopOverdue(now) && !m.workerClockAt.IsZero()
 }
 
-// stopOverdue reports whether any stop has been unconfirmed for longer than StopGrace.
+// stopOverdue reports whether the stop of any run has been due for longer than StopGrace and is
+// unconfirmed, also if it has not been requested because the agent's ticks are late.
 func (m *Manager) stopOverdue(now time.Time) bool {
 	return slices.ContainsFunc(m.runList, func(r *run) bool {
-		return r.phase != phaseStopped && !r.stopRequestedAt.IsZero() && now.Sub(r.stopRequestedAt) > StopGrace
+		due := m.stopDue(r)
+		return r.phase != phaseStopped && !due.IsZero() && now.Sub(due) > StopGrace
 	})
 }
 
+// stopDue returns when the stop of a run is due: when it was requested or, if that is sooner,
+// when its entry had been silent for OwnerTimeout. Zero is never.
+func (m *Manager) stopDue(r *run) time.Time {
+	if !r.stopDueAt.IsZero() {
+		return r.stopDueAt
+	}
+	if o := m.owners[r.owner.ID]; o != nil && o.ref == r.owner {
+		return o.lastHeard.Add(OwnerTimeout)
+	}
+	return time.Time{}
+}
+
 // workerTime returns the earliest time that the worker's clock may show. It runs slow by up to
 // maxClockDrift, and was last read with an answer.
 func (m *Manager) workerTime(now time.Time) time.Duration {
--- a/core/cclease/repeat.go
+++ b/core/cclease/repeat.go
@@ -11,7 +11,7 @@
 // the first start from then on. An entry that is silent may have placed the task elsewhere.
 func (m *Manager) canRepeatStart(now time.Time, r *run) bool {
 	o := m.owners[r.owner.ID]
-	return o != nil && o.ref == r.owner && now.Sub(o.lastHeard) <= OwnerTimeout && r.unanswered && r.repeats < maxStartRepeats && r.stopRequestedAt.IsZero() &&
+	return o != nil && o.ref == r.owner && now.Sub(o.lastHeard) <= OwnerTimeout && r.unanswered && r.repeats < maxStartRepeats && r.stopDueAt.IsZero() &&
 		!m.draining && !m.leaving && !m.worker.Draining && !now.Before(m.pausedUntil) && !m.workerClockAt.IsZero() &&
 		r.need.Fits(m.Free().Plus(r.need))
 }
--- a/core/cclease/run.go
+++ b/core/cclease/run.go
@@ -38,10 +38,12 @@
 	// absentAfter is the time of the latest response about the run, plus maxStopDuration
 	// once its stop is confirmed. If a list that was requested later lacks the run, the
 	// run has ended.
-	absentAfter     time.Time
-	started         time.Time
-	stopRequestedAt time.Time // When the first stop was requested. Zero if none was.
-	stopRetryAt     time.Time // When the stop is repeated. Zero while one is in flight.
+	absentAfter time.Time
+	started     time.Time
+	// stopDueAt is when the first stop was requested or, if the agent was late, when the entry
+	// had been silent for OwnerTimeout. Zero if none was requested.
+	stopDueAt   time.Time
+	stopRetryAt time.Time // When the stop is repeated. Zero while one is in flight.
 	// listed is set once the worker's current incarnation has listed the run.
 	listed  bool
 	percent int
