Search: slow processes, late ticks, requests that are read late

Three searches draw what none drew: a process whose events and ticks wait in a queue and take up to 40 ms each, an agent that gets no ticks for 50 to 400 ms while its other events go on, and a request that an entry reads up to 0.8 s after it was sent, by which the entry counts its caller's limit. A worker that crashes returns under another ID, so that the window of KNOWN-RED.txt, entry 1, does not hide others. A run that is active when its entry counts on its end because the agent is silent is a violation of its own, also if the task has not started again.

--- a/core/ccproof/put_off_test.go
+++ b/core/ccproof/put_off_test.go
@@ -100,6 +100,9 @@
 			out.Starts[i].LeaseEnd = a.worker.clock() + cclease.LeaseDuration
 		}
 	}
+	if a.w.stopsLate {
+		a.renewUntilStopped(out)
+	}
 	if a.w.noProbes {
 		kept := out.Polls[:0]
 		for _, c := range out.Polls {
@@ -110,3 +113,29 @@
 		out.Polls = kept
 	}
 }
+
+// renewUntilStopped has polls renew the lease until a stop has been unconfirmed for
+// cclease.StopGrace since it was sent, as if a stop that is due but not sent didn't count.
+func (a *replayAgent) renewUntilStopped(out *cclease.Actions) {
+	for _, c := range out.Changes {
+		if c.Message == "Run ended." {
+			delete(a.stopsSent, c.Task)
+		}
+	}
+	for _, c := range out.Stops {
+		if _, sent := a.stopsSent[c.Task]; !sent {
+			a.stopsSent[c.Task] = a.w.now
+		}
+	}
+	for _, sent := range a.stopsSent {
+		if a.w.now.Sub(sent) > cclease.StopGrace {
+			return
+		}
+	}
+	for i, c := range out.Polls {
+		// A poll that waits is one of a worker that has answered and has runs.
+		if c.LeaseEnd == 0 && c.Wait > 0 {
+			out.Polls[i].LeaseEnd = a.worker.clock() + cclease.LeaseDuration
+		}
+	}
+}
--- a/core/ccproof/replay_worker_test.go
+++ b/core/ccproof/replay_worker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -23,6 +24,7 @@
 	closed     map[ccwire.TaskRef]uint64 // The highest run number that was stopped or ended.
 	ended      []cclease.EndedRun
 	lastEnded  uint64
+	lives      int // How often it has returned under another ID.
 	leaseEnd   time.Duration
 	onStart    func(task ccwire.TaskRef) // Called for each start. May be nil.
 	down       bool                      // Nothing listens at the worker's address.
@@ -36,7 +38,9 @@
 	// noEarlyLateStart has a restarted worker refuse late starts until its agent's first call
 	// has reached it. The window of KNOWN-RED.txt, entry 1, is closed then.
 	noEarlyLateStart bool
-	off              workerGuardsOff
+	// newID has a worker that crashes return under another ID.
+	newID bool
+	off   workerGuardsOff
 }
 
 // workerGuardsOff are guards of the worker that the model disables.
@@ -96,6 +100,10 @@
 // crash begins a new incarnation under the same ID with empty state.
 func (m *modelWorker) crash() {
 	m.w.logf("worker %s: crashes", m.id)
+	if m.w.workerModel.newID {
+		m.lives++
+		m.id = fmt.Sprintf("%s-%d", m.id[:1], m.lives)
+	}
 	m.startedAt, m.heartbeats, m.token, m.leaseEnd, m.lastEnded, m.called = m.w.now, 0, 0, 0, 0, false
 	m.runs, m.closed, m.ended = map[ccwire.TaskRef]*modelRun{}, map[ccwire.TaskRef]uint64{}, nil
 }
--- a/core/ccproof/replay_world_test.go
+++ b/core/ccproof/replay_world_test.go
@@ -64,6 +64,10 @@
 	firstTokenOnly, noProbes bool
 	// startsRenew has each start renew the lease.
 	startsRenew bool
+	// stopsLate has polls renew the lease until a stop that was sent is overdue.
+	stopsLate bool
+	// lateReads bounds how much later an entry reads a request. Zero is not later.
+	lateReads time.Duration
 	// watch is told of what processes decide on runs. May be nil.
 	watch     runWatch
 	starts    int
@@ -91,6 +95,8 @@
 	minDelay, maxDelay time.Duration
 	// lateOrders is the percentage of the starts and stops that are executed late, besides.
 	lateOrders int
+	// lateStops is the percentage of the stops that are executed late, besides.
+	lateStops int
 	// lateHeartbeats is the percentage of the heartbeats that arrive as late.
 	lateHeartbeats int
 }
@@ -115,6 +121,7 @@
 	ref         ccnode.Ref
 	scheduler   *ccreplay.Scheduler
 	frozenUntil time.Time
+	process     *process
 	downUntil   time.Time // Nothing listens at the entry's address.
 	callers     map[uint64]func(ccreplay.Answer)
 }
@@ -125,11 +132,14 @@
 	ref         ccnode.Ref
 	manager     *cclease.Manager
 	frozenUntil time.Time
+	process     *process
 	worker      *modelWorker
 	// links has one link for each entry that the agent uses.
 	links map[ccnode.ID]*replayLink
 	// orders has the last order for each task.
 	orders map[ccwire.TaskRef]orderOrigin
+	// stopsSent has when the first stop of each active run was sent, if stopsLate is set.
+	stopsSent map[ccwire.TaskRef]time.Time
 }
 
 // orderOrigin is where an order came from.
@@ -158,8 +168,10 @@
 		a.w.schedule(a.frozenUntil.Sub(a.w.now)+a.w.networkDelay(), func() { a.deliver(do) })
 		return
 	}
-	do()
-	a.flush()
+	a.process.handle(func() {
+		do()
+		a.flush()
+	})
 }
 
 func (e *replayEntry) deliver(do func()) {
@@ -167,8 +179,10 @@
 		e.w.schedule(e.frozenUntil.Sub(e.w.now)+e.w.networkDelay(), func() { e.deliver(do) })
 		return
 	}
-	do()
-	e.flush()
+	e.process.handle(func() {
+		do()
+		e.flush()
+	})
 }
 
 // flush carries out the manager's pending calls, reports and session changes.
@@ -192,7 +206,7 @@
 	sent := a.w.now
 	for _, c := range out.Starts {
 		a.w.logf("%s: calls start for %v run %d, lease until %v", a.ref, c.Task, c.Run, c.LeaseEnd)
-		a.w.order(func() cclease.Response {
+		a.w.order(0, func() cclease.Response {
 			return a.worker.start(c, callOrigin{agent: a, manager: manager, order: a.orders[c.Task], sent: sent})
 		}, 150*time.Millisecond, func(answer cclease.Response) {
 			ifCurrent(func() { manager.StartCompleted(a.w.now, c, answer) })
@@ -200,7 +214,7 @@
 	}
 	for _, c := range out.Stops {
 		a.w.logf("%s: calls stop for %v run %d", a.ref, c.Task, c.Run)
-		a.w.order(func() cclease.Response { return a.worker.stop(c, sent) }, 70*time.Millisecond, func(answer cclease.Response) {
+		a.w.order(a.w.calls.lateStops, func() cclease.Response { return a.worker.stop(c, sent) }, 70*time.Millisecond, func(answer cclease.Response) {
 			ifCurrent(func() { manager.StopCompleted(a.w.now, c, answer) })
 		})
 	}
@@ -242,9 +256,10 @@
 	}
 }
 
-// order makes a call that starts or stops a run.
-func (w *replayWorld) order(do func() cclease.Response, timeout time.Duration, done func(cclease.Response)) {
-	if w.calls.lateOrders > 0 && w.rng.IntN(100) < w.calls.lateOrders {
+// order makes a call that starts or stops a run. The given percentage of them is executed late,
+// besides.
+func (w *replayWorld) order(late int, do func() cclease.Response, timeout time.Duration, done func(cclease.Response)) {
+	if late += w.calls.lateOrders; late > 0 && w.rng.IntN(100) < late {
 		w.schedule(w.between(w.calls.minDelay, w.calls.maxDelay), func() { do() })
 		w.schedule(timeout, func() { done(cclease.Response{Status: cclease.StatusNoResponse}) })
 		return
@@ -335,14 +350,18 @@
 	for _, a := range w.agents {
 		a.worker.update()
 		if !w.now.Before(a.frozenUntil) {
-			a.manager.Tick(w.now)
-			a.flush()
+			a.process.tick(func() {
+				a.manager.Tick(w.now)
+				a.flush()
+			})
 		}
 	}
 	for _, e := range w.entries {
 		if !w.now.Before(e.frozenUntil) {
-			e.scheduler.Tick(w.now)
-			e.flush()
+			e.process.tick(func() {
+				e.scheduler.Tick(w.now)
+				e.flush()
+			})
 		}
 	}
 	w.check()
@@ -385,21 +404,40 @@
 // send has a caller send a job to an entry. It calls done with the state of the answer, or
 // with an empty one if the entry restarts or the deadline passes before.
 func (w *replayWorld) send(e *replayEntry, request ccreplay.Request, done func(ccreplay.State)) {
-	ref := e.ref
+	ref, deadline := e.ref, request.Deadline
 	w.token++
 	token := w.token
 	request.Token = token
-	answered := false
+	answered, limit := false, request.Deadline.Sub(w.now)
 	w.logf("caller sends %s to %s", request.ID, ref)
 	e.callers[token] = func(answer ccreplay.Answer) {
 		answered = true
 		done(answer.State)
 	}
-	e.deliver(func() {
-		if e.ref == ref {
+	submitted, left := false, false
+	cancel := func() { e.scheduler.Cancel(w.now, request.ID, token) }
+	read := func() {
+		e.deliver(func() {
+			if e.ref != ref {
+				return
+			}
+			// The entry counts the caller's limit from when it has read the request.
+			request := request
+			request.Deadline = w.now.Add(limit)
+			if w.lateReads == 0 {
+				request.Deadline = deadline
+			}
 			e.scheduler.Submit(w.now, request)
-		}
-	})
+			if submitted = true; left && w.lateReads > 0 {
+				e.deliver(cancel)
+			}
+		})
+	}
+	if w.lateReads > 0 {
+		w.schedule(w.between(0, w.lateReads), read)
+	} else {
+		read()
+	}
 	// The caller notices that the entry restarted, by its broken connection, or
 	// that its own deadline passed.
 	var watch func()
@@ -413,8 +451,8 @@
 			answered = true
 			delete(e.callers, token)
 			e.deliver(func() {
-				if e.ref == ref {
-					e.scheduler.Cancel(w.now, request.ID, token)
+				if left = true; e.ref == ref && (submitted || w.lateReads == 0) {
+					cancel()
 				}
 			})
 			done("")
@@ -456,6 +494,7 @@
 
 func (w *replayWorld) killEntry(e *replayEntry) {
 	w.network.entryKilled(e)
+	e.process.kill()
 	e.ref.Incarnation = w.incarnation(e.ref.ID)
 	e.scheduler = ccreplay.New(ccreplay.Config{Self: e.ref, Domain: "d0"})
 	e.callers = map[uint64]func(ccreplay.Answer){}
@@ -465,6 +504,8 @@
 
 func (w *replayWorld) killAgent(a *replayAgent) {
 	w.network.agentKilled(a)
+	a.process.kill()
+	a.stopsSent = map[ccwire.TaskRef]time.Time{}
 	a.ref.Incarnation = w.incarnation(a.ref.ID)
 	a.manager = cclease.NewManager(cclease.Config{Token: uint64(a.ref.Incarnation), StartTime: w.now})
 	a.frozenUntil = w.now.Add(200 * time.Millisecond)
@@ -533,6 +574,7 @@
 	e := &replayEntry{
 		w: w, ref: ref, scheduler: ccreplay.New(ccreplay.Config{Self: ref, Domain: "d0"}), callers: map[uint64]func(ccreplay.Answer){},
 	}
+	e.process = &process{w: w, frozenUntil: func() time.Time { return e.frozenUntil }}
 	w.entries = append(w.entries, e)
 	return e
 }
@@ -542,8 +584,9 @@
 	i := len(w.agents)
 	a := &replayAgent{
 		w: w, ref: ccnode.Ref{ID: ccnode.ID(fmt.Sprintf("agent-%d", i)), Incarnation: 1}, links: map[ccnode.ID]*replayLink{},
-		orders: map[ccwire.TaskRef]orderOrigin{}, manager: cclease.NewManager(cclease.Config{Token: 1, StartTime: w.start}),
+		orders: map[ccwire.TaskRef]orderOrigin{}, stopsSent: map[ccwire.TaskRef]time.Time{}, manager: cclease.NewManager(cclease.Config{Token: 1, StartTime: w.start}),
 	}
+	a.process = &process{w: w, frozenUntil: func() time.Time { return a.frozenUntil }}
 	a.worker = newModelWorker(w, i)
 	for n, e := range w.entries {
 		if uses(n) {
--- a/core/ccproof/search_class_test.go
+++ b/core/ccproof/search_class_test.go
@@ -31,6 +31,9 @@
 	classAgent violationClass = "agent took the run for over"
 	// classEntry is a run that its entry has taken for over for another reason.
 	classEntry violationClass = "entry took the run for over"
+	// classOutlived is a run that was active when its entry counted on its end because its agent
+	// was silent, also if the task has not been started again.
+	classOutlived violationClass = "run outlives the silence of its agent"
 	// classTwoEntries are runs that two entries have ordered.
 	classTwoEntries violationClass = "two entries"
 )
@@ -43,6 +46,8 @@
 	putOff  *putOff
 	class   violationClass
 	detail  string
+	// checkOutlived has runs of classOutlived count.
+	checkOutlived bool
 }
 
 // agentDecision is an end that an agent has decided on.
@@ -66,11 +71,25 @@
 }
 
 func (d *decisions) entryChanged(e *replayEntry, c ccreplay.Change) {
+	d.outlived(e, c)
 	if c.Message == "Run is over." || c.Message == "Start refused." || c.Message == "Run failed." {
 		d.entries = append(d.entries, entryDecision{entry: e.ref.ID, at: d.w.now, change: c})
 	}
 }
 
+// outlived records a violation if a run of the change is active.
+func (d *decisions) outlived(e *replayEntry, c ccreplay.Change) {
+	if !d.checkOutlived || d.w.violation != "" || c.Message != "Run is over." || !strings.Contains(c.Reason, "agent is silent") {
+		return
+	}
+	worker, task := d.w.agent(c.Agent).worker, ccwire.TaskRef{Job: c.Job, Index: c.Index}
+	worker.update()
+	if r := worker.runs[task]; r != nil && r.origin.order.entry == e.ref.ID {
+		d.class, d.detail = classOutlived, c.Reason
+		d.w.violation = fmt.Sprintf("%s (%s): %v at worker %s at %v", d.class, d.detail, task, worker.id, d.w.now.Sub(d.w.start))
+	}
+}
+
 func (d *decisions) entryAnswered(e *replayEntry, job string) { d.putOff.answered(e, job) }
 
 func (d *decisions) conflict(task ccwire.TaskRef, first, second *modelRun) {
--- a/core/ccproof/search_config_test.go
+++ b/core/ccproof/search_config_test.go
@@ -13,8 +13,14 @@
 	minSpan, maxSpan time.Duration
 	// away bounds how long a crashed worker is away. One in four is back at once.
 	minAway, maxAway time.Duration
-	calls            callFaults
-	holds            holds
+	// maxCost is how long one event of a slow process takes at most.
+	maxCost time.Duration
+	// checkOutlived has runs of classOutlived count as violations.
+	checkOutlived bool
+	// lateReads bounds how much later an entry reads a request than it was sent.
+	lateReads time.Duration
+	calls     callFaults
+	holds     holds
 	// crashOnStart is how many of 1,000 executed starts crash their worker.
 	crashOnStart int
 	// resendAnswered is the percentage of the answered jobs that are sent to the same entry
@@ -45,6 +51,7 @@
 	agentOrders   bool // io/cclease drops orders of a session that was replaced.
 	agentClose    bool // io/cclease ignores the close of a session that was replaced.
 	overdueStops  bool // An agent's starts don't renew a lease while a stop is overdue.
+	silentEntries bool // An agent's polls don't renew a lease while a stop is due but not sent.
 	claims        bool // An agent asks its worker before it believes that it is gone.
 	worker        workerGuardsOff
 }
@@ -60,6 +67,9 @@
 	freezeAgent int
 	crashWorker int
 	turnAway    int // An agent turns away from an entry, and later back.
+	slowEntry   int // An entry's events take long, one after the other.
+	slowAgent   int
+	lateTicks   int // An agent gets no ticks, while its other events go on.
 	foreign     int // Another process sends heartbeats to an agent.
 }
 
@@ -180,6 +190,26 @@
 	return c
 }
 
+// slowSearch dwells on processes that get too little of the processor, and on stops without an
+// answer meanwhile.
+func slowSearch(checked bool) searchConfig {
+	c := calmSearch()
+	c.weights = faultWeights{slowEntry: 2, slowAgent: 4, lateTicks: 12, cut: 8, cutAgent: 3, freezeAgent: 2, crashWorker: 1}
+	c.agents, c.faults, c.maxCost, c.checkOutlived = 5, 60, 40*time.Millisecond, checked
+	c.calls.lateStops, c.calls.lost = 70, 2
+	c.worker.maxRun, c.worker.newID = 3600*time.Millisecond, true
+	return c
+}
+
+// readSearch dwells on requests that entries read late, of callers that leave and send them to
+// another entry.
+func readSearch() searchConfig {
+	c := slowSearch(true)
+	c.weights = faultWeights{slowEntry: 6, slowAgent: 2, lateTicks: 1, cut: 1}
+	c.entries, c.deadline, c.lateReads, c.resends = 3, 1500*time.Millisecond, 800*time.Millisecond, 4
+	return c
+}
+
 // closeWindow has a restarted worker refuse late starts until its agent's first call has
 // reached it, so that the window of KNOWN-RED.txt, entry 1, can't occur.
 func closeWindow(c searchConfig) searchConfig {
--- a/core/ccproof/search_connection_test.go
+++ b/core/ccproof/search_connection_test.go
@@ -36,6 +36,7 @@
 // lane delivers the messages of one direction in order.
 type lane struct {
 	net         *searchNetwork
+	process     func() *process  // The receiver's.
 	frozenUntil func() time.Time // Until when the receiver's process stands still.
 	heldUntil   time.Time
 	queue       []laneMessage
@@ -100,7 +101,7 @@
 		if !l.closed && len(l.queue) > 0 && !l.net.now.Before(l.heldUntil) && !l.net.now.Before(l.frozenUntil()) {
 			next := l.queue[0]
 			l.queue = l.queue[1:]
-			next.run()
+			l.process().handle(next.run)
 		}
 		l.pump()
 	})
--- a/core/ccproof/search_dialer_test.go
+++ b/core/ccproof/search_dialer_test.go
@@ -73,8 +73,8 @@
 		return
 	}
 	c := &connection{dialer: d, entry: d.entry}
-	c.toEntry = &lane{net: n, frozenUntil: func() time.Time { return d.entry.frozenUntil }}
-	c.toAgent = &lane{net: n, frozenUntil: func() time.Time { return d.agent.frozenUntil }}
+	c.toEntry = &lane{net: n, process: func() *process { return d.entry.process }, frozenUntil: func() time.Time { return d.entry.frozenUntil }}
+	c.toAgent = &lane{net: n, process: func() *process { return d.agent.process }, frozenUntil: func() time.Time { return d.agent.frozenUntil }}
 	d.current = c
 	n.connections = append(n.connections, c)
 	c.toEntry.send(n.cfg.holds.identify, func() { n.identify(c) })
--- a/core/ccproof/search_guards_test.go
+++ b/core/ccproof/search_guards_test.go
@@ -18,6 +18,7 @@
 	{"token and run number", func(c *searchConfig) { c.off.worker.token, c.off.worker.run = true, true }, lateSearch, classLateSame, 160, 20},
 	{"claims", func(c *searchConfig) { c.off.claims = true }, foreignSearch, classAgent, 0, 10},
 	{"overdue stops", func(c *searchConfig) { c.off.overdueStops = true }, stopSearch, classAgent, 10, 10},
+	{"silent entries", func(c *searchConfig) { c.off.silentEntries = true }, func() searchConfig { return slowSearch(true) }, classOutlived, 0, 20},
 	{"lease", func(c *searchConfig) { c.off.worker.lease = true }, entrySearch, classEntry, 120, 20},
 }
 
--- a/core/ccproof/search_test.go
+++ b/core/ccproof/search_test.go
@@ -36,6 +36,9 @@
 	{"late", lateSearch, 3},
 	{"foreign", foreignSearch, 10},
 	{"stops", stopSearch, 10},
+	{"slow", func() searchConfig { return slowSearch(true) }, 10},
+	{"slow, until a task runs twice", func() searchConfig { return slowSearch(false) }, 10},
+	{"late reads", readSearch, 10},
 	{"all but early late starts", func() searchConfig { return closeWindow(defaultSearch()) }, 15},
 	{"crashes but early late starts", func() searchConfig { return closeWindow(crashSearch()) }, 20},
 	{"restarts but early late starts", func() searchConfig { return closeWindow(restartSearch()) }, 3},
@@ -56,11 +59,13 @@
 
 // TestSearchRepeats guards against a seed whose schedule differs from run to run.
 func TestSearchRepeats(t *testing.T) {
-	first, second := newSearchWorld(defaultSearch(), 0), newSearchWorld(defaultSearch(), 0)
-	first.run()
-	second.run()
-	if !slices.Equal(first.log, second.log) {
-		t.Errorf("two runs have different logs, of %d and %d lines", len(first.log), len(second.log))
+	for _, cfg := range []searchConfig{defaultSearch(), slowSearch(true)} {
+		first, second := newSearchWorld(cfg, 0), newSearchWorld(cfg, 0)
+		first.run()
+		second.run()
+		if !slices.Equal(first.log, second.log) {
+			t.Errorf("two runs have different logs, of %d and %d lines", len(first.log), len(second.log))
+		}
 	}
 }
 
--- a/core/ccproof/search_world_test.go
+++ b/core/ccproof/search_world_test.go
@@ -23,7 +23,7 @@
 
 func newSearchWorld(cfg searchConfig, seed uint64) *searchWorld {
 	w := &searchWorld{replayWorld: newEmptyWorld(seed), cfg: cfg, setBack: map[ccnode.ID]time.Duration{}}
-	w.decisions = decisions{w: w.replayWorld}
+	w.decisions = decisions{w: w.replayWorld, checkOutlived: cfg.checkOutlived}
 	w.net = &searchNetwork{
 		replayWorld: w.replayWorld, cfg: cfg, links: map[*replayAgent]map[ccnode.ID]*dialer{},
 		agentSessions: map[*replayAgent]map[ccnode.ID]*connection{}, entrySessions: map[*replayEntry]map[ccnode.ID]*connection{},
@@ -32,7 +32,7 @@
 	w.net.putOff = newPutOff()
 	w.decisions.putOff = &w.net.putOff
 	w.workerModel.off, w.firstTokenOnly, w.noProbes = cfg.off.worker, cfg.off.fencing, cfg.off.probes
-	w.startsRenew = cfg.off.overdueStops
+	w.startsRenew, w.stopsLate, w.lateReads = cfg.off.overdueStops, cfg.off.silentEntries, cfg.lateReads
 	w.incarnation = w.wallClock
 	for range cfg.entries {
 		w.killEntry(w.addEntry())
@@ -136,6 +136,11 @@
 	})
 }
 
+// slow has a process get too little of the processor.
+func (w *searchWorld) slow(p *process, span time.Duration) {
+	p.slow(span, time.Millisecond, w.between(2*time.Millisecond, w.cfg.maxCost))
+}
+
 // injectFault injects a random fault according to the weights.
 func (w *searchWorld) injectFault() {
 	a, e := w.agents[w.rng.IntN(len(w.agents))], w.entries[w.rng.IntN(len(w.entries))]
@@ -159,6 +164,11 @@
 		{"freeze agent", weights.freezeAgent, func() { a.frozenUntil = w.now.Add(span) }},
 		{"crash worker", weights.crashWorker, func() { w.crash(a) }},
 		{"foreign heartbeats", weights.foreign, func() { w.sendForeignHeartbeats(a, span) }},
+		{"slow entry", weights.slowEntry, func() { w.slow(e.process, span) }},
+		{"slow agent", weights.slowAgent, func() { w.slow(a.process, span) }},
+		{"late ticks", weights.lateTicks, func() {
+			a.process.noTicksUntil = w.now.Add(w.between(50*time.Millisecond, 400*time.Millisecond))
+		}},
 		{"turn away", weights.turnAway, func() { w.net.turnAway(a, e, span) }},
 	}
 	total := 0
