Keep the handler of SIGHUP until a process has exited

SIGHUP ended an entry or an agent that had got SIGTERM and was stopping. The reloader removed its handler as soon as the stop began, which gives SIGHUP its default action, and added it only after all listeners were open.

Each command that serves now adds the handler before anything else and never removes it. A stand-in and a demo that is held ignore SIGHUP, since they have no file to read again. Other commands still end by SIGHUP, as they may run in a terminal that closes.

Not covered: SIGHUP before main, while the packages initialize, which took 6 ms. Ruled out: the listeners of callers, readiness, metrics and heartbeats, which close after the entry or the agent has stopped (read in io/cccli/platform.go).

--- a/io/cccli/agent.go
+++ b/io/cccli/agent.go
@@ -35,6 +35,7 @@
 }
 
 func runAgent(ctx context.Context, streams Streams, file string) error {
+	hangups()
 	cfg, err := readConfig(file)
 	if err != nil {
 		return err
--- a/io/cccli/demo.go
+++ b/io/cccli/demo.go
@@ -43,6 +43,9 @@
 }
 
 func runDemo(ctx context.Context, streams Streams, demo *ccdemo.Demo, output string, hold bool) error {
+	if hold {
+		hangups()
+	}
 	report, err := demo.Run(ctx)
 	if err != nil {
 		return errors.Trace(err)
--- a/io/cccli/entry.go
+++ b/io/cccli/entry.go
@@ -40,6 +40,7 @@
 }
 
 func runEntry(ctx context.Context, streams Streams, file string) error {
+	hangups()
 	cfg, err := readConfig(file)
 	if err != nil {
 		return err
--- a/io/cccli/reload.go
+++ b/io/cccli/reload.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"camphorcroft/core/ccconfig"
@@ -26,9 +24,7 @@
 // run reloads on SIGHUP and when the file's content changes, until the context
 // ends. A file that can't be read changes nothing.
 func (r *reloader) run(ctx context.Context) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	signals := hangups()
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	if data, err := os.ReadFile(r.file); err == nil {
--- a/io/cccli/standin_store.go
+++ b/io/cccli/standin_store.go
@@ -37,6 +37,7 @@
 }
 
 func runStandinStore(ctx context.Context, streams Streams, listen netip.AddrPort, seed uint64) error {
+	hangups()
 	store := ccstandin.NewStore(ccstandin.StoreConfig{Seed: seed})
 	if err := store.Start(listen); err != nil {
 		return err
--- a/io/cccli/standin_target.go
+++ b/io/cccli/standin_target.go
@@ -42,6 +42,7 @@
 }
 
 func runStandinTarget(ctx context.Context, streams Streams, cfg ccstandin.TargetConfig) error {
+	hangups()
 	target := ccstandin.NewTarget(cfg)
 	if err := target.Start(ctx); err != nil {
 		return err
