Keep the handler of SIGTERM until a process has exited

A second SIGTERM could end a process that had finished its work but not exited yet, so that its exit code was that of the signal instead of 0: main removed the handler before os.Exit. That is a moment for the program, and longer under the race detector.

The handler is never removed now. A second SIGTERM or interrupt has no effect, as before during the stop itself.

Seen on the code before: go test -race ./cmd/camphorcroft -run 'TestSignals$' fails for all six commands ("signal: terminated"). Without the race detector, a second SIGTERM ended none of them in one run.

--- a/cmd/camphorcroft/main.go
+++ b/cmd/camphorcroft/main.go
@@ -11,8 +11,7 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := cccli.Main(ctx, os.Args[1:], os.Stdout, os.Stderr)
-	stop()
-	os.Exit(code)
+	// The handler is never removed, since a second signal would end the process without one.
+	ctx, _ := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	os.Exit(cccli.Main(ctx, os.Args[1:], os.Stdout, os.Stderr))
 }
--- a/cmd/camphorcroft/signal_test.go
+++ b/cmd/camphorcroft/signal_test.go
@@ -159,14 +159,14 @@
 	return commands
 }
 
-// TestSignals sends SIGHUP to each command that serves. It guards
+// TestSignals sends SIGHUP and a second SIGTERM to each command that serves. It guards
 // against a process that a signal ends while it serves or stops.
 func TestSignals(t *testing.T) {
 	for name, command := range servingCommands(t) {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			sequences := map[string][]syscall.Signal{
-				"SIGHUP": {syscall.SIGHUP},
+				"SIGHUP": {syscall.SIGHUP}, "SIGHUP and SIGTERM": {syscall.SIGHUP, syscall.SIGTERM},
 			}
 			for after, signals := range sequences {
 				t.Run(after+" after SIGTERM", func(t *testing.T) {
@@ -221,7 +221,7 @@
 	default:
 	}
 	p.signal(t, syscall.SIGTERM)
-	err := p.awaitExit(t, syscall.SIGHUP)
+	err := p.awaitExit(t, syscall.SIGHUP, syscall.SIGTERM)
 	data, readErr := os.ReadFile(output)
 	if readErr != nil {
 		t.Fatal(readErr)
