Reload a file that changed while its process started

A process didn't take up a change of its file between its first read and the moment its listeners were open: the reloader read the file again and took that for the content in force. SIGHUP had no effect then, until the next change. A later life of an entry, after its place was taken, kept the first read's log level in the same way.

The reloader now compares with the content that the process was started with, and looks at the file when it begins.

Seen on the code before: go test -race ./io/cccli -run TestReload fails ("no reload within 2s of SIGHUP"); it passes now.

--- a/io/cccli/agent.go
+++ b/io/cccli/agent.go
@@ -36,17 +36,17 @@
 
 func runAgent(ctx context.Context, streams Streams, file string) error {
 	hangups()
-	cfg, err := readConfig(file)
+	read, err := readConfig(file)
 	if err != nil {
 		return err
 	}
-	if cfg.Platform != nil {
-		return runPlatformAgent(ctx, streams, file, cfg)
+	if read.cfg.Platform != nil {
+		return runPlatformAgent(ctx, streams, read)
 	}
-	if cfg.Agent == nil {
+	if read.cfg.Agent == nil {
 		return &usageError{text: file + ": agent: is missing"}
 	}
-	return runApp(ctx, streams, file, cfg, fx.Options(fx.Provide(newAgent), fx.Invoke(runAgentHooks)))
+	return runApp(ctx, streams, read, fx.Options(fx.Provide(newAgent), fx.Invoke(runAgentHooks)))
 }
 
 func newAgent(cfg *ccconfig.Config, self ccnode.Ref, ring *ccevent.Ring, store ccstore.Store, log *cclog.Log) *ccagent.Agent {
--- a/io/cccli/entry.go
+++ b/io/cccli/entry.go
@@ -41,15 +41,15 @@
 
 func runEntry(ctx context.Context, streams Streams, file string) error {
 	hangups()
-	cfg, err := readConfig(file)
+	read, err := readConfig(file)
 	if err != nil {
 		return err
 	}
-	if cfg.Platform != nil {
-		return runPlatformEntry(ctx, streams, file, cfg)
+	if read.cfg.Platform != nil {
+		return runPlatformEntry(ctx, streams, read)
 	}
 	for {
-		again, err := runLife(ctx, streams, file, cfg)
+		again, err := runLife(ctx, streams, read)
 		if !again || err != nil || ctx.Err() != nil {
 			return err
 		}
@@ -58,7 +58,7 @@
 
 // runLife runs one life of an entry. It reports whether another should follow,
 // since this one's place in the fleet was taken while it was cut off or paused.
-func runLife(ctx context.Context, streams Streams, file string, cfg *ccconfig.Config) (bool, error) {
+func runLife(ctx context.Context, streams Streams, file *configFile) (bool, error) {
 	life, end := context.WithCancel(ctx)
 	defer end()
 	lost := false
@@ -72,7 +72,7 @@
 			}
 		}()
 	}
-	err := runApp(life, streams, file, cfg, fx.Options(fx.Provide(newEntry), fx.Invoke(runEntryHooks, watch)))
+	err := runApp(life, streams, file, fx.Options(fx.Provide(newEntry), fx.Invoke(runEntryHooks, watch)))
 	return lost, err
 }
 
--- a/io/cccli/platform.go
+++ b/io/cccli/platform.go
@@ -70,8 +70,9 @@
 }
 
 // runPlatformEntry runs an entry on the users' platform.
-func runPlatformEntry(ctx context.Context, streams Streams, file string, cfg *ccconfig.Config) error {
-	return runApp(ctx, streams, file, cfg, fx.Options(
+func runPlatformEntry(ctx context.Context, streams Streams, file *configFile) error {
+	cfg := file.cfg
+	return runApp(ctx, streams, file, fx.Options(
 		fx.Provide(
 			func(self ccnode.Ref) *ccmetric.Set { return ccmetric.NewSet(self.String()) },
 			newMalformed,
@@ -99,8 +100,9 @@
 }
 
 // runPlatformAgent runs an agent on the users' platform.
-func runPlatformAgent(ctx context.Context, streams Streams, file string, cfg *ccconfig.Config) error {
-	return runApp(ctx, streams, file, cfg, fx.Options(
+func runPlatformAgent(ctx context.Context, streams Streams, file *configFile) error {
+	cfg := file.cfg
+	return runApp(ctx, streams, file, fx.Options(
 		fx.Provide(
 			func(self ccnode.Ref) *ccmetric.Set { return ccmetric.NewSet(self.String()) },
 			newMalformed,
--- a/io/cccli/process.go
+++ b/io/cccli/process.go
@@ -27,27 +27,38 @@
 	stopTimeout = 40 * time.Second
 )
 
-// readConfig reads the file that tells a server process who it is.
-func readConfig(file string) (*ccconfig.Config, error) {
-	data, err := os.ReadFile(file)
+// configFile is the file that tells a server process who it is, as the process read it
+// when it started.
+type configFile struct {
+	path string
+	text string
+	cfg  *ccconfig.Config
+}
+
+func readConfig(path string) (*configFile, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	cfg, err := ccconfig.Parse(path, data)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	cfg, err := ccconfig.Parse(file, data)
-	return cfg, errors.Trace(err)
+	return &configFile{path: path, text: string(data), cfg: cfg}, nil
 }
 
 // runApp runs a server role until the context ends, which the signals that stop
 // a process bring about, and then stops it gracefully. The role's options get
 // the configuration, the log, the store and the event ring from here.
-func runApp(ctx context.Context, streams Streams, file string, cfg *ccconfig.Config, role fx.Option) error {
+func runApp(ctx context.Context, streams Streams, file *configFile, role fx.Option) error {
+	cfg := file.cfg
 	log := cclog.New(cclog.Config{Out: streams.Out, Level: cfg.LogLevel, Budget: cfg.LogBudget})
 	defer log.Close()
 	if cfg.Platform != nil {
 		// Its logs are collected from all hosts. The other roles name the node themselves.
 		log.Logger = log.Logger.WithValues("node", string(cfg.Node))
 	}
-	reload := &reloader{file: file, log: log}
+	reload := &reloader{file: file.path, log: log, last: file.text}
 	app := fx.New(
 		fx.Supply(cfg, log, reload),
 		fx.Provide(
--- a/io/cccli/reload.go
+++ b/io/cccli/reload.go
@@ -18,7 +18,7 @@
 	file    string
 	log     *cclog.Log
 	changed func(cfg *ccconfig.Config)
-	last    string
+	last    string // The content in force.
 }
 
 // run reloads on SIGHUP and when the file's content changes, until the context
@@ -27,9 +27,8 @@
 	signals := hangups()
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
-	if data, err := os.ReadFile(r.file); err == nil {
-		r.last = string(data)
-	}
+	// The file may have changed since the process read it.
+	r.reload("changed file")
 	for {
 		select {
 		case <-ctx.Done():
