Follow the file of a process while it stops

An entry or an agent that got SIGTERM no longer read its file, though it may go on for more than 5 s: an agent that waits for its runs learned of no new seeds, and a changed log level had no effect. The reloader's context ended with SIGTERM.

The reloader now runs until the role has stopped, and ends before the log is closed.

Seen on the code before: go test -race ./io/cccli -run TestReloadWhileStopping failed 3 of 3 times ("no reload within 2s of SIGHUP"); it passes 20 times in a row now.

--- a/io/cccli/process.go
+++ b/io/cccli/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -80,7 +81,12 @@
 	if err := app.Start(startCtx); err != nil {
 		return errors.Annotate(err, "start")
 	}
-	go reload.run(ctx)
+	// The file is followed until the process has stopped.
+	reloadCtx, endReload := context.WithCancel(context.WithoutCancel(ctx))
+	var reloading sync.WaitGroup
+	reloading.Go(func() { reload.run(reloadCtx) })
+	defer reloading.Wait()
+	defer endReload()
 	<-ctx.Done()
 	stopCtx, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
 	defer cancelStop()
--- a/io/cccli/reload_test.go
+++ b/io/cccli/reload_test.go
@@ -16,9 +16,9 @@
 // reloadWait is far above what a reload takes after SIGHUP.
 const reloadWait = 2 * time.Second
 
-// runReloading runs a role that calls start while it starts and serving once it has
-// started, and then stops it. The channel receives the log levels of the reloads.
-func runReloading(t *testing.T, file string, start func(), serving func(reloads <-chan string)) {
+// runReloading runs a role that calls start while it starts, serving once it has started,
+// and stop while it stops. The channel receives the log levels of the reloads.
+func runReloading(t *testing.T, file string, start func(), serving, stop func(reloads <-chan string)) {
 	t.Helper()
 	read, err := readConfig(file)
 	if err != nil {
@@ -37,6 +37,10 @@
 				close(started)
 				return nil
 			},
+			OnStop: func(context.Context) error {
+				stop(reloads)
+				return nil
+			},
 		})
 	})
 	ended := make(chan error, 1)
@@ -81,5 +85,19 @@
 	setLogLevel(t, file, "info")
 	runReloading(t, file, func() { setLogLevel(t, file, "debug") }, func(reloads <-chan string) {
 		assertReload(t, reloads, "debug")
+	}, func(<-chan string) {})
+}
+
+// TestReloadWhileStopping guards against a process that stops for seconds and does not
+// follow its file meanwhile.
+func TestReloadWhileStopping(t *testing.T) {
+	file := writeConfig(t, "")
+	setLogLevel(t, file, "info")
+	runReloading(t, file, func() {}, func(reloads <-chan string) {
+		setLogLevel(t, file, "debug")
+		assertReload(t, reloads, "debug")
+	}, func(reloads <-chan string) {
+		setLogLevel(t, file, "error")
+		assertReload(t, reloads, "error")
 	})
 }
