--- a/io/cccli/reload.go
+++ b/io/cccli/reload.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"camphorcroft/core/ccconfig"
@@ -20,20 +18,17 @@
 	file    string
 	log     *cclog.Log
 	changed func(cfg *ccconfig.Config)
-	last    string
+	last    string // The content in force.
 }
 
 // run reloads on SIGHUP and when the file's content changes, until the context
 // ends. A file that can't be read changes nothing.
 func (r *reloader) run(ctx context.Context) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	signals := hangups()
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
-	if data, err := os.ReadFile(r.file); err == nil {
-		r.last = string(data)
-	}
+	// The file may have changed since the process read it.
+	r.reload("changed file")
 	for {
 		select {
 		case <-ctx.Done():
