--- a/core/ccproof/search_config_test.go
+++ b/core/ccproof/search_config_test.go
@@ -29,6 +29,9 @@
 	// at most.
 	resendAnswered, resends int
 	resendWithin            time.Duration
+	// resetRequests is the percentage of the jobs that callers send twice at once, since the first
+	// connection is reset.
+	resetRequests int
 	// deadline is how long a caller waits for an answer.
 	deadline time.Duration
 	// clockSetBack is the percentage of the restarts before which the wall clock of the
@@ -53,6 +56,7 @@
 	overdueStops  bool // An agent's starts don't renew a lease while a stop is overdue.
 	silentEntries bool // An agent's polls don't renew a lease while a stop is due but not sent.
 	claims        bool // An agent asks its worker before it believes that it is gone.
+	closedCallers bool // An entry takes no request of a connection that is closed.
 	worker        workerGuardsOff
 }
 
--- a/core/ccproof/search_world_test.go
+++ b/core/ccproof/search_world_test.go
@@ -106,7 +106,14 @@
 			Route:    ccroute.Route{Name: "r", Service: "s", MaxAttempts: 3, Stretch: 1.6, Allowance: 60 * time.Millisecond},
 			Estimate: w.between(60*time.Millisecond, 660*time.Millisecond),
 		}
-		w.schedule(w.between(500*time.Millisecond, busy), func() { w.submit(w.entries[w.rng.IntN(len(w.entries))], request, w.cfg.resends) })
+		w.schedule(w.between(500*time.Millisecond, busy), func() {
+			first := w.rng.IntN(len(w.entries))
+			if w.cfg.resetRequests > 0 && w.rng.IntN(100) < w.cfg.resetRequests {
+				w.submitReset(first, request)
+				return
+			}
+			w.submit(w.entries[first], request, w.cfg.resends)
+		})
 	}
 	for range w.cfg.faults {
 		w.schedule(w.between(500*time.Millisecond, busy), w.injectFault)
