Search: agents that are late when a silent entry's runs are to be stopped

The search "late silence" cuts an agent off from an entry and keeps ticks from it for 200 to 400 ms, 200 to 400 ms later, while 85 % of its stops get no answer. It finds tasks that run twice.

--- a/core/ccproof/search_config_test.go
+++ b/core/ccproof/search_config_test.go
@@ -70,6 +70,7 @@
 	slowEntry   int // An entry's events take long, one after the other.
 	slowAgent   int
 	lateTicks   int // An agent gets no ticks, while its other events go on.
+	lateSilence int // An agent is cut off from an entry, and gets no ticks when it should stop runs.
 	foreign     int // Another process sends heartbeats to an agent.
 }
 
@@ -201,6 +202,15 @@
 	return c
 }
 
+// silenceSearch dwells on agents that are late when the runs of a silent entry are to be stopped.
+func silenceSearch() searchConfig {
+	c := slowSearch(false)
+	c.weights = faultWeights{lateSilence: 1}
+	c.faults, c.minSpan = 25, 1200*time.Millisecond
+	c.calls.lateStops, c.calls.lost = 85, 0
+	return c
+}
+
 // readSearch dwells on requests that entries read late, of callers that leave and send them to
 // another entry.
 func readSearch() searchConfig {
--- a/core/ccproof/search_guards_test.go
+++ b/core/ccproof/search_guards_test.go
@@ -19,6 +19,7 @@
 	{"claims", func(c *searchConfig) { c.off.claims = true }, foreignSearch, classAgent, 0, 10},
 	{"overdue stops", func(c *searchConfig) { c.off.overdueStops = true }, stopSearch, classAgent, 10, 10},
 	{"silent entries", func(c *searchConfig) { c.off.silentEntries = true }, func() searchConfig { return slowSearch(true) }, classOutlived, 0, 20},
+	{"silent entries, until a task runs twice", func(c *searchConfig) { c.off.silentEntries = true }, silenceSearch, classAgent, 0, 20},
 	{"lease", func(c *searchConfig) { c.off.worker.lease = true }, entrySearch, classEntry, 120, 20},
 }
 
--- a/core/ccproof/search_test.go
+++ b/core/ccproof/search_test.go
@@ -38,6 +38,7 @@
 	{"stops", stopSearch, 10},
 	{"slow", func() searchConfig { return slowSearch(true) }, 10},
 	{"slow, until a task runs twice", func() searchConfig { return slowSearch(false) }, 10},
+	{"late silence", silenceSearch, 10},
 	{"late reads", readSearch, 10},
 	{"all but early late starts", func() searchConfig { return closeWindow(defaultSearch()) }, 15},
 	{"crashes but early late starts", func() searchConfig { return closeWindow(crashSearch()) }, 20},
--- a/core/ccproof/search_world_test.go
+++ b/core/ccproof/search_world_test.go
@@ -169,6 +169,12 @@
 		{"late ticks", weights.lateTicks, func() {
 			a.process.noTicksUntil = w.now.Add(w.between(50*time.Millisecond, 400*time.Millisecond))
 		}},
+		{"late silence", weights.lateSilence, func() {
+			w.net.cut(a, e, span)
+			w.schedule(w.between(200*time.Millisecond, 400*time.Millisecond), func() {
+				a.process.noTicksUntil = w.now.Add(w.between(200*time.Millisecond, 400*time.Millisecond))
+			})
+		}},
 		{"turn away", weights.turnAway, func() { w.net.turnAway(a, e, span) }},
 	}
 	total := 0
