Search: six more kinds of schedules, and all kinds together

Drawn for the first time: a worker's capacity that changes while runs are active; workers with different IDs at one address in turn, with heartbeats of the first that arrive late and name no start time, and late calls to either; callers whose connection breaks, of which their entry learns later, and who send the job to the same entry again, or to another one; agents that are killed often at hosts whose clocks are set back, with late starts and workers under new IDs; agents that turn away while reports are held up. Crashed workers return under another ID in all of them.

Not drawn separately: a start that is refused for its run number while the former is pending, and a token raised by ten minutes. They come about in "tokens" only as late calls make them; how often was not counted.

--- a/core/ccproof/replay_worker_test.go
+++ b/core/ccproof/replay_worker_test.go
@@ -24,6 +24,7 @@
 	closed     map[ccwire.TaskRef]uint64 // The highest run number that was stopped or ended.
 	ended      []cclease.EndedRun
 	lastEnded  uint64
+	capacity   int64
 	lives      int // How often it has returned under another ID.
 	leaseEnd   time.Duration
 	onStart    func(task ccwire.TaskRef) // Called for each start. May be nil.
@@ -75,7 +76,7 @@
 
 func newModelWorker(w *replayWorld, i int) *modelWorker {
 	return &modelWorker{
-		w: w, id: string(rune('a' + i)), startedAt: w.start.Add(-time.Minute),
+		w: w, capacity: modelCapacity, id: string(rune('a' + i)), startedAt: w.start.Add(-time.Minute),
 		runs: map[ccwire.TaskRef]*modelRun{}, closed: map[ccwire.TaskRef]uint64{},
 	}
 }
@@ -87,7 +88,7 @@
 func (m *modelWorker) self() cclease.Worker {
 	return cclease.Worker{
 		ID: m.id, StartTime: m.startedAt, Service: "s", Domain: "d0", Sequence: m.heartbeats, Clock: m.clock(),
-		Capacity: ccresource.Amount{CPU: modelCapacity},
+		Capacity: ccresource.Amount{CPU: m.capacity},
 	}
 }
 
@@ -178,7 +179,7 @@
 	if c.Run <= m.closed[c.Task] && !m.w.workerModel.off.run {
 		return m.response(cclease.StatusStaleRun)
 	}
-	if len(m.runs) >= modelCapacity/1000 {
+	if int64(len(m.runs)) >= m.capacity/1000 {
 		return m.response(cclease.StatusNoCapacity)
 	}
 	m.runs[c.Task] = &modelRun{
--- a/core/ccproof/replay_world_test.go
+++ b/core/ccproof/replay_world_test.go
@@ -68,6 +68,10 @@
 	stopsLate bool
 	// lateReads bounds how much later an entry reads a request. Zero is not later.
 	lateReads time.Duration
+	// breaks is the percentage of the requests whose connection breaks before the answer. Their
+	// entry learns of it up to breakNotice later.
+	breaks      int
+	breakNotice time.Duration
 	// watch is told of what processes decide on runs. May be nil.
 	watch     runWatch
 	starts    int
@@ -99,6 +103,8 @@
 	lateStops int
 	// lateHeartbeats is the percentage of the heartbeats that arrive as late.
 	lateHeartbeats int
+	// untimedHeartbeats is the percentage of these that name no start time.
+	untimedHeartbeats int
 }
 
 // runWatch is told of what processes decide on runs.
@@ -438,6 +444,24 @@
 	} else {
 		read()
 	}
+	if w.breaks > 0 && w.rng.IntN(100) < w.breaks {
+		w.schedule(w.between(time.Millisecond, limit), func() {
+			if answered {
+				return
+			}
+			answered = true
+			delete(e.callers, token)
+			w.logf("connection of the caller of %s to %s breaks", request.ID, ref)
+			w.schedule(w.between(0, w.breakNotice), func() {
+				e.deliver(func() {
+					if left = true; e.ref == ref && (submitted || w.lateReads == 0) {
+						cancel()
+					}
+				})
+			})
+			done("")
+		})
+	}
 	// The caller notices that the entry restarted, by its broken connection, or
 	// that its own deadline passed.
 	var watch func()
@@ -538,6 +562,9 @@
 	}
 	a.worker.heartbeats++
 	heartbeat := a.worker.self()
+	if w.calls.untimedHeartbeats > 0 && w.rng.IntN(100) < w.calls.untimedHeartbeats {
+		heartbeat.StartTime = time.Time{}
+	}
 	w.schedule(w.between(w.calls.minDelay, w.calls.maxDelay), func() {
 		a.deliver(func() { a.manager.Heartbeat(w.now, heartbeat) })
 	})
--- a/core/ccproof/search_config_test.go
+++ b/core/ccproof/search_config_test.go
@@ -15,6 +15,13 @@
 	minAway, maxAway time.Duration
 	// maxCost is how long one event of a slow process takes at most.
 	maxCost time.Duration
+	// resendSame is the percentage of the jobs without an answer that are sent to the same entry
+	// again.
+	resendSame int
+	// breaks is the percentage of the requests whose connection breaks before the answer. Their
+	// entry learns of it up to breakNotice later.
+	breaks      int
+	breakNotice time.Duration
 	// checkOutlived has runs of classOutlived count as violations.
 	checkOutlived bool
 	// lateReads bounds how much later an entry reads a request than it was sent.
@@ -71,6 +78,7 @@
 	slowAgent   int
 	lateTicks   int // An agent gets no ticks, while its other events go on.
 	lateSilence int // An agent is cut off from an entry, and gets no ticks when it should stop runs.
+	resize      int // A worker's capacity changes, and later changes back.
 	foreign     int // Another process sends heartbeats to an agent.
 }
 
@@ -220,6 +228,82 @@
 	return c
 }
 
+// resizeSearch dwells on workers whose capacity changes while runs are active.
+func resizeSearch() searchConfig {
+	c := calmSearch()
+	c.weights = faultWeights{resize: 12, cut: 2, freezeAgent: 1, crashWorker: 1, lateTicks: 1, killAgent: 1}
+	c.faults, c.maxSpan = 60, time.Second
+	c.calls.late, c.calls.lost, c.calls.maxDelay, c.calls.lateHeartbeats = 10, 3, 3*time.Second, 20
+	c.resendAnswered, c.worker.newID = 30, true
+	return c
+}
+
+// successorSearch dwells on workers that crash and whose address another one takes, on heartbeats
+// of the first that arrive then, and on late calls to either.
+func successorSearch() searchConfig {
+	c := calmSearch()
+	c.weights = faultWeights{crashWorker: 8, killAgent: 2, freezeAgent: 1, cut: 1}
+	c.faults, c.crashOnStart, c.maxAway = 50, 30, 600*time.Millisecond
+	c.calls.late, c.calls.lost, c.calls.maxDelay = 20, 3, 4*time.Second
+	c.calls.lateHeartbeats, c.calls.untimedHeartbeats = 60, 50
+	c.worker.newID = true
+	return c
+}
+
+// sameEntrySearch dwells on jobs that are sent again to the entry that still has their first
+// request, or has just answered it with an error.
+func sameEntrySearch() searchConfig {
+	c := calmSearch()
+	c.weights = faultWeights{cut: 4, reset: 3, freezeAgent: 2, crashWorker: 1, slowEntry: 2, lateTicks: 1}
+	c.faults, c.jobs = 40, 100
+	c.maxCost, c.lateReads, c.breaks, c.breakNotice = 20*time.Millisecond, 100*time.Millisecond, 30, 2*time.Second
+	c.resendSame, c.resendAnswered, c.resends, c.resendWithin = 100, 40, 6, 300*time.Millisecond
+	c.calls.lateStops, c.calls.lost, c.deadline = 30, 3, 1500*time.Millisecond
+	c.worker.maxRun, c.worker.newID = 2500*time.Millisecond, true
+	return c
+}
+
+// otherEntrySearch dwells on jobs whose callers leave, and send them to another entry, while the
+// stops of the first entry get no answer.
+func otherEntrySearch() searchConfig {
+	c := sameEntrySearch()
+	c.entries, c.resendSame, c.resendAnswered, c.breakNotice = 3, 0, 0, 100*time.Millisecond
+	c.calls.lateStops = 60
+	return c
+}
+
+// tokenSearch dwells on agents that start again with their clocks set back, after workers have
+// refused their tokens or run numbers.
+func tokenSearch() searchConfig {
+	c := calmSearch()
+	c.weights = faultWeights{killAgent: 8, killEntry: 1, freezeAgent: 2, cutAgent: 1}
+	c.faults, c.clockSetBack = 60, 80
+	c.calls.late, c.calls.lost, c.calls.maxDelay = 20, 5, 3*time.Second
+	c.resendAnswered, c.worker.newID = 30, true
+	return c
+}
+
+// lastReportSearch dwells on agents that turn to other entries while reports are under way.
+func lastReportSearch() searchConfig {
+	c := calmSearch()
+	c.weights = faultWeights{turnAway: 10, cut: 2, reset: 1}
+	c.entries, c.faults, c.maxSpan = 3, 60, 1200*time.Millisecond
+	c.holds = holds{report: 4, orders: 1, attach: 4, attachReply: 2}
+	c.calls.lost, c.resendAnswered, c.worker.newID = 3, 30, true
+	return c
+}
+
+// mixedSearch has all kinds of faults, with workers that return under another ID.
+func mixedSearch() searchConfig {
+	c := defaultSearch()
+	c.weights.slowEntry, c.weights.slowAgent, c.weights.lateTicks, c.weights.lateSilence, c.weights.resize, c.weights.foreign = 2, 2, 3, 2, 2, 2
+	c.faults, c.agents, c.entries, c.maxCost = 36, 4, 3, 40*time.Millisecond
+	c.calls.lateStops, c.calls.untimedHeartbeats = 20, 30
+	c.lateReads, c.breaks, c.breakNotice, c.resendSame = 200*time.Millisecond, 10, 200*time.Millisecond, 40
+	c.deadline, c.worker.maxRun, c.worker.newID = 1500*time.Millisecond, 2500*time.Millisecond, true
+	return c
+}
+
 // closeWindow has a restarted worker refuse late starts until its agent's first call has
 // reached it, so that the window of KNOWN-RED.txt, entry 1, can't occur.
 func closeWindow(c searchConfig) searchConfig {
--- a/core/ccproof/search_world_test.go
+++ b/core/ccproof/search_world_test.go
@@ -34,6 +34,7 @@
 	w.workerModel.off, w.firstTokenOnly, w.noProbes = cfg.off.worker, cfg.off.fencing, cfg.off.probes
 	w.startsRenew, w.stopsLate, w.lateReads = cfg.off.overdueStops, cfg.off.silentEntries, cfg.lateReads
 	w.incarnation = w.wallClock
+	w.breaks, w.breakNotice = cfg.breaks, cfg.breakNotice
 	for range cfg.entries {
 		w.killEntry(w.addEntry())
 	}
@@ -131,7 +132,13 @@
 				}
 			})
 		case failed:
-			w.schedule(resendAfter, func() { w.submit(w.entries[w.rng.IntN(len(w.entries))], request, resends-1) })
+			w.schedule(resendAfter, func() {
+				next := e
+				if w.cfg.resendSame == 0 || w.rng.IntN(100) >= w.cfg.resendSame {
+					next = w.entries[w.rng.IntN(len(w.entries))]
+				}
+				w.submit(next, request, resends-1)
+			})
 		}
 	})
 }
@@ -141,6 +148,13 @@
 	p.slow(span, time.Millisecond, w.between(2*time.Millisecond, w.cfg.maxCost))
 }
 
+// resize changes the capacity of a worker for a while. Its runs go on.
+func (w *searchWorld) resize(m *modelWorker, span time.Duration) {
+	m.capacity = 1000 * int64(w.rng.IntN(5))
+	w.logf("worker %s: has a capacity of %d", m.id, m.capacity)
+	w.schedule(span, func() { m.capacity = modelCapacity })
+}
+
 // injectFault injects a random fault according to the weights.
 func (w *searchWorld) injectFault() {
 	a, e := w.agents[w.rng.IntN(len(w.agents))], w.entries[w.rng.IntN(len(w.entries))]
@@ -175,6 +189,7 @@
 				a.process.noTicksUntil = w.now.Add(w.between(200*time.Millisecond, 400*time.Millisecond))
 			})
 		}},
+		{"resize worker", weights.resize, func() { w.resize(a.worker, span) }},
 		{"turn away", weights.turnAway, func() { w.net.turnAway(a, e, span) }},
 	}
 	total := 0
