Agent: end the readers of sessions that are not opened

A reader that had orders for a session waited until it was open, its connection had ended or the agent stopped. The connection counts as ended only once its reader has returned, so that the readers of sessions that the agent refused, as after a suspension, or gave up, stayed with their buffers until the agent stopped.

Change: the reader returns once the agent is done with the session.

The tests of io/cclease and io/ccreplay pass.

--- a/io/cclease/session.go
+++ b/io/cclease/session.go
@@ -25,8 +25,10 @@
 	// opened is closed once the manager has registered the session. Orders that arrive
 	// earlier wait for it.
 	opened chan struct{}
-	// closed is closed when the connection has ended.
+	// closed is closed when the connection has ended and its reader has returned.
 	closed chan struct{}
+	// ended is closed when the agent is done with the session, which it may not have opened.
+	ended chan struct{}
 }
 
 // Received processes a message from the entry.
@@ -72,9 +74,7 @@
 func (s *session) handleOrders(orders ccwire.Orders) {
 	select {
 	case <-s.opened:
-	case <-s.closed:
-		return
-	case <-s.agent.ctx.Done():
+	case <-s.ended:
 		return
 	}
 	s.agent.do(func(now time.Time) {
@@ -107,8 +107,9 @@
 func (a *Agent) runSession(ctx context.Context, addr netip.AddrPort) bool {
 	s := &session{
 		agent: a, addr: addr, identified: make(chan ccwire.IdentifyReply, 1), attached: make(chan ccwire.AttachReply, 1),
-		opened: make(chan struct{}), closed: make(chan struct{}),
+		opened: make(chan struct{}), closed: make(chan struct{}), ended: make(chan struct{}),
 	}
+	defer close(s.ended)
 	attachCtx, cancel := context.WithTimeout(ctx, attachTimeout)
 	defer cancel()
 	conn, err := ccsession.Dial(attachCtx, addr, s)
