Lease: a late agent asks its worker before it takes runs for lost

An agent that stood still for longer than a lease then took its runs for lost at its first timer, where it used to wait for the next list, which may name them as done.

Change: a run has both times, that of the request of its stop and that at which it was due. The renewal of the lease counts from the latter, the end of runs from the former.

Measured: core/cclease, core/cclab, the guards and the searches of core/ccproof that concern leases and stops pass.

--- a/core/cclease/lease.go
+++ b/core/cclease/lease.go
@@ -23,6 +23,14 @@
 	})
 }
 
+// stopUnconfirmed reports whether any stop that was requested has been unconfirmed for longer
+// than StopGrace.
+func (m *Manager) stopUnconfirmed(now time.Time) bool {
+	return slices.ContainsFunc(m.runList, func(r *run) bool {
+		return r.phase != phaseStopped && !r.stopRequestedAt.IsZero() && now.Sub(r.stopRequestedAt) > StopGrace
+	})
+}
+
 // stopDue returns when the stop of a run is due: when it was requested or, if that is sooner,
 // when its entry had been silent for OwnerTimeout. Zero is never.
 func (m *Manager) stopDue(r *run) time.Time {
@@ -63,9 +71,9 @@
 }
 
 // expireLease ends all runs once the last lease that the worker may have received has
-// expired.
+// expired. An agent that stood still asks its worker first, whose list may name the ends.
 func (m *Manager) expireLease(now time.Time) {
-	if m.worker == nil || m.missedPolls <= maxMissedPolls && !m.stopOverdue(now) || m.leaseEnd.IsZero() || !now.After(m.leaseEnd) {
+	if m.worker == nil || m.missedPolls <= maxMissedPolls && !m.stopUnconfirmed(now) || m.leaseEnd.IsZero() || !now.After(m.leaseEnd) {
 		return
 	}
 	for _, r := range slices.Clone(m.runList) {
--- a/core/cclease/order.go
+++ b/core/cclease/order.go
@@ -21,7 +21,7 @@
 	}
 	m.updatePlan(now, o, orders)
 	for _, stop := range orders.Stops {
-		if r := m.runs[stop.Task]; r != nil && r.owner == o.ref && r.order == stop.Order && r.stopDueAt.IsZero() {
+		if r := m.runs[stop.Task]; r != nil && r.owner == o.ref && r.order == stop.Order && r.stopRequestedAt.IsZero() {
 			m.stopRun(now, r)
 		}
 	}
@@ -65,7 +65,7 @@
 	}
 	if r := m.runs[order.Task]; r != nil {
 		// A run of the same task by another owner must end first.
-		if r.stopDueAt.IsZero() && r.owner != o.ref {
+		if r.stopRequestedAt.IsZero() && r.owner != o.ref {
 			m.stopRun(now, r)
 		}
 		m.refuseOrder(now, o.ref, order, ccwire.RunRefused, "an earlier run is not over")
@@ -117,12 +117,12 @@
 
 // stopRun asks the worker to stop a run.
 func (m *Manager) stopRun(now time.Time, r *run) {
-	if r.stopDueAt.IsZero() {
+	if r.stopRequestedAt.IsZero() {
 		due := m.stopDue(r)
 		if due.IsZero() || due.After(now) {
 			due = now
 		}
-		r.stopDueAt = due
+		r.stopRequestedAt, r.stopDueAt = now, due
 	}
 	r.stopRetryAt = time.Time{}
 	if r.phase == phaseStarting {
--- a/core/cclease/owner.go
+++ b/core/cclease/owner.go
@@ -218,7 +218,7 @@
 func (m *Manager) stopOwnedRunsAged(now time.Time, entry ccnode.Ref, reason string, age time.Duration) {
 	n := 0
 	for _, r := range m.runList {
-		if r.owner == entry && r.stopDueAt.IsZero() {
+		if r.owner == entry && r.stopRequestedAt.IsZero() {
 			m.stopRun(now, r)
 			n++
 		}
--- a/core/cclease/poll.go
+++ b/core/cclease/poll.go
@@ -182,7 +182,7 @@
 		if r.phase == phaseUnconfirmed || r.phase == phaseStarting {
 			r.phase = phaseRunning
 			r.absentAfter = now
-			if !r.stopDueAt.IsZero() {
+			if !r.stopRequestedAt.IsZero() {
 				m.stopRun(now, r)
 			}
 		}
@@ -231,7 +231,7 @@
 		r.percentGrewAt = now
 	}
 	r.percent, r.percentAt = percent, now
-	if r.stalled || r.owner.ID == "" || !r.stopDueAt.IsZero() || now.Sub(r.percentGrewAt) < stallTimeout {
+	if r.stalled || r.owner.ID == "" || !r.stopRequestedAt.IsZero() || now.Sub(r.percentGrewAt) < stallTimeout {
 		return
 	}
 	r.stalled = true
--- a/core/cclease/repeat.go
+++ b/core/cclease/repeat.go
@@ -10,7 +10,7 @@
 // may be repeated. The worker has received the higher token of that poll, so it refuses
 // the first start from then on.
 func (m *Manager) canRepeatStart(now time.Time, r *run) bool {
-	return !m.ownerSilent(now, r) && r.unanswered && r.repeats < maxStartRepeats && r.stopDueAt.IsZero() &&
+	return !m.ownerSilent(now, r) && r.unanswered && r.repeats < maxStartRepeats && r.stopRequestedAt.IsZero() &&
 		!m.draining && !m.leaving && !m.worker.Draining && !now.Before(m.pausedUntil) && !m.workerClockAt.IsZero() &&
 		r.need.Fits(m.Free().Plus(r.need))
 }
--- a/core/cclease/response.go
+++ b/core/cclease/response.go
@@ -60,7 +60,7 @@
 	default:
 		m.endRun(now, r, ccwire.RunRefused, "worker: "+string(response.Status))
 	}
-	if r.phase == phaseRunning && !r.stopDueAt.IsZero() {
+	if r.phase == phaseRunning && !r.stopRequestedAt.IsZero() {
 		m.stopRun(now, r)
 	}
 	m.poll(now)
@@ -78,7 +78,7 @@
 // lease or token.
 func (m *Manager) retryStart(now time.Time, r *run, status Status) {
 	r.retries++
-	if r.retries > maxStartRetries || !r.stopDueAt.IsZero() || m.workerClockAt.IsZero() || m.ownerSilent(now, r) {
+	if r.retries > maxStartRetries || !r.stopRequestedAt.IsZero() || m.workerClockAt.IsZero() || m.ownerSilent(now, r) {
 		m.endRun(now, r, ccwire.RunRefused, "worker: "+string(status))
 		return
 	}
--- a/core/cclease/run.go
+++ b/core/cclease/run.go
@@ -40,10 +40,10 @@
 	// run has ended.
 	absentAfter time.Time
 	started     time.Time
-	// stopDueAt is when the first stop was requested or, if the agent was late, when the entry
-	// had been silent for OwnerTimeout. Zero if none was requested.
-	stopDueAt   time.Time
-	stopRetryAt time.Time // When the stop is repeated. Zero while one is in flight.
+	// stopRequestedAt is when the first stop was requested, and stopDueAt the same or, if the
+	// agent was late, when the entry had been silent for OwnerTimeout. Zero if none was requested.
+	stopRequestedAt, stopDueAt time.Time
+	stopRetryAt                time.Time // When the stop is repeated. Zero while one is in flight.
 	// listed is set once the worker's current incarnation has listed the run.
 	listed  bool
 	percent int
