Search: schedules of different kinds run in parallel

Worlds share no state, so the subtests of TestSearchReplayable and TestSearchEachGuard run side by side now.

--- a/core/ccproof/search_guards_test.go
+++ b/core/ccproof/search_guards_test.go
@@ -29,6 +29,7 @@
 func TestSearchEachGuard(t *testing.T) {
 	for _, g := range searchGuards {
 		t.Run(g.name, func(t *testing.T) {
+			t.Parallel()
 			cfg, first, schedules := g.search(), g.first, g.schedules
 			if *searchSeeds > 0 {
 				first, schedules = *searchFirst, uint64(*searchSeeds)
--- a/core/ccproof/search_test.go
+++ b/core/ccproof/search_test.go
@@ -58,6 +58,7 @@
 func TestSearchReplayable(t *testing.T) {
 	for _, s := range searches {
 		t.Run(s.name, func(t *testing.T) {
+			t.Parallel()
 			found := runSearch(t, s.cfg(), s.schedules)
 			if len(found) > 0 {
 				t.Errorf("violations: %s", summary(found))
