Show that a task runs twice after its worker came back mute

Cause: an agent that doesn't know yet that its worker has a new life takes the lease for over after 617 ms. The new life's clock is behind, so it shortens the deadline to hold_max_ms, and the lease lasts 1 s.

--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -32,6 +32,7 @@
 	life     int
 	up       bool
 	draining bool
+	mute     bool // It carries out what it is told, and answers nothing.
 	born     time.Time
 	server   *http.Server
 	sequence uint64
@@ -135,6 +136,26 @@
 	}
 }
 
+// setMute makes the worker answer nothing, or answer again.
+func (w *worker) setMute(mute bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.mute = mute
+	w.rig.log("worker %s mute: %v", w.id, mute)
+}
+
+// answer sends the answer to a call that was carried out, unless the worker is mute.
+func (w *worker) answer(rw http.ResponseWriter, r *http.Request, status int, body any) {
+	w.mu.Lock()
+	mute := w.mute
+	w.mu.Unlock()
+	if mute {
+		<-r.Context().Done()
+		return
+	}
+	answer(rw, status, body)
+}
+
 // enter takes the lock if the call is meant for this life.
 func (w *worker) enter(rw http.ResponseWriter, r *http.Request, body any) bool {
 	if json.NewDecoder(r.Body).Decode(body) != nil {
@@ -183,7 +204,7 @@
 		return
 	}
 	status, reply := w.execute(body)
-	answer(rw, status, reply)
+	w.answer(rw, r, status, reply)
 }
 
 // execute carries out a start order.
@@ -225,18 +246,17 @@
 	if !w.enter(rw, r, &body) {
 		return
 	}
-	defer w.mu.Unlock()
+	status, reply := w.reply(http.StatusOK, "")
 	if w.fenced(body.Token) {
-		status, reply := w.reply(http.StatusConflict, "fence")
-		answer(rw, status, reply)
-		return
-	}
-	w.highest[body.Task] = max(w.highest[body.Task], body.Run)
-	if current := w.runs[body.Task]; current != nil && current.run == body.Run {
-		w.end(body.Task, current, "stopped")
+		status, reply = w.reply(http.StatusConflict, "fence")
+	} else {
+		w.highest[body.Task] = max(w.highest[body.Task], body.Run)
+		if current := w.runs[body.Task]; current != nil && current.run == body.Run {
+			w.end(body.Task, current, "stopped")
+		}
 	}
-	status, reply := w.reply(http.StatusOK, "")
-	answer(rw, status, reply)
+	w.mu.Unlock()
+	w.answer(rw, r, status, reply)
 }
 
 func (w *worker) hold(rw http.ResponseWriter, r *http.Request) {
@@ -252,7 +272,7 @@
 	if w.fenced(body.Token) {
 		status, reply := w.reply(http.StatusConflict, "fence")
 		w.mu.Unlock()
-		answer(rw, status, reply)
+		w.answer(rw, r, status, reply)
 		return
 	}
 	if body.Deadline > 0 {
@@ -281,7 +301,7 @@
 	_, reply := w.reply(http.StatusOK, "")
 	w.mu.Unlock()
 	reply["running"], reply["finished"] = running, finished
-	answer(rw, http.StatusOK, reply)
+	w.answer(rw, r, http.StatusOK, reply)
 }
 
 // end ends a run. The lock is held.
