--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -186,7 +186,7 @@
 }
 
 func (w *worker) reply(status int, reason string) (int, map[string]any) {
-	body := map[string]any{"clock_ms": w.clock().Milliseconds(), "born": w.born.UnixMilli()}
+	body := map[string]any{"clock_ms": w.clock().Milliseconds()}
 	if reason != "" {
 		body["reason"] = reason
 	}
@@ -299,6 +299,8 @@
 	}
 	finished := append([][]any{}, w.finished...)
 	_, reply := w.reply(http.StatusOK, "")
+	// Only what a worker says of itself and its lists of runs name its life.
+	reply["born"] = w.born.UnixMilli()
 	w.mu.Unlock()
 	reply["running"], reply["finished"] = running, finished
 	w.answer(rw, r, http.StatusOK, reply)
