--- a/review/standin-2/cancel.go
+++ b/review/standin-2/cancel.go
@@ -56,7 +56,7 @@
 	// The same node has the job, so that it need not be asked for elsewhere.
 	cancel := r.request(context.Background(), "DELETE", 0, r.prefix+id, 4*time.Second, nil)
 	if cancel.status/100 != 2 && cancel.status != 410 {
-		r.finish(0, fmt.Sprintf("the cancel is not acknowledged: %d", cancel.status))
+		r.finish(2, fmt.Sprintf("the cancel is not acknowledged: %d", cancel.status))
 	}
 	got := <-answered
 	time.Sleep(200 * time.Millisecond)
--- a/review/standin-2/reborn.go
+++ b/review/standin-2/reborn.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// Of rebornCase. The limit is that of the users' column-set, whose tasks take 900 ms on average and
+// Of rebornCase. The limit is that of the users' price-quote, whose tasks take 900 ms on average and
 // 3,600 ms at most.
 const (
 	rebornWork   = 1100 * time.Millisecond
--- a/review/standin-2/rig.go
+++ b/review/standin-2/rig.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -92,9 +93,16 @@
 		begin: time.Now(), dir: dir, program: program, trouble: os.Getenv("TROUBLE") != "0", service: "typing", host: "desk.example", prefix: "/proof/",
 		base: fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250)), record: file, active: map[*activeRun]*seen{}, work: map[string]time.Duration{}, cpu: map[string]int{},
 	}
+	// Whoever stops this program leaves nothing behind.
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-stop
+		r.finish(2, "stopped by a signal")
+	}()
 	r.port = r.freePorts()
 	if r.store, err = newStore(r.addr(2, 6)); err != nil {
-		fail("%v", err)
+		r.finish(2, err.Error())
 	}
 	r.configure(1)
 	return r
@@ -130,7 +138,7 @@
 			return port
 		}
 	}
-	fail("no free ports")
+	r.finish(2, "no free ports")
 	return 0
 }
 
@@ -360,6 +368,9 @@
 func (r *rig) finish(verdict int, text string) {
 	r.log("verdict %d: %s", verdict, text)
 	for _, p := range append(append([]*process{}, r.entries...), r.agents...) {
+		if p.cmd == nil || p.cmd.Process == nil || p.gone == nil {
+			continue // It was not started.
+		}
 		_ = p.cmd.Process.Kill()
 		_ = p.cmd.Process.Signal(syscall.SIGCONT)
 		<-p.gone
