Send calls with a lease only to the life whose clock they use

Seen: a worker without runs crashes and is back under its ID, and answers nothing for 1.5 s.

Cause: the end of a lease is a time on the worker's clock, and a call names the worker by an ID that a new life keeps. A start on a new connection carried an end on the former life's clock. For the new one that was far ahead, so that it gave the longest lease, 1,000 ms, where the agent counted with 617 ms. Without an answer the agent couldn't tell.

Ruled out: the heartbeat of the new life. Without it, or after the starts, the rule breaks the same way. Late orders: none is late here. Weighed: the longer bound for calls without an answer (RunsExpireAfter would be 1.56 s, above the 1.3 s after which a job is sent again), a question before each start after an idle time (a life that begins after the answer is missed).

An order that can't be sent goes back to its entry at once, as not run. All bounds that rest on 617 ms stay as they are. The model of workers has connections, and lives that answer nothing.

--- a/core/cclease/fixture_test.go
+++ b/core/cclease/fixture_test.go
@@ -136,6 +136,14 @@
 	return call
 }
 
+// takePolls returns the polls without an answer.
+func (f *fixture) takePolls() []PollCall {
+	f.take()
+	calls := f.pendingPolls
+	f.pendingPolls = nil
+	return calls
+}
+
 // answerClaim answers the call that a heartbeat of another incarnation has raised.
 func (f *fixture) answerClaim(response Response) {
 	f.t.Helper()
--- a/core/cclease/manager.go
+++ b/core/cclease/manager.go
@@ -59,10 +59,13 @@
 	Session uint64
 	// Pace is the ratio of actual to estimated run time.
 	Pace float64
-	// StartTime, Sequence and Address are those of a heartbeat.
+	// StartTime is that of a heartbeat, or of the worker's incarnation that a call was for.
 	StartTime time.Time
-	Sequence  uint64
-	Address   netip.AddrPort
+	// Sequence and Address are those of a heartbeat.
+	Sequence uint64
+	Address  netip.AddrPort
+	// LeaseEnd is the end of the lease that a call has granted, on the worker's clock.
+	LeaseEnd time.Duration
 }
 
 // Manager holds the agent's runs, its sessions with entries and the worker's lease. It
--- a/core/cclease/order.go
+++ b/core/cclease/order.go
@@ -111,7 +111,7 @@
 	r.phase = phaseStarting
 	m.runNumbers[r.task] = lastRunNumber{number: r.number, at: now}
 	m.actions.Starts = append(m.actions.Starts, m.starts.add(now, StartCall{
-		Worker: m.worker.ID, Task: r.task, Run: r.number, Payload: r.payload, Token: m.token, LeaseEnd: m.startLease(now), Sent: now,
+		Worker: m.worker.ID, Incarnation: m.worker.StartTime, Task: r.task, Run: r.number, Payload: r.payload, Token: m.token, LeaseEnd: m.startLease(now), Sent: now,
 	}))
 }
 
--- a/core/cclease/poll.go
+++ b/core/cclease/poll.go
@@ -20,7 +20,7 @@
 		call.Wait = pollWait
 	}
 	if len(m.runs) > m.orphans() && m.canRenewLease(now) {
-		call.LeaseEnd = m.extendLease(now)
+		call.Incarnation, call.LeaseEnd = m.worker.StartTime, m.extendLease(now)
 	}
 	if m.anyStopping() {
 		call.Wait = min(call.Wait, maxStopDuration)
@@ -98,7 +98,7 @@
 }
 
 func (m *Manager) pollFailed(now time.Time, status Status) {
-	if status == StatusNoResponse || status == StatusUnhealthy {
+	if status == StatusNoResponse || status == StatusNotSent || status == StatusUnhealthy {
 		m.missedPolls++
 		if m.missedPolls == maxMissedPolls+1 {
 			m.actions.Changes = append(m.actions.Changes, Change{Message: "Worker does not answer.", Reason: string(status)})
--- a/core/cclease/response.go
+++ b/core/cclease/response.go
@@ -25,6 +25,10 @@
 	}
 	dropped := m.checkResponse(now, call.Worker, call.Token, call.Sent, false, response)
 	r := m.runs[call.Task]
+	if response.Status == StatusNotSent {
+		m.startNotSent(now, call, r)
+		return
+	}
 	if dropped != "" {
 		m.recordCall("Answer to a start dropped.", call, dropped)
 		if r != nil && r.number == call.Run && r.phase == phaseStarting && m.worker.ID == call.Worker {
@@ -67,10 +71,21 @@
 	m.sendDueReports(now)
 }
 
+// startNotSent returns the order of a start that no incarnation of the worker has received.
+func (m *Manager) startNotSent(now time.Time, call StartCall, r *run) {
+	m.recordCall("Start was not sent.", call, "no connection to the worker's incarnation")
+	if r != nil && r.number == call.Run && r.phase == phaseStarting {
+		m.endRun(now, r, ccwire.RunRefused, "no connection to the worker's incarnation")
+	}
+	m.pollNow(now)
+	m.poll(now)
+	m.sendDueReports(now)
+}
+
 // recordCall records a change that concerns a start call.
 func (m *Manager) recordCall(message string, call StartCall, reason string) {
 	m.actions.Changes = append(m.actions.Changes, Change{
-		Message: message, Task: call.Task, Run: call.Run, Worker: call.Worker, Token: call.Token, Reason: reason,
+		Message: message, Task: call.Task, Run: call.Run, Worker: call.Worker, StartTime: call.Incarnation, Token: call.Token, LeaseEnd: call.LeaseEnd, Reason: reason,
 	})
 }
 
--- a/core/cclease/worker.go
+++ b/core/cclease/worker.go
@@ -67,17 +67,23 @@
 	// StatusNoResponse means that no response was received: the worker may have executed
 	// the call, or may still do so.
 	StatusNoResponse Status = "none"
+	// StatusNotSent means that the call was not sent, since no connection to the incarnation
+	// that it names could be had. The response may name the incarnation that answered instead.
+	StatusNotSent Status = "notSent"
 )
 
 // StartCall requests the start of a run.
 type StartCall struct {
 	// Number distinguishes the calls of one agent incarnation.
-	Number  uint64
-	Worker  string
-	Task    ccwire.TaskRef
-	Run     uint64
-	Payload string
-	Token   uint64
+	Number uint64
+	Worker string
+	// Incarnation is the start time of the worker's incarnation that the call is for. No other
+	// one may receive it, since LeaseEnd is a time on the clock of this one.
+	Incarnation time.Time
+	Task        ccwire.TaskRef
+	Run         uint64
+	Payload     string
+	Token       uint64
 	// LeaseEnd is when the worker's lease ends, on the worker's clock.
 	LeaseEnd time.Duration
 	Sent     time.Time
@@ -96,7 +102,10 @@
 // PollCall renews the worker's lease and requests its active and ended runs.
 type PollCall struct {
 	Worker string
-	Token  uint64
+	// Incarnation is the same as that of a StartCall if the poll renews the lease. Any
+	// incarnation may receive the others.
+	Incarnation time.Time
+	Token       uint64
 	// Ack acknowledges the ends up to this number.
 	Ack uint64
 	// LeaseEnd is when the lease ends, on the worker's clock. Zero does not renew the
--- a/core/ccproof/put_off_test.go
+++ b/core/ccproof/put_off_test.go
@@ -1,6 +1,8 @@
 package ccproof
 
 import (
+	"time"
+
 	"camphorcroft/core/cclease"
 	"camphorcroft/core/ccnode"
 	"camphorcroft/core/ccreplay"
@@ -95,6 +97,14 @@
 			out.Polls[i].Token = first
 		}
 	}
+	if a.w.anyIncarnation {
+		for i := range out.Starts {
+			out.Starts[i].Incarnation = time.Time{}
+		}
+		for i := range out.Polls {
+			out.Polls[i].Incarnation = time.Time{}
+		}
+	}
 	if a.w.startsRenew {
 		for i := range out.Starts {
 			out.Starts[i].LeaseEnd = a.worker.clock() + cclease.LeaseDuration
--- a/core/ccproof/replay_worker_test.go
+++ b/core/ccproof/replay_worker_test.go
@@ -30,6 +30,10 @@
 	onStart    func(task ccwire.TaskRef) // Called for each start. May be nil.
 	down       bool                      // Nothing listens at the worker's address.
 	called     bool                      // A call sent to the current incarnation has reached it.
+	// mute has the worker execute calls without answering, and answersLeft, if it is not zero,
+	// how many it answers before.
+	mute        bool
+	answersLeft int
 }
 
 // workerModel has the properties that all model workers share.
@@ -106,6 +110,7 @@
 		m.id = fmt.Sprintf("%s-%d", m.id[:1], m.lives)
 	}
 	m.startedAt, m.heartbeats, m.token, m.leaseEnd, m.lastEnded, m.called = m.w.now, 0, 0, 0, 0, false
+	m.mute, m.answersLeft = false, 0
 	m.runs, m.closed, m.ended = map[ccwire.TaskRef]*modelRun{}, map[ccwire.TaskRef]uint64{}, nil
 }
 
--- a/core/ccproof/replay_world_test.go
+++ b/core/ccproof/replay_world_test.go
@@ -64,6 +64,8 @@
 	firstTokenOnly, noProbes bool
 	// startsRenew has each start renew the lease.
 	startsRenew bool
+	// anyIncarnation has any incarnation of a worker receive the calls that renew its lease.
+	anyIncarnation bool
 	// seesClosed has an entry see that a caller has left when it reads the request, and not
 	// only up to noticeDelay later.
 	seesClosed bool
@@ -215,15 +217,15 @@
 	sent := a.w.now
 	for _, c := range out.Starts {
 		a.w.logf("%s: calls start for %v run %d, lease until %v", a.ref, c.Task, c.Run, c.LeaseEnd)
-		a.w.order(0, func() cclease.Response {
-			return a.worker.start(c, callOrigin{agent: a, manager: manager, order: a.orders[c.Task], sent: sent})
-		}, 150*time.Millisecond, func(answer cclease.Response) {
+		origin := callOrigin{agent: a, manager: manager, order: a.orders[c.Task], sent: sent}
+		a.w.order(0, a.worker.call(c.Incarnation, func() cclease.Response { return a.worker.start(c, origin) }), 150*time.Millisecond, func(answer cclease.Response) {
 			ifCurrent(func() { manager.StartCompleted(a.w.now, c, answer) })
 		})
 	}
 	for _, c := range out.Stops {
 		a.w.logf("%s: calls stop for %v run %d", a.ref, c.Task, c.Run)
-		a.w.order(a.w.calls.lateStops, func() cclease.Response { return a.worker.stop(c, sent) }, 70*time.Millisecond, func(answer cclease.Response) {
+		stop := a.worker.call(time.Time{}, func() cclease.Response { return a.worker.stop(c, sent) })
+		a.w.order(a.w.calls.lateStops, stop, 70*time.Millisecond, func(answer cclease.Response) {
 			ifCurrent(func() { manager.StopCompleted(a.w.now, c, answer) })
 		})
 	}
@@ -267,30 +269,35 @@
 
 // order makes a call that starts or stops a run. The given percentage of them is executed late,
 // besides.
-func (w *replayWorld) order(late int, do func() cclease.Response, timeout time.Duration, done func(cclease.Response)) {
-	if late += w.calls.lateOrders; late > 0 && w.rng.IntN(100) < late {
-		w.schedule(w.between(w.calls.minDelay, w.calls.maxDelay), func() { do() })
+func (w *replayWorld) order(late int, c workerCall, timeout time.Duration, done func(cclease.Response)) {
+	if late += w.calls.lateOrders; late > 0 && c.sendable() && w.rng.IntN(100) < late {
+		w.schedule(w.between(w.calls.minDelay, w.calls.maxDelay), func() { c.do() })
 		w.schedule(timeout, func() { done(cclease.Response{Status: cclease.StatusNoResponse}) })
 		return
 	}
-	w.call(do, timeout, done)
+	w.call(c, timeout, done)
 }
 
 // call makes a call to a worker. The call may be executed without its reply
 // arriving, or be executed only seconds after its timeout, perhaps by a new
 // incarnation under the same ID.
-func (w *replayWorld) call(do func() cclease.Response, timeout time.Duration, done func(cclease.Response)) {
+func (w *replayWorld) call(c workerCall, timeout time.Duration, done func(cclease.Response)) {
 	none := cclease.Response{Status: cclease.StatusNoResponse}
 	switch dice := w.rng.IntN(100); {
-	case dice < w.calls.late:
-		w.schedule(w.between(w.calls.minDelay, w.calls.maxDelay), func() { do() })
+	case dice < w.calls.late && c.sendable():
+		w.schedule(w.between(w.calls.minDelay, w.calls.maxDelay), func() { c.do() })
 		w.schedule(timeout, func() { done(none) })
 	case dice < w.calls.late+w.calls.lost:
-		w.schedule(w.networkDelay(), func() { do() })
+		w.schedule(w.networkDelay(), func() { c.deliver() })
 		w.schedule(timeout, func() { done(none) })
 	default:
 		w.schedule(w.networkDelay(), func() {
-			answer := do()
+			answer := c.deliver()
+			if c.worker.mute {
+				w.schedule(timeout, func() { done(c.unanswered()) })
+				return
+			}
+			c.worker.answered()
 			w.schedule(w.networkDelay(), func() { done(answer) })
 		})
 	}
@@ -304,7 +311,7 @@
 		answeredBy = a.worker.startedAt
 		return result.Response
 	}
-	w.call(first, c.Wait+150*time.Millisecond, func(answer cclease.Response) {
+	w.call(a.worker.call(c.Incarnation, first), c.Wait+150*time.Millisecond, func(answer cclease.Response) {
 		if answer.Status != cclease.StatusOK || len(result.Ended) > 0 || c.Wait == 0 {
 			if answer.Status != cclease.StatusOK {
 				result = cclease.PollResponse{Response: answer}
@@ -321,8 +328,8 @@
 
 // pollAgain continues a long poll at the worker that started at the given time.
 func (w *replayWorld) pollAgain(a *replayAgent, started time.Time, c cclease.PollCall, done func(cclease.PollResponse)) {
-	if !a.worker.startedAt.Equal(started) {
-		// The connection was reset when the worker crashed.
+	if !a.worker.startedAt.Equal(started) || a.worker.mute {
+		// The connection was reset when the worker crashed, or the worker answers nothing.
 		done(cclease.PollResponse{Response: cclease.Response{Status: cclease.StatusNoResponse}})
 		return
 	}
--- a/core/ccproof/search_config_test.go
+++ b/core/ccproof/search_config_test.go
@@ -62,6 +62,7 @@
 	agentClose    bool // io/cclease ignores the close of a session that was replaced.
 	overdueStops  bool // An agent's starts don't renew a lease while a stop is overdue.
 	silentEntries bool // An agent's polls don't renew a lease while a stop is due but not sent.
+	incarnations  bool // Only the incarnation whose clock was used receives a call with a lease.
 	claims        bool // An agent asks its worker before it believes that it is gone.
 	closedCallers bool // An entry takes no request of a connection that is closed.
 	worker        workerGuardsOff
@@ -84,6 +85,7 @@
 	lateSilence int // An agent is cut off from an entry, and gets no ticks when it should stop runs.
 	resize      int // A worker's capacity changes, and later changes back.
 	foreign     int // Another process sends heartbeats to an agent.
+	muteReturn  int // A worker crashes, returns under its ID and answers nothing for a while.
 }
 
 // holds are the percentages of the messages that are delivered 0.1 to 3 s late, together
@@ -308,6 +310,19 @@
 	return c
 }
 
+// muteSearch dwells on workers that crash and return under their ID, sometimes unseen, and answer
+// nothing for a while, at once or after their first answers.
+func muteSearch() searchConfig {
+	c := calmSearch()
+	c.weights = faultWeights{muteReturn: 1}
+	c.faults, c.agents, c.jobs = 40, 6, 40
+	c.minSpan, c.maxSpan = 600*time.Millisecond, 2*time.Second
+	c.minAway, c.maxAway = 5*time.Millisecond, 1200*time.Millisecond
+	c.calls.lost = 2
+	c.worker.minRun, c.worker.maxRun = 700*time.Millisecond, 3600*time.Millisecond
+	return c
+}
+
 // closeWindow has a restarted worker refuse late starts until its agent's first call has
 // reached it, so that the window of KNOWN-RED.txt, entry 1, can't occur.
 func closeWindow(c searchConfig) searchConfig {
--- a/core/ccproof/search_world_test.go
+++ b/core/ccproof/search_world_test.go
@@ -32,6 +32,7 @@
 	w.net.putOff = newPutOff()
 	w.decisions.putOff = &w.net.putOff
 	w.workerModel.off, w.firstTokenOnly, w.noProbes = cfg.off.worker, cfg.off.fencing, cfg.off.probes
+	w.anyIncarnation = cfg.off.incarnations
 	w.startsRenew, w.stopsLate, w.lateReads = cfg.off.overdueStops, cfg.off.silentEntries, cfg.lateReads
 	w.incarnation = w.wallClock
 	w.breaks, w.breakNotice = cfg.breaks, cfg.breakNotice
@@ -77,7 +78,16 @@
 const maxCrashDelay = 40 * time.Millisecond
 
 // crash crashes a worker.
-func (w *searchWorld) crash(a *replayAgent) {
+func (w *searchWorld) crash(a *replayAgent) { w.crashUntil(a, func() {}) }
+
+// crashMute crashes a worker that answers nothing for a while when it is back, at once or after its
+// first answers.
+func (w *searchWorld) crashMute(a *replayAgent, span time.Duration) {
+	w.crashUntil(a, func() { a.worker.muteFor(span, w.rng.IntN(3)) })
+}
+
+// crashUntil crashes a worker, and calls back when it is there again.
+func (w *searchWorld) crashUntil(a *replayAgent, back func()) {
 	if a.worker.down {
 		return
 	}
@@ -86,6 +96,7 @@
 		away = w.between(0, 5*time.Millisecond)
 	}
 	a.worker.crashFor(away, func() {
+		back()
 		w.schedule(w.between(0, 100*time.Millisecond), func() {
 			a.deliver(func() {
 				if !a.worker.down {
@@ -184,6 +195,7 @@
 		{"freeze entry", weights.freezeEntry, func() { e.frozenUntil = w.now.Add(span) }},
 		{"freeze agent", weights.freezeAgent, func() { a.frozenUntil = w.now.Add(span) }},
 		{"crash worker", weights.crashWorker, func() { w.crash(a) }},
+		{"mute return", weights.muteReturn, func() { w.crashMute(a, span) }},
 		{"foreign heartbeats", weights.foreign, func() { w.sendForeignHeartbeats(a, span) }},
 		{"slow entry", weights.slowEntry, func() { w.slow(e.process, span) }},
 		{"slow agent", weights.slowAgent, func() { w.slow(a.process, span) }},
--- a/io/cclease/record.go
+++ b/io/cclease/record.go
@@ -65,6 +65,9 @@
 	if c.Token != 0 {
 		fields = append(fields, "token", c.Token)
 	}
+	if c.LeaseEnd != 0 {
+		fields = append(fields, "leaseEndMs", c.LeaseEnd.Milliseconds())
+	}
 	if c.Entry != "" {
 		fields = append(fields, "entry", string(c.Entry))
 	}
