End runs at a new life of the worker that falls silent

Seen: a start has no answer, the worker is back under its ID, answers once and then nothing. The run stayed active at the agent for good, and its job without an answer until its time limit; after two or three answers it counted as over after 640 ms, though its lease could last 1,020 ms.

Cause: a new life dropped the end of the former life's lease. The runs whose starts have no answer are kept, since the platform may carry these starts out late; they carry an end on the former clock, which the worker shortens to its longest lease.

Ruled out: that no such run can be there now that calls are bound to a life. An order that the platform holds back isn't.

Done: such runs count as over 1,025 ms after the new life was heard.

--- a/core/cclease/bounds.go
+++ b/core/cclease/bounds.go
@@ -23,6 +23,9 @@
 	// maxLeaseDuration is how long a lease can last by an accurate clock, plus 5 ms
 	// for the worker to end its runs.
 	maxLeaseDuration = LeaseDuration*100/(100-maxClockDrift) + 5*time.Millisecond
+	// longestLeaseDuration is the same for a lease whose end is on the clock of an earlier
+	// incarnation: the worker shortens it to 1 s.
+	longestLeaseDuration = time.Second*100/(100-maxClockDrift) + 5*time.Millisecond
 )
 
 const (
--- a/core/cclease/lifecycle.go
+++ b/core/cclease/lifecycle.go
@@ -131,6 +131,10 @@
 			r.phase, r.absentAfter, r.stopRetryAt = phaseUnconfirmed, now, time.Time{}
 		}
 	}
+	if len(m.runList) > 0 {
+		// Their starts carry the end of a lease on the clock of the previous incarnation.
+		m.leaseEnd = now.Add(longestLeaseDuration)
+	}
 	m.actions.Changes = append(m.actions.Changes, Change{Message: "Worker lost.", Reason: "worker has a new life", Count: n})
 	m.reportAll(now)
 }
