Ask for the newest plan first

Cause: an entry without a plan took every agent with any plan for a holder of a newer one, and asked the first by name. Only eight agents are sent each new plan; one that was among them while the fleet started kept the plan of that moment. The entry had heard of a later revision from the others.

Ruled out: that no agent had the later plan, or that the entry read an old one from the store; it reached none.

Done: the agents with the newest plan are asked first. "Plan in force." says which revision was reported; "Entry is ready." and "Entry is not ready." tell the plan and the reason.

Tests: TestNewestPlanIsAskedForFirst fails on the code before (agent-1 with revision 2 is asked in place of agent-3 with 5).

--- a/core/ccreplay/relay.go
+++ b/core/ccreplay/relay.go
@@ -124,6 +124,8 @@
 		s.relay.heard = own
 		return
 	}
+	// An agent that relays plans no longer may have an old one.
+	slices.SortStableFunc(holders, func(a, b *agent) int { return cmp.Compare(b.heldPlan, a.heldPlan) })
 	a := holders[s.relay.requests%len(holders)]
 	s.relay.requests++
 	s.relay.askedAt = now
@@ -143,6 +145,6 @@
 func (s *Scheduler) setPlan(now time.Time, plan *ccroute.Plan) {
 	plan.BuildIndex()
 	_, lag := s.PlanLag(now)
-	s.plan, s.planSetAt = plan, now
-	s.recordChange(Change{Message: "Plan in force.", Age: lag, Count: int(plan.Revision)})
+	s.plan, s.planSetAt, s.relay.requests = plan, now, 0
+	s.recordChange(Change{Message: "Plan in force.", Age: lag, Count: int(plan.Revision), Reported: s.relay.heard})
 }
--- a/core/ccreplay/relay_test.go
+++ b/core/ccreplay/relay_test.go
@@ -111,6 +111,23 @@
 	})
 }
 
+// Guards against an entry that starts again while it can't reach the store, and takes a plan from before
+// an evacuation though another agent has a later one.
+func TestNewestPlanIsAskedForFirst(t *testing.T) {
+	f := newFixture(t, "north", "north", "north", "north")
+	for id, revision := range map[ccnode.ID]uint64{"agent-1": 2, "agent-2": 3, "agent-3": 5, "agent-4": 4} {
+		f.s.Report(f.now, id, ccwire.RunReport{PlanRevision: revision})
+	}
+	f.advance(planRequestDelay)
+	if asked := requestsForPlan(f.take()); !slices.Equal(asked, []ccnode.ID{"agent-3"}) {
+		t.Errorf("asked: got %v, want agent-3", asked)
+	}
+	f.advance(planRequestRetry)
+	if asked := requestsForPlan(f.take()); !slices.Equal(asked, []ccnode.ID{"agent-4"}) {
+		t.Errorf("asked without an answer: got %v, want agent-4", asked)
+	}
+}
+
 func TestEntriesAreSentAsChanges(t *testing.T) {
 	entry := func(n int) ccsubset.Entry {
 		return ccsubset.Entry{Addr: netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:7720", n)), Domain: "north"}
--- a/core/ccreplay/scheduler.go
+++ b/core/ccreplay/scheduler.go
@@ -33,6 +33,8 @@
 	// report of a newer plan, depending on Message.
 	Age   time.Duration
 	Count int
+	// Reported is the highest revision of a plan that an agent has reported.
+	Reported uint64
 	// Order is the number of the start order of the run that the change is about. Zero is
 	// none.
 	Order uint64
--- a/io/ccreplay/control.go
+++ b/io/ccreplay/control.go
@@ -65,6 +65,7 @@
 			reported, behind := e.scheduler.PlanLag(now)
 			e.planReported.Store(reported)
 			e.planBehind.Store(int64(behind))
+			e.recordReadiness()
 		case <-e.ctx.Done():
 			for _, s := range e.sessions {
 				s.conn.Close()
--- a/io/ccreplay/entry.go
+++ b/io/ccreplay/entry.go
@@ -88,6 +88,9 @@
 	sessions      map[ccnode.ID]*session
 	pending       map[uint64]chan<- ccreplay.Answer
 	planAppliedAt time.Time // When this entry applied the current plan.
+	// wasReady and unreadyReason are the last results of Ready that were logged.
+	wasReady      bool
+	unreadyReason string
 	suspend       suspendDetector
 	metrics       metrics
 	log           logr.Logger
--- a/io/ccreplay/record.go
+++ b/io/ccreplay/record.go
@@ -100,6 +100,9 @@
 	if c.Count != 0 {
 		fields = append(fields, "count", c.Count)
 	}
+	if c.Reported != 0 {
+		fields = append(fields, "reported", c.Reported)
+	}
 	if c.Order != 0 {
 		fields = append(fields, "order", c.Order)
 	}
@@ -141,3 +144,18 @@
 	}
 	return time.Since(e.planAppliedAt)
 }
+
+// recordReadiness logs when the entry becomes ready, when it no longer is, and why.
+func (e *Entry) recordReadiness() {
+	ready, reason := e.Ready()
+	if ready == e.wasReady && reason == e.unreadyReason {
+		return
+	}
+	e.wasReady, e.unreadyReason = ready, reason
+	fields := []any{"planRevision", e.planRevision(), "reported", e.planReported.Load(), "agents", e.usableAgents.Load()}
+	if ready {
+		e.log.Info("Entry is ready.", fields...)
+		return
+	}
+	e.log.Info("Entry is not ready.", append(fields, "reason", reason)...)
+}
