Test of reset requests: one store an entry

Traced in a trial: in six failures the look at the connection had found the caller gone and nothing was placed for it. The two agents have the same ID, and with a store in common each learns of the other entry and opens a session there, so the second entry placed its own tasks at the first worker.

Done: each entry has a store of its own, so that a start at the first worker can only be one for the reset request. The check is the same.

With the look taken out 5 of 5 fail, with 3 tasks each.

--- a/io/ccreplay/reset_caller_test.go
+++ b/io/ccreplay/reset_caller_test.go
@@ -43,11 +43,12 @@
 // before the entry has read its request sends it again at once, to another entry. What was
 // received of a connection before its reset can still be read.
 func TestResetRequestRunsOnce(t *testing.T) {
-	store := newMemoryStore()
-	putPlan(t, store)
 	var entries []*ccreplay.Entry
 	var workers []*instantWorker
 	for n := range 2 {
+		// With a store in common each agent would use both entries.
+		store := newMemoryStore()
+		putPlan(t, store)
 		addr, worker := freeAddr(t), &instantWorker{hold: true}
 		entry := startEntry(t, fmt.Sprintf("entry-%d", n), addr, 1, store)
 		defer entry.Close()
