Close agents whose failure domain is out

Cause: only entries looked at the plan. Plans go to eight agents, and the cut off entry reached none of these. The agents that started the tasks had sessions with entries that knew better, and were not told.

Ruled out: plans for all agents. They are large, and an agent that doesn't look at its plan starts the task all the same.

Done: entries tell agents of their domain, with the plan's revision: with each plan by which it is out, in each session; that it is back, to an agent that counts it as out by an older plan. An agent goes by the newest word of any entry, and refuses orders as not run while its domain is out.

--- a/core/cclease/manager.go
+++ b/core/cclease/manager.go
@@ -130,7 +130,8 @@
 	runNumbers map[ccwire.TaskRef]lastRunNumber
 	reserved   ccresource.Amount
 	plan       *ccroute.Plan
-	prunedAt   time.Time // When prune was last called.
+	domain     ccwire.DomainState // The newest state of the worker's failure domain.
+	prunedAt   time.Time          // When prune was last called.
 	draining   bool
 	crashes    []crash // The crashes of the worker within crashRetention.
 	crashCount uint64
@@ -213,6 +214,8 @@
 		return "worker is leaving"
 	case m.worker.Draining:
 		return "worker is draining"
+	case m.domainOutRevision() != 0:
+		return "domain is out"
 	case now.Sub(m.heartbeatAt) > heartbeatTimeout:
 		return "no heartbeat from the worker for 5 s"
 	case m.missedPolls > maxMissedPolls:
--- a/core/cclease/order.go
+++ b/core/cclease/order.go
@@ -20,6 +20,7 @@
 		o.capacityInterval = time.Duration(orders.CapacityIntervalMS) * time.Millisecond
 	}
 	m.updatePlan(now, o, orders)
+	m.updateDomain(now, entry, orders.Domain)
 	for _, stop := range orders.Stops {
 		if r := m.runs[stop.Task]; r != nil && r.owner == o.ref && r.order == stop.Order && r.stopRequestedAt.IsZero() {
 			m.stopRun(now, r)
--- a/core/cclease/report.go
+++ b/core/cclease/report.go
@@ -79,6 +79,8 @@
 		ClosedReason:   m.closedReasonFor(now, o),
 		PriorRunsEnded: m.priorRunsEnded() && m.listedFenced(),
 		Pace:           m.pace.value(),
+
+		DomainOutRevision: m.domainOutRevision(),
 	}
 	if m.plan != nil {
 		report.PlanRevision, report.PlanVersion = m.plan.Revision, m.plan.Version
--- a/core/ccproof/plan_world_test.go
+++ b/core/ccproof/plan_world_test.go
@@ -31,6 +31,8 @@
 	*replayWorld
 	accepted []time.Time // When each plan was accepted. The revision is the index plus one.
 	readers  map[ccnode.ID]*planReader
+	// evacuations has the failure domains that are out. Nil if none is ever taken out.
+	evacuations *evacuations
 }
 
 // planReader is an entry's access to the store.
@@ -51,14 +53,23 @@
 // sessions with the entries of its domain and with one of another domain.
 func newPlanWorld(seed uint64) *planWorld {
 	const domains = 3
+	return newPlanWorldWith(seed, domains, 4*domains, func(agent, entry int) bool {
+		remote := (agent + 1 + domains*(agent/domains%2)) % (2 * domains)
+		return entry%domains == agent%domains || entry == remote
+	})
+}
+
+// newPlanWorldWith returns a world with two entries in each domain. An agent has sessions with the
+// entries that it uses.
+func newPlanWorldWith(seed uint64, domains, agents int, uses func(agent, entry int) bool) *planWorld {
 	w := &planWorld{replayWorld: newEmptyWorld(seed), readers: map[ccnode.ID]*planReader{}}
 	w.rng = rand.New(rand.NewPCG(seed, 3))
+	w.domains = domains
 	for range 2 * domains {
 		w.readers[w.addEntry().ref.ID] = &planReader{incarnation: 1, disturbedAt: w.start}
 	}
-	for i := range 4 * domains {
-		remote := (i + 1 + domains*(i/domains%2)) % len(w.entries)
-		w.addAgent(func(entry int) bool { return entry%domains == i%domains || entry == remote })
+	for i := range agents {
+		w.addAgent(func(entry int) bool { return uses(i, entry) })
 	}
 	return w
 }
@@ -80,6 +91,9 @@
 // accept accepts a plan and schedules the next one.
 func (w *planWorld) accept() {
 	w.accepted = append(w.accepted, w.now)
+	if w.evacuations != nil {
+		w.evacuations.accept()
+	}
 	w.logf("plan %d is accepted", len(w.accepted))
 	pause := time.Duration(100+w.rng.IntN(1400)) * time.Millisecond
 	if w.rng.IntN(3) == 0 {
@@ -111,7 +125,7 @@
 		w.schedule(delay, func() {
 			e.deliver(func() {
 				if e.ref == ref {
-					e.scheduler.SetPlan(w.now, &ccroute.Plan{Revision: newest})
+					e.scheduler.SetPlan(w.now, w.plan(newest))
 				}
 			})
 		})
@@ -120,6 +134,15 @@
 	w.schedule(20*time.Millisecond, w.readStore)
 }
 
+// plan returns the plan with a revision.
+func (w *planWorld) plan(revision uint64) *ccroute.Plan {
+	plan := &ccroute.Plan{Revision: revision}
+	if w.evacuations != nil {
+		plan.DomainsOut = w.evacuations.out[revision-1]
+	}
+	return plan
+}
+
 // checkPlans records a violation if an entry's plan is older than it may be.
 func (w *planWorld) checkPlans() {
 	reached := slices.ContainsFunc(w.entries, func(e *replayEntry) bool {
--- a/core/ccproof/replay_worker_test.go
+++ b/core/ccproof/replay_worker_test.go
@@ -17,6 +17,7 @@
 type modelWorker struct {
 	w          *replayWorld
 	id         string
+	domain     string
 	startedAt  time.Time
 	heartbeats uint64
 	token      uint64
@@ -80,7 +81,7 @@
 
 func newModelWorker(w *replayWorld, i int) *modelWorker {
 	return &modelWorker{
-		w: w, capacity: modelCapacity, id: string(rune('a' + i)), startedAt: w.start.Add(-time.Minute),
+		w: w, capacity: modelCapacity, id: string(rune('a' + i)), domain: domainName(i % w.domains), startedAt: w.start.Add(-time.Minute),
 		runs: map[ccwire.TaskRef]*modelRun{}, closed: map[ccwire.TaskRef]uint64{},
 	}
 }
@@ -91,7 +92,7 @@
 
 func (m *modelWorker) self() cclease.Worker {
 	return cclease.Worker{
-		ID: m.id, StartTime: m.startedAt, Service: "s", Domain: "d0", Sequence: m.heartbeats, Clock: m.clock(),
+		ID: m.id, StartTime: m.startedAt, Service: "s", Domain: m.domain, Sequence: m.heartbeats, Clock: m.clock(),
 		Capacity: ccresource.Amount{CPU: m.capacity},
 	}
 }
--- a/core/ccproof/replay_world_test.go
+++ b/core/ccproof/replay_world_test.go
@@ -54,6 +54,7 @@
 	events  eventQueue
 	entries []*replayEntry
 	agents  []*replayAgent
+	domains int // The number of failure domains.
 	token   uint64
 	// incarnation returns the next incarnation of a process.
 	incarnation func(ccnode.ID) ccnode.Incarnation
@@ -530,7 +531,7 @@
 	w.network.entryKilled(e)
 	e.process.kill()
 	e.ref.Incarnation = w.incarnation(e.ref.ID)
-	e.scheduler = ccreplay.New(ccreplay.Config{Self: e.ref, Domain: "d0"})
+	e.scheduler = ccreplay.New(ccreplay.Config{Self: e.ref, Domain: domainName(0)})
 	e.callers = map[uint64]func(ccreplay.Answer){}
 	e.frozenUntil = w.now.Add(200 * time.Millisecond)
 	e.downUntil = e.frozenUntil
@@ -593,11 +594,14 @@
 	return w
 }
 
+// domainName returns the name of a failure domain.
+func domainName(i int) string { return fmt.Sprintf("d%d", i) }
+
 func newEmptyWorld(seed uint64) *replayWorld {
 	start := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 	last := ccnode.Incarnation(100)
 	w := &replayWorld{
-		rng: rand.New(rand.NewPCG(seed, 1)), now: start, start: start,
+		rng: rand.New(rand.NewPCG(seed, 1)), now: start, start: start, domains: 1,
 		incarnation: func(ccnode.ID) ccnode.Incarnation { last++; return last },
 		calls:       callFaults{late: 4, lost: 4, minDelay: 2 * time.Second, maxDelay: 12 * time.Second},
 		workerModel: workerModel{minRun: 30 * time.Millisecond, maxRun: 730 * time.Millisecond},
@@ -609,7 +613,7 @@
 func (w *replayWorld) addEntry() *replayEntry {
 	ref := ccnode.Ref{ID: ccnode.ID(fmt.Sprintf("entry-%d", len(w.entries))), Incarnation: 1}
 	e := &replayEntry{
-		w: w, ref: ref, scheduler: ccreplay.New(ccreplay.Config{Self: ref, Domain: "d0"}), callers: map[uint64]func(ccreplay.Answer){},
+		w: w, ref: ref, scheduler: ccreplay.New(ccreplay.Config{Self: ref, Domain: domainName(0)}), callers: map[uint64]func(ccreplay.Answer){},
 	}
 	e.process = &process{w: w, frozenUntil: func() time.Time { return e.frozenUntil }}
 	w.entries = append(w.entries, e)
--- a/core/ccreplay/agent.go
+++ b/core/ccreplay/agent.go
@@ -48,13 +48,17 @@
 	clockOffset     clockOffset
 	closedReason    string // Why the agent takes no starts. Empty if it does.
 	// free is the free capacity in the agent's latest report.
-	free               ccresource.Amount
-	available          ccresource.Amount // What updateAvailable has computed last.
-	sequence           uint64            // Sequence of the last orders sent in this session.
-	inFlight           []inFlightStart   // Starts that free does not account for yet.
-	planRevision       uint64            // Revision of the plan that the agent has or was sent.
-	heldPlan           uint64            // Revision of the plan that the agent has.
-	relay              bool              // The agent relays plans.
+	free         ccresource.Amount
+	available    ccresource.Amount // What updateAvailable has computed last.
+	sequence     uint64            // Sequence of the last orders sent in this session.
+	inFlight     []inFlightStart   // Starts that free does not account for yet.
+	planRevision uint64            // Revision of the plan that the agent has or was sent.
+	heldPlan     uint64            // Revision of the plan that the agent has.
+	// domainOutRevision is the revision of the plan by which the agent counts its failure domain
+	// as out, or 0, and toldDomain that of the last plan that it was told of in this session.
+	domainOutRevision, toldDomain uint64
+
+	relay              bool // The agent relays plans.
 	relayRank          uint64
 	isolatedFor        uint32             // The isolated class that the agent is kept for, or 0.
 	settledIncarnation ccnode.Incarnation // The latest one whose predecessors have no runs left.
@@ -160,6 +164,7 @@
 		a.domain, a.service, a.labels, a.capacity = w.Domain, w.Service, w.Labels, w.Capacity
 	}
 	s.adoptNewerPlan(now, a, report)
+	s.handleDomain(a, report.DomainOutRevision)
 	if report.PriorRunsEnded && a.settledIncarnation != a.ref.Incarnation && a.knownToken.fencesPrior() {
 		a.settledIncarnation = a.ref.Incarnation
 		s.settleAll(now, a, statedSettled)
--- a/core/ccreplay/attach.go
+++ b/core/ccreplay/attach.go
@@ -39,7 +39,7 @@
 	}
 	a.ref = attach.Node
 	a.entriesSent = attach.EntriesDigest == ccsubset.Digest(s.entries)
-	a.planRevision = 0
+	a.planRevision, a.toldDomain = 0, 0
 	s.relay.stale = true
 	a.attached, a.sequence, a.inFlight, a.orders = true, 0, nil, ccwire.Orders{}
 	a.clockOffset.reset()
--- a/core/ccreplay/outbox.go
+++ b/core/ccreplay/outbox.go
@@ -39,6 +39,9 @@
 				orders.Plan = s.plan
 				a.planRevision = s.plan.Revision
 			}
+			if orders.Domain = s.domainDue(a); orders.Domain != nil {
+				a.toldDomain = s.plan.Revision
+			}
 		}
 		s.addEntries(a, &orders)
 		orders.Demand = s.demandFor(now, a)
--- a/core/ccreplay/tick.go
+++ b/core/ccreplay/tick.go
@@ -43,7 +43,7 @@
 		s.Detach(now, a.ref.ID)
 		return
 	}
-	if now.Sub(a.lastSent) >= a.heartbeatPeriod() || s.planDue(now, a) {
+	if now.Sub(a.lastSent) >= a.heartbeatPeriod() || s.planDue(now, a) || s.domainDue(a) != nil {
 		s.sendNow(a)
 	}
 }
--- a/core/ccwire/session.go
+++ b/core/ccwire/session.go
@@ -162,6 +162,9 @@
 	// Token is the agent's fencing token. Zero means that it has not changed since the
 	// report before.
 	Token uint64 `cbor:"20,keyasint,omitempty"`
+	// DomainOutRevision is the revision of the plan by which the agent's failure domain is
+	// out. Zero means that it is not known to be out.
+	DomainOutRevision uint64 `cbor:"21,keyasint,omitempty"`
 }
 
 // StartOrder asks an agent to start a task.
@@ -220,6 +223,17 @@
 	Demand *Demand `cbor:"12,keyasint,omitempty"`
 	// WantPlan asks for the agent's plan if it is newer than PlanRevision.
 	WantPlan bool `cbor:"11,keyasint,omitempty"`
+	// Domain tells the agent of its failure domain: that it is out, with each plan that says
+	// so, and that it is back. Nil is nothing new.
+	Domain *DomainState `cbor:"14,keyasint,omitempty"`
+}
+
+// DomainState says whether a failure domain is taken out.
+type DomainState struct {
+	Domain string `cbor:"1,keyasint"`
+	Out    bool   `cbor:"2,keyasint,omitempty"`
+	// Revision is that of the plan that says so. A later one prevails.
+	Revision uint64 `cbor:"3,keyasint"`
 }
 
 // FillPayloads sets the payloads that were left out because they are the same as that of
