Start nothing at a worker that has named no life

Cause: a call that names no life may reach any, with a lease on the clock of one. That is so for a worker of which neither a heartbeat nor a list names one; found by reading what the calls rest on.

Done: such a worker gets no starts until an answer or a heartbeat has named it. The search "quick returns" draws workers that are back within 5 ms.

--- a/core/cclease/manager.go
+++ b/core/cclease/manager.go
@@ -214,6 +214,8 @@
 		return "worker is leaving"
 	case m.worker.Draining:
 		return "worker is draining"
+	case m.worker.StartTime.IsZero():
+		return "worker has not named its incarnation"
 	case m.domainOutRevision() != 0:
 		return "domain is out"
 	case now.Sub(m.heartbeatAt) > heartbeatTimeout:
--- a/core/ccproof/search_config_test.go
+++ b/core/ccproof/search_config_test.go
@@ -323,6 +323,17 @@
 	return c
 }
 
+// quickReturnSearch dwells on workers that crash and are back under their ID within milliseconds,
+// while calls to them are in flight.
+func quickReturnSearch() searchConfig {
+	c := calmSearch()
+	c.weights = faultWeights{crashWorker: 1}
+	c.faults, c.jobs = 200, 150
+	c.minAway, c.maxAway = time.Millisecond, 5*time.Millisecond
+	c.calls.lost = 2
+	return c
+}
+
 // closeWindow has a restarted worker refuse late starts until its agent's first call has
 // reached it, so that the window of KNOWN-RED.txt, entry 1, can't occur.
 func closeWindow(c searchConfig) searchConfig {
--- a/core/ccproof/search_guards_test.go
+++ b/core/ccproof/search_guards_test.go
@@ -18,6 +18,7 @@
 	{"token and run number", func(c *searchConfig) { c.off.worker.token, c.off.worker.run = true, true }, lateSearch, classLateSame, 220, 20},
 	{"claims", func(c *searchConfig) { c.off.claims = true }, foreignSearch, classAgent, 0, 10},
 	{"incarnations", func(c *searchConfig) { c.off.incarnations = true }, muteSearch, classAgent, 0, 20},
+	{"incarnations of calls in flight", func(c *searchConfig) { c.off.incarnations = true }, quickReturnSearch, classLateFirst, 30, 10},
 	{"overdue stops", func(c *searchConfig) { c.off.overdueStops = true }, stopSearch, classAgent, 10, 10},
 	{"silent entries", func(c *searchConfig) { c.off.silentEntries = true }, func() searchConfig { return slowSearch(true) }, classOutlived, 0, 20},
 	{"silent entries, until a task runs twice", func(c *searchConfig) { c.off.silentEntries = true }, silenceSearch, classAgent, 0, 20},
--- a/core/ccproof/search_test.go
+++ b/core/ccproof/search_test.go
@@ -37,6 +37,7 @@
 	{"foreign", foreignSearch, 10},
 	{"stops", stopSearch, 10},
 	{"mute returns", muteSearch, 10},
+	{"quick returns", quickReturnSearch, 5},
 	{"slow", func() searchConfig { return slowSearch(true) }, 10},
 	{"slow, until a task runs twice", func() searchConfig { return slowSearch(false) }, 3},
 	{"late silence", silenceSearch, 10},
