--- a/core/ccproof/evacuation_world_test.go
+++ b/core/ccproof/evacuation_world_test.go
@@ -92,7 +92,7 @@
 
 // submit has callers send jobs to all entries.
 func (ev *evacuations) submit() {
-	ev.w.replayWorld.submit(fmt.Sprintf("job-%d", ev.w.seq), 0, ev.w.now.Add(time.Second))
+	ev.w.submit(fmt.Sprintf("job-%d", ev.w.seq), 0, ev.w.now.Add(time.Second))
 	ev.w.schedule(50*time.Millisecond, ev.submit)
 }
 
