Run the tests of plans and evacuations in parallel

Cause: with the race detector and beside load core/ccproof takes minutes of the ten that go test allows a package; its longest tests ran one after the other.

--- a/core/ccproof/evacuation_test.go
+++ b/core/ccproof/evacuation_test.go
@@ -14,6 +14,7 @@
 // Guards against a task that starts in a domain that was taken out, at the order of an entry that is
 // cut off from the store, and against a domain that stays closed after it was taken back.
 func TestNothingStartsInADomainThatIsOut(t *testing.T) {
+	t.Parallel()
 	starts := 0
 	for seed := range uint64(*evacuationSeeds) {
 		w := newEvacuationWorld(seed, false)
@@ -33,6 +34,7 @@
 // Guards against a test that finds nothing: it must find a start if agents are not told of their
 // domain.
 func TestEvacuationsFindAgentsThatAreNotTold(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(2 * *evacuationSeeds) {
 		if violation := newEvacuationWorld(seed, true).run(30 * time.Second); violation != "" {
 			t.Logf("seed %d: %s", seed, violation)
@@ -45,6 +47,7 @@
 // Guards against tasks in a domain that was taken out before all entries started again, while the
 // store is away: they have only the plans of agents, some of which are from before.
 func TestEvacuationOutlastsARestartOfAllEntries(t *testing.T) {
+	t.Parallel()
 	const domains, length = 3, 12 * time.Second
 	for seed := range uint64(10) {
 		w := newPlanWorldWith(seed, domains, 4*domains, func(_, _ int) bool { return true })
--- a/core/ccproof/plan_test.go
+++ b/core/ccproof/plan_test.go
@@ -20,6 +20,7 @@
 // Guards against an entry that keeps an old plan: refused as an older version says though
 // the newer one was accepted long before.
 func TestPlansAreInForceInTime(t *testing.T) {
+	t.Parallel()
 	seeds := slices.Clone(regressionPlanSeeds)
 	for i := range uint64(*planSeeds) {
 		seeds = append(seeds, *planSeedFrom+i)
