Limits: a connection drops a request that it has passed on

What callers saw: a client within all limits that sends requests one after the other, without a pause, made an entry grow until its host had no memory left.

Cause: the buffer of a connection was dropped only once all of it had been passed on. While a part of the next request was always there, the begin of the current header moved on in it, and each read that found it full doubled it. What was reserved was that of the current request only.

Why it works: a request's bytes leave the buffer when they have been passed on, the rest is moved down or into an array of its own length. The buffer is reserved by its capacity before it grows, at most up to one header, and what it holds of the next request stays reserved when a request is answered.

--- a/core/cclimit/table.go
+++ b/core/cclimit/table.go
@@ -152,15 +152,16 @@
 	class.closing--
 	class.closingBytes -= c.held
 	c.phase = PhaseClosed
-	t.release(c)
+	t.release(c, 0)
 }
 
-// release gives back the bytes of a connection and grants them to those that wait, in their
-// order.
-func (t *Table) release(c *Conn) {
+// release gives back the bytes of a connection but for what it keeps, and grants them to those
+// that wait, in their order.
+func (t *Table) release(c *Conn, kept int64) {
 	class := &t.classes[c.Class]
-	class.use.Bytes -= c.held
-	c.held = 0
+	kept = min(kept, c.held)
+	class.use.Bytes -= c.held - kept
+	c.held = kept
 	for len(class.waiting) > 0 {
 		next := class.waiting[0]
 		if class.use.Bytes+next.wants > t.limits.Shares[c.Class].Bytes {
@@ -175,6 +176,20 @@
 	}
 }
 
+// Finish notes that a connection's message has been acted on. It releases what the message
+// held. If kept is not 0, that much of the next message has been received.
+func (t *Table) Finish(c *Conn, kept int64, now time.Time) {
+	if c.phase >= PhaseClosing {
+		return
+	}
+	if kept == 0 {
+		t.Enter(c, PhaseIdle, now)
+		return
+	}
+	t.release(c, kept)
+	t.Enter(c, PhaseHeader, now)
+}
+
 // Enter notes that a connection has received something, or is done with it.
 func (t *Table) Enter(c *Conn, phase Phase, now time.Time) {
 	if c.phase >= PhaseClosing {
@@ -188,7 +203,7 @@
 	switch phase {
 	case PhaseIdle:
 		to = &class.idle
-		t.release(c)
+		t.release(c, 0)
 	case PhaseServing:
 		to = &class.serving
 	case PhaseHeader, PhaseBody, PhaseClosing, PhaseClosed:
--- a/io/cclimit/conn.go
+++ b/io/cclimit/conn.go
@@ -37,11 +37,13 @@
 	writingSince atomic.Int64 // In nanoseconds. Zero if nothing is being written.
 
 	// The fields below are the reader's. net/http has one at a time.
-	buffer []byte // What has been read and not been passed on, and headers in parts.
-	start  int    // Where the current header begins in buffer.
-	next   int    // The first byte that has not been passed on.
-	ready  int    // The bytes from next that may be passed on.
-	early  int64  // What is reserved for a header that is not whole.
+	//
+	// buffer is what has been read and not been passed on, and the begin of a header that is
+	// not whole. What it takes is reserved. A whole header and its part of the body are dropped
+	// once they are passed on, so it never grows with the number of requests.
+	buffer []byte
+	next   int // The first byte of buffer that has not been passed on.
+	ready  int // The bytes from next that may be passed on.
 	body   body
 	err    error // The end of the connection.
 }
@@ -69,12 +71,27 @@
 	n := copy(p, c.buffer[c.next:c.next+c.ready])
 	c.next += n
 	c.ready -= n
-	if c.ready == 0 && c.next == len(c.buffer) {
-		c.buffer, c.start, c.next = nil, 0, 0
+	if c.ready == 0 {
+		c.dropPassed()
 	}
 	return n
 }
 
+// dropPassed drops what has been passed on from the buffer. The rest stays in an array of its
+// own size, unless that is small anyway.
+func (c *Conn) dropPassed() {
+	rest := c.buffer[c.next:]
+	switch {
+	case len(rest) == 0:
+		c.buffer = nil
+	case cap(c.buffer) <= firstHeader:
+		c.buffer = c.buffer[:copy(c.buffer, rest)]
+	default:
+		c.buffer = append(make([]byte, 0, len(rest)), rest...)
+	}
+	c.next = 0
+}
+
 // readAhead reads the first byte of the next request while one is served. The server looks
 // for it in order to notice that the client has left.
 func (c *Conn) readAhead(p []byte) (int, error) {
@@ -91,7 +108,7 @@
 
 // readHeader passes on a header once it is whole.
 func (c *Conn) readHeader(p []byte) (int, error) {
-	if c.start == len(c.buffer) {
+	if len(c.buffer) == 0 {
 		// Most headers arrive at once and need no buffer.
 		n, err := c.Conn.Read(p)
 		if n == 0 {
@@ -100,59 +117,60 @@
 		if end := headEnd(p[:n], 0); end > 0 {
 			return c.begin(p[:n], end)
 		}
-		c.buffer, c.start, c.next = append(c.buffer[:0], p[:n]...), 0, 0
-		if !c.reservePart(n) {
+		if !c.grow(max(n, firstHeader)) {
 			return 0, c.refuse(cclimit.ReasonMemory)
 		}
+		c.buffer = append(c.buffer, p[:n]...)
 	}
-	searched := c.start
-	for {
-		if end := headEnd(c.buffer[c.start:], searched-c.start); end > 0 {
-			passed := c.next - c.start
-			n, err := c.begin(c.buffer[c.start:], end)
+	for searched := 0; ; {
+		if end := headEnd(c.buffer, searched); end > 0 {
+			n, err := c.begin(c.buffer, end)
 			if err != nil {
 				return 0, err
 			}
-			c.ready = n - passed
+			c.ready = n - c.next
 			return c.pass(p), nil
 		}
 		searched = len(c.buffer)
-		if searched-c.start > c.limits().HeaderBytes+cclimit.HeaderSlack {
+		if searched > c.maxHeader() {
 			return 0, c.refuse(cclimit.ReasonHeaderBytes)
 		}
-		n, err := c.readMore()
-		if n == 0 {
-			return 0, err
-		}
-		if !c.reservePart(n) {
+		if searched == cap(c.buffer) && !c.grow(min(2*searched, c.maxHeader()+1)) {
 			return 0, c.refuse(cclimit.ReasonMemory)
 		}
+		if n, err := c.readMore(); n == 0 {
+			return 0, err
+		}
 	}
 }
 
-// reservePart reserves a part of a header.
-func (c *Conn) reservePart(n int) bool {
-	bytes := int64(n) * cclimit.HeaderFactor
-	c.early += bytes
-	return c.gate.reserve(&c.record, cclimit.PhaseHeader, bytes, false)
+// maxHeader returns the length of the longest header.
+func (c *Conn) maxHeader() int { return c.limits().HeaderBytes + cclimit.HeaderSlack }
+
+// grow moves a part of a header to a buffer of a size, which it reserves.
+func (c *Conn) grow(size int) bool {
+	size = max(size, firstHeader)
+	if !c.gate.reserve(&c.record, cclimit.PhaseHeader, int64(size), false) {
+		return false
+	}
+	c.buffer = append(make([]byte, 0, size), c.buffer...)
+	return true
 }
 
 // readMore reads more of a header into the buffer.
 func (c *Conn) readMore() (int, error) {
-	if len(c.buffer) == cap(c.buffer) {
-		grown := make([]byte, len(c.buffer), max(firstHeader, 2*cap(c.buffer)))
-		copy(grown, c.buffer)
-		c.buffer = grown
-	}
 	n, err := c.Conn.Read(c.buffer[len(c.buffer):cap(c.buffer)])
 	c.buffer = c.buffer[:len(c.buffer)+n]
+	if n > 0 {
+		c.gate.enter(&c.record, cclimit.PhaseHeader)
+	}
 	return n, err
 }
 
 // begin takes a whole header and what follows it of its body. It returns the length of
 // both. What follows them is kept for the next request.
 func (c *Conn) begin(data []byte, end int) (int, error) {
-	if end > c.limits().HeaderBytes+cclimit.HeaderSlack {
+	if end > c.maxHeader() {
 		return 0, c.refuse(cclimit.ReasonHeaderBytes)
 	}
 	h := parseHead(data[:end])
@@ -161,18 +179,17 @@
 	}
 	c.body = newBody(h)
 	taken := c.body.take(data[end:])
+	rest := data[end+taken:]
 	cost := int64(end)*cclimit.HeaderFactor + int64(h.lines+c.body.lines)*cclimit.LineCost + int64(taken)*cclimit.BytesFactor
-	cost = max(0, cost-c.early)
-	c.early = 0
+	if len(c.buffer) == 0 {
+		cost += int64(len(rest))
+	}
 	if !c.gate.reserve(&c.record, cclimit.PhaseBody, cost, !c.body.open()) {
 		return 0, c.refuse(cclimit.ReasonMemory)
 	}
 	c.serving.Store(true)
-	// The data may lie in the buffer itself, where the rest stays.
-	if rest := data[end+taken:]; len(rest) > 0 && c.start == len(c.buffer) {
-		c.buffer, c.start, c.next = append(make([]byte, 0, len(rest)), rest...), 0, 0
-	} else if c.start < len(c.buffer) {
-		c.start += end + taken
+	if len(c.buffer) == 0 && len(rest) > 0 {
+		c.buffer = append(make([]byte, 0, len(rest)), rest...)
 	}
 	return end + taken, nil
 }
@@ -188,20 +205,22 @@
 		return 0, err
 	}
 	taken := c.body.take(p[:n])
-	if taken < n {
-		c.buffer, c.start, c.next = append([]byte(nil), p[taken:n]...), 0, 0
-	}
-	cost := int64(taken)*cclimit.BytesFactor + int64(c.body.lines)*cclimit.LineCost
+	rest := p[taken:n]
+	cost := int64(taken)*cclimit.BytesFactor + int64(c.body.lines)*cclimit.LineCost + int64(len(rest))
 	if !c.gate.reserve(&c.record, cclimit.PhaseBody, cost, !c.body.open()) {
 		return 0, c.fail(cclimit.ReasonMemory)
 	}
+	if len(rest) > 0 {
+		c.buffer = append(make([]byte, 0, len(rest)), rest...)
+	}
 	return taken, err
 }
 
-// finished notes that a request has been answered.
+// finished notes that a request has been answered. What was read of the next one stays
+// reserved.
 func (c *Conn) finished() {
 	c.serving.Store(false)
-	c.gate.enter(&c.record, cclimit.PhaseIdle)
+	c.gate.finish(&c.record, int64(cap(c.buffer)))
 }
 
 // Write passes on an answer. A client that doesn't read it is found by the next sweeps.
@@ -241,7 +260,7 @@
 	if reason != cclimit.ReasonMemory { // The table has counted that.
 		c.gate.count(reason)
 	}
-	c.buffer, c.start, c.next, c.ready = nil, 0, 0, 0
+	c.buffer, c.next, c.ready = nil, 0, 0
 	refused := &cclimit.Error{Op: "read " + reason.String(), Kind: cclimit.KindRefused, Err: errFinished}
 	// The server answers an error of another type with 400.
 	c.err = &net.OpError{Op: "read", Net: "tcp", Err: refused}
--- a/io/cclimit/gate.go
+++ b/io/cclimit/gate.go
@@ -257,6 +257,13 @@
 	g.table.Enter(c, phase, g.coarseNow())
 }
 
+// finish notes that a message has been acted on, and that bytes of the next one are kept.
+func (g *Gate) finish(c *cclimit.Conn, kept int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.table.Finish(c, kept, g.coarseNow())
+}
+
 func (g *Gate) count(reason cclimit.Reason) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/io/cclimit/stream.go
+++ b/io/cclimit/stream.go
@@ -72,7 +72,7 @@
 }
 
 // Done releases what was reserved for a message.
-func (s *Stream) Done() { s.gate.enter(&s.record, cclimit.PhaseIdle) }
+func (s *Stream) Done() { s.gate.finish(&s.record, 0) }
 
 // RefuseFrame counts a message over the limit.
 func (s *Stream) RefuseFrame() { s.gate.count(cclimit.ReasonFrame) }
