Limits: one end of a request for the limits and for the server

What callers saw: one request of 100 bytes ended an entry. With the bytes "0 CRLF LF CRLF" at the end of its chunks, the process panicked outside any handler, at each address that speaks HTTP, agents included.

Cause: the limits find the end of a request in order to check the header of the next one before the server reads it. They took any line feed for the end of a line in a trailer; net/http looks for CRLF CRLF first. So the server read the next header byte by byte as what follows the trailer, and the connection then began a request of which more had been passed on than it had. The other way round, headers reached the server that nobody had checked: after a POST net/http skips up to four line breaks, which counted as a request here; it ignores the chunks of HTTP/1.0.

Why it works: what net/http may read in two ways (a trailer line that ends by LF alone, chunks in HTTP/1.0, a size that can't be read) gets 400 and the end of the connection; line breaks after a POST are skipped as net/http skips them. Beyond that, the server gets at most one byte behind a request before it has answered it, and a connection ends if the server is done with a request and the limits are not, so a further difference costs a connection and not the process.

--- a/io/cclimit/body.go
+++ b/io/cclimit/body.go
@@ -6,9 +6,11 @@
 	// left is what remains of a body of known length, or of a chunk with its line end.
 	left   int64
 	digits int // Of the current chunk's size.
-	// blank is whether the current line of the trailer is empty so far.
-	blank bool
-	lines int // Line ends in the sizes and the trailer, since take was called.
+	// lineBytes is the length of the current line of the trailer so far, and carriageReturn
+	// whether its last byte is one.
+	lineBytes      int64
+	carriageReturn bool
+	lines          int // Line ends in the sizes and the trailer, since take was called.
 }
 
 type bodyState uint8
@@ -37,6 +39,9 @@
 	}
 }
 
+// broken reports whether the end of the body can't be told.
+func (b *body) broken() bool { return b.state == bodyBroken }
+
 // open reports whether more of the body is to come.
 func (b *body) open() bool { return b.state != bodyNone }
 
@@ -54,7 +59,7 @@
 				b.endPart()
 			}
 		case bodyBroken:
-			return len(data)
+			return i
 		default:
 			b.takeByte(data[i])
 			i++
@@ -96,22 +101,31 @@
 			b.endSize()
 		}
 	case bodyTrailer:
-		switch {
-		case c == '\n' && b.blank:
-			b.state = bodyNone
-		case c == '\n':
-			b.blank = true
-		case c != '\r':
-			b.blank = false
-		}
+		b.takeTrailerByte(c)
 	case bodyNone, bodyLength, bodyChunk, bodyBroken:
 	}
 }
 
+// takeTrailerByte consumes a byte of the trailer. net/http finds the end of a trailer by CRLF
+// and the ends of its lines by LF, so a line that ends by LF alone may be its end or not.
+func (b *body) takeTrailerByte(c byte) {
+	switch {
+	case c != '\n':
+		b.lineBytes++
+		b.carriageReturn = c == '\r'
+	case !b.carriageReturn:
+		b.state = bodyBroken
+	case b.lineBytes == 1:
+		b.state = bodyNone
+	default:
+		b.lineBytes, b.carriageReturn = 0, false
+	}
+}
+
 // endSize goes on to the chunk, or to the trailer after the last one.
 func (b *body) endSize() {
 	if b.left == 0 {
-		b.state, b.blank = bodyTrailer, true
+		b.state, b.lineBytes, b.carriageReturn = bodyTrailer, 0, false
 		return
 	}
 	b.state = bodyChunk
--- a/io/cclimit/conn.go
+++ b/io/cclimit/conn.go
@@ -45,7 +45,13 @@
 	next   int // The first byte of buffer that has not been passed on.
 	ready  int // The bytes from next that may be passed on.
 	body   body
-	err    error // The end of the connection.
+	// afterPost is set when the last request was a POST. The server skips some line breaks then.
+	afterPost bool
+	// ahead is set when the byte that follows the current request has been passed on.
+	ahead bool
+	// outOfStep is set when the server has found the end of a request elsewhere.
+	outOfStep bool
+	err       error // The end of the connection.
 }
 
 // Read passes on bytes of a request within the limits.
@@ -55,6 +61,8 @@
 		return 0, c.err
 	case len(p) == 0:
 		return 0, nil
+	case c.outOfStep:
+		return 0, c.refuse(cclimit.ReasonMalformed)
 	case c.ready > 0:
 		return c.pass(p), nil
 	case c.body.open():
@@ -93,8 +101,18 @@
 }
 
 // readAhead reads the first byte of the next request while one is served. The server looks
-// for it in order to notice that the client has left.
+// for it in order to notice that the client has left. A server that reads more has not found
+// the end of the request, and would read headers that were not checked.
 func (c *Conn) readAhead(p []byte) (int, error) {
+	if c.ahead {
+		return 0, c.fail(cclimit.ReasonMalformed)
+	}
+	n, err := c.readByte(p)
+	c.ahead = n > 0
+	return n, err
+}
+
+func (c *Conn) readByte(p []byte) (int, error) {
 	if c.next < len(c.buffer) {
 		p[0] = c.buffer[c.next]
 		c.next++
@@ -114,7 +132,7 @@
 		if n == 0 {
 			return 0, err
 		}
-		if end := headEnd(p[:n], 0); end > 0 {
+		if end := c.headEnd(p[:n], 0); end > 0 {
 			return c.begin(p[:n], end)
 		}
 		if !c.grow(max(n, firstHeader)) {
@@ -123,11 +141,15 @@
 		c.buffer = append(c.buffer, p[:n]...)
 	}
 	for searched := 0; ; {
-		if end := headEnd(c.buffer, searched); end > 0 {
+		if end := c.headEnd(c.buffer, searched); end > 0 {
 			n, err := c.begin(c.buffer, end)
 			if err != nil {
 				return 0, err
 			}
+			if n <= c.next {
+				// An empty line, whose only byte was read ahead.
+				return 0, c.refuse(cclimit.ReasonMalformed)
+			}
 			c.ready = n - c.next
 			return c.pass(p), nil
 		}
@@ -144,6 +166,26 @@
 	}
 }
 
+// headEnd returns the length of a header and the line breaks in front of it that the server
+// skips, or 0 if data doesn't contain its end. Bytes before from were searched before.
+func (c *Conn) headEnd(data []byte, from int) int {
+	skipped := c.skipped(data)
+	if skipped == maxLineBreaks || skipped < len(data) {
+		if end := headEnd(data[skipped:], from-skipped); end > 0 {
+			return skipped + end
+		}
+	}
+	return 0
+}
+
+// skipped returns how many bytes the server skips in front of a header.
+func (c *Conn) skipped(data []byte) int {
+	if !c.afterPost {
+		return 0
+	}
+	return lineBreaks(data)
+}
+
 // maxHeader returns the length of the longest header.
 func (c *Conn) maxHeader() int { return c.limits().HeaderBytes + cclimit.HeaderSlack }
 
@@ -173,12 +215,15 @@
 	if end > c.maxHeader() {
 		return 0, c.refuse(cclimit.ReasonHeaderBytes)
 	}
-	h := parseHead(data[:end])
+	h := parseHead(data[c.skipped(data):end])
 	if h.unclear {
 		return 0, c.refuse(cclimit.ReasonMalformed)
 	}
 	c.body = newBody(h)
 	taken := c.body.take(data[end:])
+	if c.body.broken() {
+		return 0, c.refuse(cclimit.ReasonMalformed)
+	}
 	rest := data[end+taken:]
 	cost := int64(end)*cclimit.HeaderFactor + int64(h.lines+c.body.lines)*cclimit.LineCost + int64(taken)*cclimit.BytesFactor
 	if len(c.buffer) == 0 {
@@ -187,6 +232,7 @@
 	if !c.gate.reserve(&c.record, cclimit.PhaseBody, cost, !c.body.open()) {
 		return 0, c.refuse(cclimit.ReasonMemory)
 	}
+	c.ahead, c.afterPost = false, h.post
 	c.serving.Store(true)
 	if len(c.buffer) == 0 && len(rest) > 0 {
 		c.buffer = append(make([]byte, 0, len(rest)), rest...)
@@ -205,6 +251,9 @@
 		return 0, err
 	}
 	taken := c.body.take(p[:n])
+	if c.body.broken() {
+		return 0, c.refuse(cclimit.ReasonMalformed)
+	}
 	rest := p[taken:n]
 	cost := int64(taken)*cclimit.BytesFactor + int64(c.body.lines)*cclimit.LineCost + int64(len(rest))
 	if !c.gate.reserve(&c.record, cclimit.PhaseBody, cost, !c.body.open()) {
@@ -219,7 +268,7 @@
 // finished notes that a request has been answered. What was read of the next one stays
 // reserved.
 func (c *Conn) finished() {
-	c.serving.Store(false)
+	c.outOfStep = !c.serving.Swap(false) || c.ready > 0 || c.body.open()
 	c.gate.finish(&c.record, int64(cap(c.buffer)))
 }
 
@@ -239,7 +288,8 @@
 	return c.stream.Close()
 }
 
-// refuse answers a request whose header the server has not seen, and ends the connection.
+// refuse answers a request of whose header or body the server has not seen the end, and ends
+// the connection. What the server writes after it is lost.
 func (c *Conn) refuse(reason cclimit.Reason) error {
 	status, retry := "431 Request Header Fields Too Large", ""
 	switch reason {
--- a/io/cclimit/conn_test.go
+++ b/io/cclimit/conn_test.go
@@ -185,3 +185,30 @@
 	}
 	t.Fatalf("requests don't hold %d bytes", bytes)
 }
+
+// Guards against a process that ends, or headers that are not checked, since the server finds
+// the end of a request elsewhere than the limits do.
+func TestAmbiguousEnds(t *testing.T) {
+	addr, _ := serve(t, nil)
+	chunked := "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n12\r\n0\r\n"
+	next := "GET /b HTTP/1.1\r\nHost: h\r\n\r\n"
+	for name, request := range map[string]string{
+		"trailer of one line feed":     chunked + "\n\r\n" + next,
+		"trailer of two line feeds":    chunked + "\n\n" + next,
+		"trailer line with line feed":  chunked + "A: b\n\n" + next,
+		"trailer of carriage returns":  chunked + "\r\r\n" + next,
+		"HTTP/1.0 with chunks":         strings.Replace(chunked, "1.1", "1.0\r\nConnection: keep-alive", 1) + "\r\n" + next,
+		"size of many digits":          strings.Replace(chunked, "2\r\n12", "0000000000000002\r\n12", 1) + "\r\n" + next,
+		"empty line behind a request":  next + "\n" + next,
+		"line breaks behind a POST":    chunked + "\r\n\r\n\n\r" + next,
+		"more line breaks":             chunked + "\r\n\r\n\r\n\n" + next,
+		"empty lines behind a request": next + "\r\n\r\n" + next,
+	} {
+		for _, size := range []int{1, len(chunked) - 1, len(chunked) + 1, len(request)} {
+			t.Run(fmt.Sprint(name, " in pieces of ", size), func(t *testing.T) {
+				exchange(t, addr, []byte(request), uint8(size-1))
+				assertAnswers(t, answers(t, addr, 1, next), "200 /b 0 <nil>")
+			})
+		}
+	}
+}
--- a/io/cclimit/head.go
+++ b/io/cclimit/head.go
@@ -12,6 +12,7 @@
 	lines   int
 	length  int64 // Of the body.
 	chunked bool
+	post    bool // The method is POST.
 	// unclear means that the end of the body can't be told.
 	unclear bool
 }
@@ -42,11 +43,22 @@
 	return 0
 }
 
+// maxLineBreaks is how many line breaks net/http skips in front of a request that follows a POST.
+const maxLineBreaks = 4
+
+// lineBreaks returns how many bytes net/http skips in front of a request that follows a POST.
+func lineBreaks(data []byte) int {
+	data = data[:min(len(data), maxLineBreaks)]
+	return len(data) - len(bytes.TrimLeft(data, "\r\n"))
+}
+
 // parseHead finds the length of the body in a whole header. It understands what net/http
 // accepts; what net/http refuses may be misunderstood, since it closes the connection.
 func parseHead(data []byte) head {
 	var h head
 	inLength := false
+	requestLine, _, _ := bytes.Cut(data, []byte("\n"))
+	h.post = bytes.HasPrefix(requestLine, []byte("POST "))
 	for len(data) > 0 {
 		end := bytes.IndexByte(data, '\n')
 		if end < 0 {
@@ -75,6 +87,8 @@
 		}
 		inLength = inLength && (line[0] == ' ' || line[0] == '\t')
 	}
+	// net/http ignores the coding of a request of HTTP/1.0.
+	h.unclear = h.unclear || h.chunked && !bytes.HasSuffix(bytes.TrimRight(requestLine, "\r"), []byte(" HTTP/1.1"))
 	return h
 }
 
