Limits: released bytes count until they are collected

Cause: bytes counted as free when a connection ended. Their memory is in use until a garbage collection that began later has ended, and until then as much again was granted.

Why it works: garbage is part of what a share holds. A request that finds the share full of garbage waits for a collection, which the gate asks for, at most every 20 ms; nobody is closed or refused for it. At half a share it is asked for in advance. In calm the collector's own collections come long before, and a cleanup of an unreachable object tells of them.

--- a/core/cclimit/table.go
+++ b/core/cclimit/table.go
@@ -51,6 +51,7 @@
 	closingBytes int64 // What these hold.
 	waiting      []*Conn
 	wantedBytes  int64 // What the waiting ones want.
+	garbage      garbage
 }
 
 // NewTable returns an empty table.
@@ -161,10 +162,17 @@
 	class := &t.classes[c.Class]
 	kept = min(kept, c.held)
 	class.use.Bytes -= c.held - kept
+	class.garbage.add(c.held - kept)
 	c.held = kept
+	t.grant(c.Class)
+}
+
+// grant reserves bytes for those that wait, as far as the share allows.
+func (t *Table) grant(of Class) {
+	class := &t.classes[of]
 	for len(class.waiting) > 0 {
 		next := class.waiting[0]
-		if class.use.Bytes+next.wants > t.limits.Shares[c.Class].Bytes {
+		if class.use.Bytes+class.garbage.bytes()+next.wants > t.limits.Shares[of].Bytes {
 			return
 		}
 		class.waiting = class.waiting[1:]
@@ -220,18 +228,18 @@
 // Reserve reserves bytes for a connection. If the share of the class is used up, messages
 // that began before that of the connection and are not complete give way, the oldest
 // first: their connections are chosen and returned to be closed, and the connection waits
-// for their bytes. If that is not enough, nothing is reserved and none is chosen.
+// for their bytes. If that is not enough, nothing is reserved and none is chosen. If bytes
+// that are not collected yet are enough, it waits for their collection only.
 func (t *Table) Reserve(c *Conn, bytes int64) (victims []*Conn, result Result) {
 	if c.phase >= PhaseClosing {
 		return nil, Refused
 	}
 	class, share := &t.classes[c.Class], t.limits.Shares[c.Class].Bytes
-	if class.use.Bytes+class.wantedBytes+bytes <= share {
+	if class.use.Bytes+class.garbage.bytes()+class.wantedBytes+bytes <= share {
 		class.use.Bytes += bytes
 		c.held += bytes
 		return nil, Reserved
 	}
-	t.Count(ReasonMemory)
 	missing := class.use.Bytes - class.closingBytes + class.wantedBytes + bytes - share
 	for older := class.reading.first; older != nil && older != c && older.order < c.order && missing > 0; older = older.next {
 		if gain := older.held + older.wants; gain > 0 && (!older.Identified || c.Identified) {
@@ -240,9 +248,11 @@
 		}
 	}
 	if missing > 0 {
+		t.Count(ReasonMemory)
 		return nil, Refused
 	}
 	for _, victim := range victims {
+		t.Count(ReasonMemory)
 		t.Evict(victim)
 	}
 	c.wants = bytes
--- a/io/cclimit/gate.go
+++ b/io/cclimit/gate.go
@@ -76,7 +76,10 @@
 	end chan struct{}
 
 	endOnce sync.Once
-	swept   sync.WaitGroup
+	running sync.WaitGroup
+
+	collectWanted chan struct{}
+	collections   atomic.Uint64 // That were asked for.
 
 	mu       sync.Mutex // Guards the fields below.
 	table    *cclimit.Table
@@ -90,20 +93,22 @@
 func NewGate(cfg Config) *Gate {
 	g := &Gate{
 		log: cfg.Log, end: make(chan struct{}), table: cclimit.NewTable(cfg.Limits),
-		conns: map[*Conn]struct{}{}, logged: map[cclimit.Reason]uint64{},
+		conns: map[*Conn]struct{}{}, logged: map[cclimit.Reason]uint64{}, collectWanted: make(chan struct{}, 1),
 	}
 	g.now.Store(time.Now().UnixNano())
-	g.swept.Go(g.sweep)
+	g.running.Go(g.sweep)
+	g.running.Go(g.collectLoop)
+	g.watchCollections()
 	return g
 }
 
-// Close ends the gate's goroutine. Its listeners go on without timeouts.
+// Close ends the gate's goroutines. Its listeners go on without timeouts.
 func (g *Gate) Close() {
 	if g == nil {
 		return
 	}
 	g.endOnce.Do(func() { close(g.end) })
-	g.swept.Wait()
+	g.running.Wait()
 }
 
 // HTTP returns the listener for a server, whose hooks it sets. limits is called for each
@@ -236,6 +241,9 @@
 	if result == cclimit.Reserved && whole {
 		g.table.Enter(c, cclimit.PhaseServing, now)
 	}
+	if result == cclimit.Waits {
+		g.collectIfNeeded()
+	}
 	g.mu.Unlock()
 	if result != cclimit.Waits {
 		return result == cclimit.Reserved
@@ -262,6 +270,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.table.Finish(c, kept, g.coarseNow())
+	g.collectIfNeeded()
 }
 
 func (g *Gate) count(reason cclimit.Reason) {
--- a/io/cclimit/report.go
+++ b/io/cclimit/report.go
@@ -7,7 +7,8 @@
 	"camphorcroft/io/ccmetric"
 )
 
-// Export adds the gate's metrics to a set: limitRefusals by reason, and limitUse by class.
+// Export adds the gate's metrics to a set: limitRefusals by reason, limitUse and
+// limitUncollected by class, and limitCollections.
 func (g *Gate) Export(set *ccmetric.Set) {
 	if g == nil {
 		return
@@ -22,6 +23,16 @@
 		}
 		return use
 	})
+	set.Func("limitUncollected", func() any {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		uncollected := map[string]int64{}
+		for _, class := range cclimit.Classes() {
+			uncollected[class.String()] = g.table.Uncollected(class)
+		}
+		return uncollected
+	})
+	set.Func("limitCollections", func() any { return g.collections.Load() })
 }
 
 func (g *Gate) refusals() map[string]uint64 {
--- a/io/cclimit/stream.go
+++ b/io/cclimit/stream.go
@@ -22,6 +22,7 @@
 	s.once.Do(func() {
 		s.gate.mu.Lock()
 		s.gate.table.Remove(&s.record)
+		s.gate.collectIfNeeded()
 		s.gate.mu.Unlock()
 	})
 	return s.Conn.Close()
