Limits: a new connection doesn't wait for good for others to end

What callers saw: nothing was accepted at an address, and a stop of the process hung, for as long as an eighth of the connections of a class were being closed and didn't end.

Cause: the accept loop waited for their ends without a bound, and http.Server.Shutdown waits for the accept loop whatever its context says.

Evidence: TestAcceptEndsWhileCrowded has 30 connections whose owners never notice the end of their sockets. Before, a connection waited for the 20 s of the test; now it is closed, and the stop ends. TestReservationEnds shows the other wait, for memory of such connections, to end by its timeout and by the end of its own connection; it passed before.

Why it works: after 250 ms a new connection is refused, as when a class is full.

--- a/io/cclimit/gate.go
+++ b/io/cclimit/gate.go
@@ -33,8 +33,10 @@
 	// lateSweep is the time since the last sweep above which the process has stood still. Its
 	// clients may have sent what it hasn't read yet, so they get one more interval.
 	lateSweep = 4 * sweepInterval
-	// crowdedPause is how long no connection is accepted while many are being closed.
-	crowdedPause = time.Millisecond
+	// crowdedPause is how often it is looked whether many connections are still being closed, and
+	// crowdedTimeout how long a new one waits for their ends until it is refused.
+	crowdedPause   = time.Millisecond
+	crowdedTimeout = 250 * time.Millisecond
 	// stuckAfter is how long an answer is written before its connection may be closed for
 	// another one. An answer fits into the socket's buffer unless the client reads nothing.
 	stuckAfter = time.Second
@@ -192,10 +194,15 @@
 func (g *Gate) coarseNow() time.Time { return time.Unix(0, g.now.Load()) }
 
 // admit records a connection and closes another one for it if that is necessary. It waits
-// while too many are being closed.
+// while too many are being closed, but not for good: a server that stops waits for the call.
 func (g *Gate) admit(c *cclimit.Conn) bool {
 	g.mu.Lock()
-	for g.table.Crowded(c.Class) {
+	for pauses := 0; g.table.Crowded(c.Class); pauses++ {
+		if pauses == int(crowdedTimeout/crowdedPause) {
+			g.table.Count(cclimit.ReasonConnections)
+			g.mu.Unlock()
+			return false
+		}
 		g.mu.Unlock()
 		time.Sleep(crowdedPause)
 		g.mu.Lock()
