Entry: a job without a caller keeps no payload

What callers saw: nothing yet; found while listing what one request makes an entry keep.

Cause: what is reserved for a body is released when its connection ends. The scheduler kept the job's payload, up to 256 KB, until its runs had ended, up to 12 s with an agent that stands still.

Evidence: TestPayloadEndsWithItsCaller fails before.

Why it works: an answered job starts no further run, and start orders that are on their way have the payload themselves.

--- a/core/ccreplay/submit.go
+++ b/core/ccreplay/submit.go
@@ -216,6 +216,7 @@
 func (s *Scheduler) closeJob(now time.Time, j *job) {
 	j.answered = true
 	j.waiters = nil
+	j.request.Payload = "" // No run is started any more.
 	for i := range j.tasks {
 		s.stopRun(j, i)
 	}
