Entry: bound the tasks of the jobs that wait

What callers saw: callers of small jobs beside a crowd of legal jobs of 1,500 tasks were rarely answered, and an entry of 144 MB took up to 131 MB.

Cause: a body of 150 bytes stands for 1,500 tasks, of 200 bytes each at the entry. What was reserved was the body, and the queue was bounded to 10,000 jobs, which is 3 GB.

Why it works: tasks have a budget of their own, a twentieth of the host's memory, which the sum of the limits includes. A job may take half of what is free, so large ones are refused first, at once and with the time in which the tasks before them are placed; what is held is released when the last run has ended, whether the caller is there or not.

limits.maxTasks sets it: 26,214 tasks at 128 MB. A single legal job always fits.

--- a/core/ccconfig/limits.go
+++ b/core/ccconfig/limits.go
@@ -16,6 +16,8 @@
 type Limits struct {
 	MemoryMB       *int `yaml:"memoryMB"`
 	MaxDescriptors *int `yaml:"maxDescriptors"`
+	// MaxTasks limits the tasks of the jobs that an entry on the platform has taken.
+	MaxTasks *int `yaml:"maxTasks"`
 	// Requests, Control, Sessions and Observation are the shares of the listeners.
 	Requests    LimitShare `yaml:"requests"`
 	Control     LimitShare `yaml:"control"`
@@ -63,6 +65,9 @@
 			limits.Shares[class].Bytes = int64(*share.MemoryKB) << 10
 		}
 	}
+	if set.MaxTasks != nil {
+		limits.MaxTasks = *set.MaxTasks
+	}
 	if set.BodyTimeout != nil {
 		limits.BodyTimeout = *set.BodyTimeout
 	}
--- a/core/ccconfig/limits_test.go
+++ b/core/ccconfig/limits_test.go
@@ -14,6 +14,8 @@
 		"limits: {memoryMB: 0}\n":                    "limits.memoryMB",
 		"limits: {memoryMB: 60}\n":                   "limits.memoryMB",
 		"limits: {maxDescriptors: -1}\n":             "limits.maxDescriptors",
+		"limits: {maxTasks: 3000}\n":                 "limits.maxTasks",
+		"limits: {maxTasks: 100000000}\n":            "limits.memoryMB",
 		"limits: {requests: {memoryKB: 100}}\n":      "limits.requests.memoryKB",
 		"limits: {sessions: {memoryKB: 2000000}}\n":  "limits.memoryMB",
 		"limits: {control: {connections: 0}}\n":      "limits.control.connections",
--- a/core/cclimit/limits.go
+++ b/core/cclimit/limits.go
@@ -67,6 +67,10 @@
 	BytesFactor = 3
 	// HeaderFactor is the memory per byte of a header: the buffer and the parsed text.
 	HeaderFactor = 2
+	// TaskMemory is the memory of a task that an entry has taken, until its runs have ended.
+	TaskMemory = 256
+	// taskPart is the part of the memory that tasks may take.
+	taskPart = 20
 	// LineCost is the memory per header line, since the parsed map takes far more than
 	// the bytes of a short line. 1,000 headers of 16 KB with lines of 6 bytes took 348 MB,
 	// or 130 bytes per line.
@@ -85,6 +89,10 @@
 	maxMessage = 4 << 20
 	// maxRequestBody is the largest body of a caller's request by default.
 	maxRequestBody = 256 << 10
+	// maxJobTasks is the number of tasks of the largest legal job, and taskRoom how many such
+	// jobs must have room: an entry lets a job take a part of what is free.
+	maxJobTasks = 1500
+	taskRoom    = 4
 	// minLine is the length of the shortest header line with its end.
 	minLine = 4
 )
@@ -105,6 +113,8 @@
 type Limits struct {
 	Host   Host
 	Shares [classes]Share
+	// MaxTasks limits the tasks of the jobs that an entry has taken.
+	MaxTasks int
 	// BodyTimeout is how long a body, a message or an answer may make no progress.
 	BodyTimeout time.Duration
 	// IdentifyTimeout is how long a peer of a session may take to identify itself.
@@ -115,7 +125,7 @@
 
 // Derive returns the limits for a host.
 func Derive(host Host) Limits {
-	l := Limits{Host: host, BodyTimeout: 10 * time.Second, IdentifyTimeout: 10 * time.Second, UnidentifiedBytes: 256 << 10}
+	l := Limits{Host: host, MaxTasks: int(host.Memory / taskPart / TaskMemory), BodyTimeout: 10 * time.Second, IdentifyTimeout: 10 * time.Second, UnidentifiedBytes: 256 << 10}
 	connections := min(host.Descriptors, int(host.Memory/connPart/ConnMemory))
 	// An eighth of the descriptors remains for the process's own connections and files.
 	l.Shares = [classes]Share{
@@ -173,10 +183,13 @@
 	// An entry has no heartbeats and an agent no callers, so the lesser of the two shares
 	// is left out.
 	bytes -= min(l.Shares[ClassRequests].Bytes, l.Shares[ClassControl].Bytes)
+	if l.MaxTasks < taskRoom*maxJobTasks {
+		return invalid("limits.maxTasks", "%d are less than the least, %d", l.MaxTasks, taskRoom*maxJobTasks)
+	}
 	if connections >= l.Host.Descriptors {
 		return invalid("limits.maxDescriptors", "the classes have %d connections, and the host %d descriptors", connections, l.Host.Descriptors)
 	}
-	if sum := baseMemory + bytes + int64(connections)*ConnMemory; sum > l.Host.Memory {
+	if sum := baseMemory + bytes + int64(connections)*ConnMemory + int64(l.MaxTasks)*TaskMemory; sum > l.Host.Memory {
 		return invalid("limits.memoryMB", "the process and its classes need %d MB, and the host has %d", sum>>20, l.Host.Memory>>20)
 	}
 	for key, d := range map[string]time.Duration{"limits.bodyTimeout": l.BodyTimeout, "limits.identifyTimeout": l.IdentifyTimeout} {
--- a/core/cclimit/limits_test.go
+++ b/core/cclimit/limits_test.go
@@ -28,6 +28,7 @@
 		"limits.requests.memoryKB":    func(l *Limits) { l.Shares[ClassRequests].Bytes = -1 },
 		"limits.bodyTimeout":          func(l *Limits) { l.BodyTimeout = 0 },
 		"limits.identifyTimeout":      func(l *Limits) { l.IdentifyTimeout = -1 },
+		"limits.maxTasks":             func(l *Limits) { l.MaxTasks = -1 },
 		"limits.unidentifiedKB":       func(l *Limits) { l.UnidentifiedBytes = 0 },
 	} {
 		l := Derive(Host{Memory: DefaultMemory, Descriptors: DefaultDescriptors})
--- a/core/ccreplay/scheduler.go
+++ b/core/ccreplay/scheduler.go
@@ -31,6 +31,9 @@
 	DemandSummaries bool
 	// Admission refuses jobs that can't be served in time when they arrive.
 	Admission bool
+	// MaxTasks limits the tasks of all jobs, which hold memory until their runs have ended.
+	// Zero is no limit.
+	MaxTasks int
 }
 
 // Change is a state change or decision of the scheduler, for the log and the counters.
@@ -108,6 +111,7 @@
 	lastOrder        uint64   // The number of the last start order.
 	jobs             map[string]*job
 	jobList          []*job // In order of arrival.
+	tasks            int    // The tasks of all jobs.
 	// lastEvent is the time of the last event. holdUntil is when tasks may be placed again
 	// after a pause of this process.
 	lastEvent  time.Time
--- a/core/ccreplay/submit.go
+++ b/core/ccreplay/submit.go
@@ -15,6 +15,9 @@
 	// maxJobs limits the jobs of an entry. The highest planned load, 5,400 jobs per
 	// second over 50 entries, brings a tenth of this in 10 s.
 	maxJobs = 10_000
+	// freePart is the part of the free tasks of Config.MaxTasks that one job may take. Jobs of
+	// many tasks are refused first then, and those of a few find room.
+	freePart = 2
 	// refusalRetryAfter is how long a caller should wait before it sends a refused
 	// request again, usually one refused for lack of workers.
 	refusalRetryAfter = time.Second
@@ -83,6 +86,12 @@
 		s.refuse(request, "entry has as many jobs as it may")
 		return
 	}
+	if !s.hasRoom(request.Tasks) {
+		s.actions.Answers = append(s.actions.Answers, Answer{
+			Token: request.Token, ID: request.ID, State: StateRefused, Reason: "entry has too many tasks for a job of this size", RetryAfter: s.retryAfter(now, request.ID),
+		})
+		return
+	}
 	if s.crashesWorkers(request) {
 		s.actions.Answers = append(s.actions.Answers, Answer{Token: request.Token, ID: request.ID, State: StateFailed, Reason: crashReason})
 		return
@@ -110,10 +119,16 @@
 	s.countArrival(now, j)
 	s.jobs[request.ID] = j
 	s.jobList = append(s.jobList, j)
+	s.tasks += len(j.tasks)
 	s.enqueue(now, j)
 	s.recordChange(Change{Message: "Job taken.", Job: request.ID, Route: request.Route.Name, Age: expected, Count: request.Tasks})
 }
 
+// hasRoom reports whether a job of so many tasks may be taken beside the others.
+func (s *Scheduler) hasRoom(tasks int) bool {
+	return s.cfg.MaxTasks == 0 || tasks <= (s.cfg.MaxTasks-s.tasks)/freePart
+}
+
 // anyAgentFits reports whether any known worker could run the request's tasks. During
 // startupGrace it returns true, since agents are still attaching.
 func (s *Scheduler) anyAgentFits(now time.Time, request Request) bool {
@@ -243,6 +258,7 @@
 	}
 	delete(s.jobs, j.request.ID)
 	s.jobList = slices.DeleteFunc(s.jobList, func(other *job) bool { return other == j })
+	s.tasks -= len(j.tasks)
 	if j.nextRequest != nil && now.Before(j.nextRequest.Deadline) {
 		s.admit(now, *j.nextRequest)
 	}
--- a/io/cccli/platform.go
+++ b/io/cccli/platform.go
@@ -85,7 +85,7 @@
 					Node: self, Domain: cfg.Domain, Listen: cfg.Listen, AwayFactor: cfg.Platform.AwayFactor,
 					Order: orderSettings(cfg), EndTimePlacement: endTimePlacement(cfg), DemandSummaries: cfg.Platform.ActiveScheduling().DemandSummaries,
 					Admission: admission(cfg), Store: newPlatformStore(cfg, malformed), PlanSource: ccplatform.Operator{},
-					Metrics: set, Malformed: malformed, Log: log.Logger.WithName("entry"), Limit: gate.Streams,
+					Metrics: set, Malformed: malformed, Log: log.Logger.WithName("entry"), Limit: gate.Streams, MaxTasks: gate.MaxTasks(),
 				})
 			},
 		),
--- a/io/cclimit/gate.go
+++ b/io/cclimit/gate.go
@@ -161,6 +161,16 @@
 	return min(most, g.table.Limits().MaxBody(class))
 }
 
+// MaxTasks returns how many tasks the jobs of callers may have together, or 0 without limits.
+func (g *Gate) MaxTasks() int {
+	if g == nil {
+		return 0
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Limits().MaxTasks
+}
+
 // Streams returns the listener for connections of other processes. They are *Stream.
 func (g *Gate) Streams(listener net.Listener) net.Listener {
 	if g == nil {
--- a/io/ccreplay/entry.go
+++ b/io/ccreplay/entry.go
@@ -61,6 +61,8 @@
 	DemandSummaries  bool
 	// Admission is passed to the scheduler. SetAdmission changes it.
 	Admission bool
+	// MaxTasks is passed to the scheduler.
+	MaxTasks int
 	// Listen is the address at which agents open sessions.
 	Listen netip.AddrPort
 	// Limit limits the connections that a listener accepts. Nil sets no limits.
@@ -118,7 +120,7 @@
 		cfg: cfg, events: make(chan func(time.Time), eventBuffer), plans: make(chan *ccroute.Plan, 1),
 		scheduler: ccreplay.New(ccreplay.Config{
 			Self: cfg.Node, Domain: cfg.Domain, AwayFactor: cfg.AwayFactor, DemandSummaries: cfg.DemandSummaries, Order: cfg.Order, EndTimePlacement: cfg.EndTimePlacement,
-			Admission: cfg.Admission,
+			Admission: cfg.Admission, MaxTasks: cfg.MaxTasks,
 		}),
 		sessions: map[ccnode.ID]*session{}, pending: map[uint64]chan<- ccreplay.Answer{}, suspend: ccclock.NewSuspendDetector(),
 	}
