Own interface: a refusal quotes little of the body

What callers saw: a submission with a field name of 200 KB got a refusal of 200 KB.

Evidence: TestRefusalsQuoteLittle, 200,045 bytes before. The platform's handler was tried with values and fields of that length: its decoder doesn't quote them.

Why it works: of an error's text 200 bytes are sent.

--- a/io/ccentry/http.go
+++ b/io/ccentry/http.go
@@ -9,6 +9,7 @@
 	"github.com/gin-gonic/gin"
 
 	"camphorcroft/core/ccjob"
+	corelimit "camphorcroft/core/cclimit"
 	"camphorcroft/core/ccsettings"
 	ioevent "camphorcroft/io/ccevent"
 	"camphorcroft/io/cclimit"
@@ -106,7 +107,7 @@
 	if errors.As(err, &tooLarge) {
 		return ccjob.Refuse("", ccjob.KindTooLarge, "the body is larger than "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
 	}
-	return ccjob.Refuse("", ccjob.KindInvalid, "the body is not a job: "+err.Error())
+	return ccjob.Refuse("", ccjob.KindInvalid, "the body is not a job: "+corelimit.ErrorText(err))
 }
 
 // respond writes an outcome in the one shape that all answers have.
--- a/io/ccentry/submission_test.go
+++ b/io/ccentry/submission_test.go
@@ -35,3 +35,17 @@
 		}
 	}
 }
+
+// Guards against refusals as long as the body whose field they quote.
+func TestRefusalsQuoteLittle(t *testing.T) {
+	body := `{"` + strings.Repeat("x", 200_000) + `":1}`
+	c, _ := gin.CreateTestContext(httptest.NewRecorder())
+	c.Request = httptest.NewRequest(http.MethodPost, "/", strings.NewReader(body))
+	_, err := decodeSubmission(c, maxBodyBytes)
+	if err == nil {
+		t.Fatal("an unknown field is accepted")
+	}
+	if reason := refuseBody(err).Reason; len(reason) > 1000 {
+		t.Errorf("the reason has %d bytes", len(reason))
+	}
+}
