Limits: an identified peer that is silent gives way

What callers saw: processes of the fleet could not connect to an entry or agent any more, for good, after as many strangers as its share of sessions had sent one valid message each and kept their connections open. With the own interface any JSON-RPC message is one.

Cause: the connection of an identified peer was never closed for another one, however long it had been silent.

TestSilentPeersGiveWay: the silent one of three peers is closed, and the active ones are not.

Why it works: when a class is full of identified peers, the one that has sent nothing for longest gives way, if that is 5 s or more. The fleet's processes send at least once a second, so they keep their connections.

--- a/io/cclimit/gate.go
+++ b/io/cclimit/gate.go
@@ -40,6 +40,10 @@
 	// stuckAfter is how long an answer is written before its connection may be closed for
 	// another one. An answer fits into the socket's buffer unless the client reads nothing.
 	stuckAfter = time.Second
+	// silentAfter is how long an identified peer must have sent nothing until its connection may
+	// be closed for another one. The fleet's processes send to each other once a second or
+	// more.
+	silentAfter = 5 * time.Second
 	// logInterval is the least time between two log lines on refusals.
 	logInterval = 10 * time.Second
 )
@@ -86,6 +90,7 @@
 	mu       sync.Mutex // Guards the fields below.
 	table    *cclimit.Table
 	conns    map[*Conn]struct{} // Of HTTP, whose answers are watched.
+	streams  map[*Stream]struct{}
 	timeouts [4]func() cclimit.Timeouts
 	logged   map[cclimit.Reason]uint64
 	loggedAt time.Time
@@ -95,7 +100,7 @@
 func NewGate(cfg Config) *Gate {
 	g := &Gate{
 		log: cfg.Log, end: make(chan struct{}), table: cclimit.NewTable(cfg.Limits),
-		conns: map[*Conn]struct{}{}, logged: map[cclimit.Reason]uint64{}, collectWanted: make(chan struct{}, 1),
+		conns: map[*Conn]struct{}{}, streams: map[*Stream]struct{}{}, logged: map[cclimit.Reason]uint64{}, collectWanted: make(chan struct{}, 1),
 	}
 	g.now.Store(time.Now().UnixNano())
 	g.running.Go(g.sweep)
@@ -180,10 +185,14 @@
 	return &listenerOf{Listener: listener, accept: func(socket net.Conn) net.Conn {
 		s := &Stream{stream: stream{Conn: socket, gate: g}}
 		s.record = newRecord(cclimit.ClassSessions, socket)
+		s.received.Store(g.now.Load())
 		if !g.admit(&s.record) {
 			_ = socket.Close()
 			return nil
 		}
+		g.mu.Lock()
+		g.streams[s] = struct{}{}
+		g.mu.Unlock()
 		return s
 	}}
 }
@@ -219,7 +228,7 @@
 	}
 	victim, ok := g.table.Add(c, g.coarseNow())
 	if !ok {
-		if victim = g.stuckWriter(c.Class); victim != nil {
+		if victim = g.lastResort(c.Class); victim != nil {
 			g.table.Evict(victim)
 			_, ok = g.table.Add(c, g.coarseNow())
 		}
@@ -231,6 +240,30 @@
 	return ok
 }
 
+// lastResort returns a connection to close when the table knows none, or nil.
+func (g *Gate) lastResort(class cclimit.Class) *cclimit.Conn {
+	if class == cclimit.ClassSessions {
+		return g.silentPeer()
+	}
+	return g.stuckWriter(class)
+}
+
+// silentPeer returns the connection of a peer of sessions that has sent nothing for longest, or
+// nil. It is called only when all of them are identified.
+func (g *Gate) silentPeer() *cclimit.Conn {
+	var silent *Stream
+	oldest := g.now.Load() - int64(silentAfter)
+	for s := range g.streams {
+		if received := s.received.Load(); received <= oldest && s.record.Phase() < cclimit.PhaseClosing {
+			silent, oldest = s, received
+		}
+	}
+	if silent == nil {
+		return nil
+	}
+	return &silent.record
+}
+
 // stuckWriter returns the connection whose client has not read its answer for longest, or
 // nil. It is called only when all connections of a class are being served.
 func (g *Gate) stuckWriter(class cclimit.Class) *cclimit.Conn {
--- a/io/cclimit/stream.go
+++ b/io/cclimit/stream.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"camphorcroft/core/cclimit"
@@ -45,7 +46,25 @@
 }
 
 // Stream is a connection to another process that carries messages of a known length.
-type Stream struct{ stream }
+type Stream struct {
+	stream
+	received atomic.Int64 // When the peer last sent something, in nanoseconds.
+}
+
+// Read receives from the peer.
+func (s *Stream) Read(p []byte) (int, error) {
+	n, err := s.stream.Read(p)
+	s.received.Store(s.gate.now.Load())
+	return n, err
+}
+
+// Close closes the connection and releases what it holds.
+func (s *Stream) Close() error {
+	s.gate.mu.Lock()
+	delete(s.gate.streams, s)
+	s.gate.mu.Unlock()
+	return s.stream.Close()
+}
 
 // Identified marks the peer as a process of the fleet.
 func (s *Stream) Identified() {
--- a/io/cclimit/wait_test.go
+++ b/io/cclimit/wait_test.go
@@ -116,3 +116,63 @@
 		})
 	}
 }
+
+// Guards against peers that identify themselves once, fall silent, and keep out the processes
+// of the fleet for good; and against closing those that are heard.
+func TestSilentPeersGiveWay(t *testing.T) {
+	limits := cclimit.Derive(cclimit.Host{Memory: cclimit.MinMemory, Descriptors: cclimit.MinDescriptors})
+	limits.Shares[cclimit.ClassSessions].Connections = 3
+	gate := NewGate(Config{Limits: limits, Log: logr.Discard()})
+	t.Cleanup(gate.Close)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	accepted := make(chan *Stream, 10)
+	go func() {
+		for limited := gate.Streams(listener); ; {
+			socket, err := limited.Accept()
+			if err != nil {
+				return
+			}
+			s := socket.(*Stream)
+			s.Identified()
+			go func() { // Reads until the peer or the gate ends the connection.
+				defer func() { _ = s.Close() }()
+				for err := error(nil); err == nil; {
+					_, err = s.Read(make([]byte, 1))
+				}
+			}()
+			accepted <- s
+		}
+	}()
+	var peers []net.Conn
+	dial := func() net.Conn {
+		peer, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = peer.Close() })
+		return peer
+	}
+	var streams []*Stream
+	for range 3 {
+		peers = append(peers, dial())
+		streams = append(streams, <-accepted)
+	}
+	refused := dial()
+	assertEnds(t, "a connection beside active peers", func() { _, _ = refused.Read(make([]byte, 1)) })
+	silent := streams[1]
+	silent.received.Store(gate.now.Load() - int64(time.Minute))
+	dial()
+	assertEnds(t, "the wait for a connection", func() { <-accepted })
+	assertEnds(t, "the silent peer's connection", func() { _, _ = peers[1].Read(make([]byte, 1)) })
+	for _, active := range []*Stream{streams[0], streams[2]} {
+		gate.mu.Lock()
+		if active.record.Phase() >= cclimit.PhaseClosing {
+			t.Error("the connection of an active peer is closed")
+		}
+		gate.mu.Unlock()
+	}
+}
