Limits: answers that are not read are reserved

What callers saw: an own-interface entry could be filled by clients that ask for the answers of large jobs, or for metrics, and don't read them. Found while listing what one connection can make a process keep; the platform's answers to jobs are below 100 bytes.

Cause: what is reserved is what a client sends. An answer is kept until the client has read it, or for 10 s, and nothing was reserved for it.

Why it works: what goes beyond the server's own buffer is reserved before it is written, up to half a share. If there is no room the answer is cut at once, since to wait would keep it in memory, and an answer that has not been read for a second gives way to the next.

--- a/core/cclimit/conn.go
+++ b/core/cclimit/conn.go
@@ -40,6 +40,7 @@
 
 	phase     Phase
 	held      int64
+	answer    int64  // The part of held that is its answer.
 	wants     int64  // What it waits for.
 	order     uint64 // Grows with each change between idle, reading and serving.
 	openedAt  time.Time
--- a/core/cclimit/model_test.go
+++ b/core/cclimit/model_test.go
@@ -18,9 +18,10 @@
 
 // check compares the table with its connections.
 func (m *tableModel) check() {
-	held, share := int64(0), m.table.Limits().Shares[ClassRequests]
+	held, answers, share := int64(0), int64(0), m.table.Limits().Shares[ClassRequests]
 	for _, c := range m.conns {
 		held += c.Held()
+		answers += c.answer
 		select {
 		case granted := <-c.Granted:
 			if !m.waiting[c] || granted == (c.Phase() == PhaseClosing) {
@@ -34,6 +35,9 @@
 	if use.Bytes != held || use.Connections != len(m.conns) {
 		m.t.Fatalf("counted %+v, held %d by %d connections", use, held, len(m.conns))
 	}
+	if got := m.table.classes[ClassRequests].answers; got != answers || got > share.Bytes/answerPart {
+		m.t.Fatalf("%d bytes of answers are counted, and %d held", got, answers)
+	}
 	if sum := use.Bytes + m.table.Uncollected(ClassRequests); sum > share.Bytes {
 		m.t.Fatalf("%d bytes are in use or not collected, of %d", sum, share.Bytes)
 	}
@@ -84,7 +88,7 @@
 
 func (m *tableModel) step() {
 	open := m.draw(true)
-	switch kind := rapid.IntRange(0, 9).Draw(m.t, "step"); {
+	switch kind := rapid.IntRange(0, 10).Draw(m.t, "step"); {
 	case kind < 2 || open == nil:
 		m.add()
 	case kind < 5:
@@ -99,6 +103,8 @@
 		}
 	case kind == 8:
 		m.table.Collected()
+	case kind == 9:
+		m.table.ReserveAnswer(open, rapid.Int64Range(1, 80).Draw(m.t, "answer"))
 	default:
 		m.collect()
 	}
--- a/core/cclimit/table.go
+++ b/core/cclimit/table.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// answerPart is the part of a class's share that answers may take, so that clients which don't
+// read them leave room for requests.
+const answerPart = 2
+
 // closingPart is the part of a class's connections that may be closing before no other is
 // accepted.
 const closingPart = 8
@@ -44,6 +48,7 @@
 // classTable is the table's part of one class.
 type classTable struct {
 	use          Use
+	answers      int64 // The part of the bytes in use that is answers.
 	idle         list
 	reading      list // Headers and bodies that are not complete.
 	serving      list
@@ -163,7 +168,8 @@
 	kept = min(kept, c.held)
 	class.use.Bytes -= c.held - kept
 	class.garbage.add(c.held - kept)
-	c.held = kept
+	class.answers -= c.answer
+	c.held, c.answer = kept, 0
 	t.grant(c.Class)
 }
 
@@ -261,6 +267,24 @@
 	return victims, Waits
 }
 
+// ReserveAnswer reserves bytes of an answer that is being written. They are released with what
+// the request held. An answer that is larger than all answers may be counts as that.
+func (t *Table) ReserveAnswer(c *Conn, bytes int64) bool {
+	if c.phase >= PhaseClosing {
+		return false
+	}
+	class, share := &t.classes[c.Class], t.limits.Shares[c.Class].Bytes
+	bytes = min(bytes, share/answerPart)
+	if class.answers+bytes > share/answerPart || class.use.Bytes+class.garbage.bytes()+class.wantedBytes+bytes > share {
+		return false
+	}
+	class.use.Bytes += bytes
+	class.answers += bytes
+	c.held += bytes
+	c.answer += bytes
+	return true
+}
+
 // Expired chooses the connections of a class that have taken too long and returns them to be
 // closed.
 func (t *Table) Expired(class Class, timeouts Timeouts, now time.Time) []*Conn {
--- a/io/cclimit/conn.go
+++ b/io/cclimit/conn.go
@@ -14,6 +14,9 @@
 const (
 	// firstHeader is the first size of the buffer for a header that arrives in parts.
 	firstHeader = 1 << 10
+	// serverBuffer is the size of the server's buffer for an answer. It is a part of
+	// cclimit.ConnMemory.
+	serverBuffer = 4 << 10
 	// refusalTimeout bounds the writing of a refusal. It is short, since the client may
 	// read nothing.
 	refusalTimeout = 100 * time.Millisecond
@@ -272,8 +275,12 @@
 	c.gate.finish(&c.record, int64(cap(c.buffer)))
 }
 
-// Write passes on an answer. A client that doesn't read it is found by the next sweeps.
+// Write passes on an answer. A client that doesn't read it is found by the next sweeps. What the
+// server doesn't buffer is kept until the client has read it, so it is reserved.
 func (c *Conn) Write(p []byte) (int, error) {
+	if len(p) > serverBuffer && !c.gate.reserveAnswer(&c.record, int64(len(p))) {
+		return 0, &cclimit.Error{Op: "write an answer", Kind: cclimit.KindRefused, Err: errReserve}
+	}
 	c.writingSince.Store(c.gate.now.Load())
 	n, err := c.Conn.Write(p)
 	c.writingSince.Store(0)
--- a/io/cclimit/gate.go
+++ b/io/cclimit/gate.go
@@ -265,12 +265,14 @@
 }
 
 // stuckWriter returns the connection whose client has not read its answer for longest, or
-// nil. It is called only when all connections of a class are being served.
+// nil. It is called only when all connections of a class are being served, or there is no room
+// for another answer.
 func (g *Gate) stuckWriter(class cclimit.Class) *cclimit.Conn {
 	var stuck *Conn
 	oldest := g.now.Load() - int64(stuckAfter)
 	for c := range g.conns {
-		if since := c.writingSince.Load(); c.record.Class == class && since != 0 && since <= oldest {
+		since := c.writingSince.Load()
+		if c.record.Class == class && c.record.Phase() < cclimit.PhaseClosing && since != 0 && since <= oldest {
 			stuck, oldest = c, since
 		}
 	}
@@ -323,6 +325,27 @@
 	g.collectIfNeeded()
 }
 
+// reserveAnswer reserves bytes of an answer. If there is no room, an answer that its client doesn't
+// read gives way to the next one. This one doesn't wait, since it is in memory meanwhile.
+func (g *Gate) reserveAnswer(c *cclimit.Conn, bytes int64) bool {
+	g.mu.Lock()
+	if g.table.ReserveAnswer(c, bytes) {
+		g.mu.Unlock()
+		return true
+	}
+	g.table.Count(cclimit.ReasonMemory)
+	victim := g.stuckWriter(c.Class)
+	if victim != nil {
+		g.table.Evict(victim)
+	}
+	g.collectIfNeeded()
+	g.mu.Unlock()
+	if victim != nil {
+		_ = victim.Closer.Close()
+	}
+	return false
+}
+
 func (g *Gate) count(reason cclimit.Reason) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
