Sessions: a stranger's connection takes what is reckoned with

What callers saw: 768 connections that sent 5 bytes to an entry's address for sessions took its process to 116 MB of 144, beside which a crowd of callers had no room.

Cause: each connection got a queue of 1,024 messages to send, 24 KB, buffers and a goroutine for sending, and the 16 KB of a message whose length had arrived. The limits reckon with 8 KB for a connection and reserved nothing for messages up to 16 KB.

Why it works: the queue takes memory for messages that wait, and the writer starts with the first one. Until a peer is identified its messages over 256 bytes are reserved, before memory is taken for them. A queue that is full still closes its connection.

--- a/io/ccsession/conn.go
+++ b/io/ccsession/conn.go
@@ -22,6 +22,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -44,8 +45,10 @@
 	// store and takes up to 1 MiB.
 	maxBodySize = 4 << 20
 	// reserved is the size above which a message's memory is reserved. Most messages are
-	// smaller, and a connection keeps a buffer of that size.
-	reserved = 16 << 10
+	// smaller, and a connection keeps a buffer of that size. Until its peer is identified the
+	// size is reservedUnidentified.
+	reserved             = 16 << 10
+	reservedUnidentified = 256
 	// sendQueueSize limits the messages queued for one peer. It holds one second of the
 	// highest rate at which an entry sends to one agent. A connection whose queue
 	// overflows is closed.
@@ -74,11 +77,13 @@
 // Conn is one end of a TCP connection that carries framed messages. Its methods are safe
 // for concurrent use.
 type Conn struct {
-	socket    net.Conn
-	limiter   limiter // Nil without limits.
-	sendQueue chan outgoingMessage
-	done      chan struct{}
-	closeOnce sync.Once
+	socket      net.Conn
+	limiter     limiter // Nil without limits.
+	identified  atomic.Bool
+	sendQueue   *queue
+	startWriter sync.Once
+	done        chan struct{}
+	closeOnce   sync.Once
 }
 
 // outgoingMessage is a queued message. The writer goroutine encodes its value.
@@ -115,9 +120,8 @@
 }
 
 func newConn(socket net.Conn, handler Handler) *Conn {
-	c := &Conn{socket: socket, sendQueue: make(chan outgoingMessage, sendQueueSize), done: make(chan struct{})}
+	c := &Conn{socket: socket, sendQueue: newQueue(), done: make(chan struct{})}
 	c.limiter, _ = socket.(limiter)
-	go c.writeLoop()
 	go func() {
 		c.readLoop(handler)
 		c.Close()
@@ -129,15 +133,17 @@
 // Send queues a message for sending and never blocks. If the peer reads too slowly and
 // the queue is full, Send closes the connection.
 func (c *Conn) Send(kind ccwire.MessageKind, value any) {
-	select {
-	case c.sendQueue <- outgoingMessage{kind: kind, value: value}:
-	default:
+	if !c.sendQueue.put(outgoingMessage{kind: kind, value: value}) {
 		c.Close()
+		return
 	}
+	// Strangers mostly get no message, and need no goroutine for it.
+	c.startWriter.Do(func() { go c.writeLoop() })
 }
 
 // Identified tells the limits of an accepted connection that its peer belongs to the fleet.
 func (c *Conn) Identified() {
+	c.identified.Store(true)
 	if c.limiter != nil {
 		c.limiter.Identified()
 	}
@@ -156,8 +162,8 @@
 	buffered := bufio.NewWriter(c.socket)
 	for {
 		select {
-		case next := <-c.sendQueue:
-			if !c.writeQueued(buffered, next) {
+		case <-c.sendQueue.wake:
+			if !c.writeQueued(buffered) {
 				c.Close()
 				return
 			}
@@ -167,18 +173,20 @@
 	}
 }
 
-// writeQueued writes next and every message already queued behind it, then flushes them
+// writeQueued writes the queued messages and those that are queued meanwhile, then flushes them
 // together. It reports whether all writes succeeded.
-func (c *Conn) writeQueued(buffered *bufio.Writer, next outgoingMessage) bool {
+func (c *Conn) writeQueued(buffered *bufio.Writer) bool {
+	var messages []outgoingMessage
 	for {
-		if err := writeMessage(buffered, next); err != nil {
-			return false
-		}
-		select {
-		case next = <-c.sendQueue:
-		default:
+		messages = c.sendQueue.take(messages)
+		if len(messages) == 0 {
 			return buffered.Flush() == nil
 		}
+		for _, m := range messages {
+			if err := writeMessage(buffered, m); err != nil {
+				return false
+			}
+		}
 	}
 }
 
@@ -211,7 +219,7 @@
 		if size > maxBodySize {
 			return
 		}
-		if c.limiter != nil && size > reserved {
+		if c.limiter != nil && size > c.unreservedSize() {
 			if !c.receiveReserved(handler, buffered, ccwire.MessageKind(header[headerSize-1]), size) {
 				return
 			}
@@ -228,6 +236,14 @@
 	}
 }
 
+// unreservedSize returns the size of the largest message whose memory is not reserved.
+func (c *Conn) unreservedSize() int {
+	if c.identified.Load() {
+		return reserved
+	}
+	return reservedUnidentified
+}
+
 // receiveReserved receives a message whose memory is reserved as it arrives. It reports
 // false if the connection must be closed.
 func (c *Conn) receiveReserved(handler Handler, from io.Reader, kind ccwire.MessageKind, size int) bool {
