Entry: bound what is kept of agents that attach

What callers saw: a stranger at the address for sessions who attaches under ever new IDs, each with 256 KB of labels, filled an entry: what is known of an agent is kept for 10 minutes after it has left. Found while listing what one peer can make a process keep.

Cause: neither the number of agents nor the length of their descriptions had a bound.

Evidence: TestKnownAgentsAreBounded, 16,802 agents known on, and at most 8,400 now; TestLongDescriptionsAreRefused, sessions opened for an ID and labels of 100 KB and 10,000 labels before, none now.

Why it works: an ID has at most 200 bytes and a worker's names and labels 1 KB (the platform has a kind and a rack), longer ones get no session, nor does a heartbeat count. Of more than 8,400 agents, twice the largest planned fleet, the one that has been gone for longest and has no runs is forgotten; agents in a session or with runs never are.

--- a/core/ccreplay/agent.go
+++ b/core/ccreplay/agent.go
@@ -20,6 +20,10 @@
 	// forgetAfter is how long the state of a detached agent is kept, since its host
 	// may come back at the same address.
 	forgetAfter = 10 * time.Minute
+	// maxAgents is the most agents whose state is kept, twice the workers of the largest planned
+	// fleet, and maxAgentID the longest ID of one in bytes.
+	maxAgents  = 8400
+	maxAgentID = 200
 	// heartbeatInterval is the longest time between two messages to an agent with
 	// runs. Three fit into the silence after which the agent stops the runs.
 	heartbeatInterval = 130 * time.Millisecond
@@ -165,7 +169,7 @@
 	a.inFlight = slices.DeleteFunc(a.inFlight, func(f inFlightStart) bool { return f.sequence <= report.HandledSequence })
 	a.updateAvailable()
 	s.handlePlanRevision(now, a, report.PlanRevision, report.PlanVersion)
-	if w := report.Worker; w != nil {
+	if w := report.Worker; w != nil && w.TextBytes() <= ccwire.MaxWorkerText {
 		a.domain, a.service, a.labels, a.capacity = w.Domain, w.Service, w.Labels, w.Capacity
 	}
 	s.adoptNewerPlan(now, a, report)
--- a/core/ccreplay/attach.go
+++ b/core/ccreplay/attach.go
@@ -30,6 +30,10 @@
 		})
 		return false
 	}
+	if reason := s.refuseAgent(attach, a == nil); reason != "" {
+		s.recordChange(Change{Message: "Session request refused.", Agent: attach.Node.ID[:min(len(attach.Node.ID), maxAgentID)], Reason: reason, Session: attach.Session})
+		return false
+	}
 	if a == nil {
 		a = s.addAgent(attach.Node)
 	}
@@ -54,6 +58,36 @@
 	return true
 }
 
+// refuseAgent returns why an agent gets no session, or "". It makes room for one that is new.
+func (s *Scheduler) refuseAgent(attach ccwire.Attach, isNew bool) string {
+	switch w := attach.Report.Worker; {
+	case len(attach.Node.ID) > maxAgentID:
+		return "its ID is too long"
+	case w != nil && w.TextBytes() > ccwire.MaxWorkerText:
+		return "its worker's names and labels are too long"
+	case isNew && len(s.agents) >= maxAgents && !s.forgetOldest():
+		return "entry knows as many agents as it may"
+	default:
+		return ""
+	}
+}
+
+// forgetOldest deletes the state of the agent that has been detached for longest, if any has no
+// runs.
+func (s *Scheduler) forgetOldest() bool {
+	var oldest *agent
+	for _, a := range s.agentList {
+		if !a.attached && len(a.runs) == 0 && (oldest == nil || a.lastReport.Before(oldest.lastReport)) {
+			oldest = a
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	s.forgetAgent(oldest)
+	return true
+}
+
 func (s *Scheduler) addAgent(ref ccnode.Ref) *agent {
 	a := &agent{ref: ref, relayRank: relayRank(ref.ID)}
 	s.agents[ref.ID] = a
--- a/core/ccwire/session.go
+++ b/core/ccwire/session.go
@@ -131,6 +131,22 @@
 	Capacity ccresource.Amount `cbor:"4,keyasint"`
 }
 
+const (
+	// MaxWorkerText limits the text of a WorkerInfo, in bytes.
+	MaxWorkerText = 1 << 10
+	// labelBytes is what a label takes beside its text.
+	labelBytes = 16
+)
+
+// TextBytes returns what the worker's names and labels take.
+func (w WorkerInfo) TextBytes() int {
+	bytes := len(w.Domain) + len(w.Service)
+	for _, label := range w.Labels {
+		bytes += len(label) + labelBytes
+	}
+	return bytes
+}
+
 // RunReport is the agent's state as reported to one entry.
 type RunReport struct {
 	// ClockMS is the agent's clock, in milliseconds since its start. The entry
