--- a/io/cclimit/conn.go
+++ b/io/cclimit/conn.go
@@ -138,7 +138,7 @@
 		if end := c.headEnd(p[:n], 0); end > 0 {
 			return c.begin(p[:n], end)
 		}
-		if !c.grow(max(n, firstHeader)) {
+		if !c.grow(n) {
 			return 0, c.refuse(cclimit.ReasonMemory)
 		}
 		c.buffer = append(c.buffer, p[:n]...)
@@ -192,7 +192,7 @@
 // maxHeader returns the length of the longest header.
 func (c *Conn) maxHeader() int { return c.limits().HeaderBytes + cclimit.HeaderSlack }
 
-// grow moves a part of a header to a buffer of a size, which it reserves.
+// grow moves a part of a header to a buffer of at least a size, which it reserves.
 func (c *Conn) grow(size int) bool {
 	size = max(size, firstHeader)
 	if !c.gate.reserve(&c.record, cclimit.PhaseHeader, int64(size), false) {
