--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -19,6 +19,8 @@
 	leases   map[uint64]*storeLease
 	next     uint64
 	changed  chan struct{}
+	// watches is when each watch that waits for what operators write has begun.
+	watches map[*http.Request]time.Time
 }
 
 type storeItem struct {
@@ -36,7 +38,7 @@
 }
 
 func newStore() *store {
-	return &store{revision: 400, items: map[string]storeItem{}, leases: map[uint64]*storeLease{}, next: 77000, changed: make(chan struct{})}
+	return &store{revision: 400, items: map[string]storeItem{}, leases: map[uint64]*storeLease{}, next: 77000, changed: make(chan struct{}), watches: map[*http.Request]time.Time{}}
 }
 
 // put writes a value, as the operator does.
@@ -52,6 +54,18 @@
 	s.wake()
 }
 
+// watched reports whether a number of watches wait that have begun a while ago.
+func (s *store) watched(n int, since time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, at := range s.watches {
+		if time.Since(at) < since {
+			return false
+		}
+	}
+	return len(s.watches) == n
+}
+
 func (s *store) write(key string, value []byte, lease uint64) {
 	created := s.revision
 	if old, ok := s.items[key]; ok {
@@ -232,6 +246,16 @@
 	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(query.Get("wait_ms"))
 	end := time.After(time.Duration(wait) * time.Millisecond)
+	if query.Get("prefix") == "op/" {
+		s.mu.Lock()
+		s.watches[r] = time.Now()
+		s.mu.Unlock()
+		defer func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			delete(s.watches, r)
+		}()
+	}
 	for over := false; ; {
 		s.mu.Lock()
 		s.expire()
--- a/review/standin-3/system.go
+++ b/review/standin-3/system.go
@@ -31,6 +31,8 @@
 	processes    []*exec.Cmd
 	// environment is added to that of the programs.
 	environment []string
+	// storeOf is the address by which an entry reaches the store, if it isn't the store's own.
+	storeOf map[string]string
 }
 
 const (
@@ -48,7 +50,7 @@
 func newSystem(program, dir string, rec *record, timeout time.Duration) (*system, error) {
 	s := &system{
 		program: program, dir: dir, rec: rec, store: newStore(),
-		jobs: &jobs{byID: map[string]spec{}}, starts: &starts{},
+		jobs: &jobs{byID: map[string]spec{}}, starts: &starts{}, storeOf: map[string]string{},
 	}
 	free, err := freePorts(6)
 	if err != nil {
@@ -61,23 +63,35 @@
 	}
 	s.storeAddr = listener.Addr().String()
 	go func() { _ = (&http.Server{Handler: s.store}).Serve(listener) }()
-	s.config(7, timeout, 15000, service)
+	s.config(7, timeout, 0)
 	return s, nil
 }
 
-// config writes a configuration.
-func (s *system) config(version int, timeout time.Duration, idle int, target string) {
+// config writes a configuration with the route of all cases and others beside it.
+func (s *system) config(version int, timeout time.Duration, others int) {
+	routes := []map[string]any{route("proofs", prefix, timeout)}
+	for n := range others {
+		routes = append(routes, route(fmt.Sprintf("r-%07d", n), otherPrefix(n), timeout))
+	}
 	s.store.put("op/config", map[string]any{
-		"version": version,
-		"routes": []map[string]any{{
-			"name": "proofs", "host": host, "prefix": prefix, "kind": "unsafe", "timeout_ms": timeout.Milliseconds(), "target_duration_ms": 60,
-			"priority": 1, "service": target, "max_attempts": 3, "stretch": 1.6,
+		"version": version, "routes": routes,
+		"services": []map[string]any{{
+			"name": service, "health_path": "/health", "max_connections": 64, "protocol": "h1", "tls": false,
+			"cold_start_s": 0.0, "cold_per_s": 0.0, "rejects_overload": true, "spare": false,
 		}},
-		"services": []map[string]any{{"name": service, "health_path": "/health", "max_connections": 64, "protocol": "h1", "rejects_overload": true}},
-		"limits":   map[string]int{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": idle},
+		"limits": map[string]int{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 }
 
+func otherPrefix(n int) string { return fmt.Sprintf("/q%07d/", n) }
+
+func route(name, prefix string, timeout time.Duration) map[string]any {
+	return map[string]any{
+		"name": name, "host": host, "prefix": prefix, "kind": "unsafe", "timeout_ms": timeout.Milliseconds(), "target_duration_ms": 60,
+		"priority": 1, "service": service, "max_attempts": 3, "stretch": 1.6,
+	}
+}
+
 // freePorts finds ports that are free on all loopback addresses.
 func freePorts(n int) ([]int, error) {
 	found := []int{}
@@ -96,6 +110,10 @@
 
 // startEntry starts an entry with the deploy file's command and settings.
 func (s *system) startEntry(ip string) (*exec.Cmd, error) {
+	storeAddr := s.storeAddr
+	if addr, ok := s.storeOf[ip]; ok {
+		storeAddr = addr
+	}
 	return s.run("entry", "entry-"+ip, fmt.Sprintf(`node: entry-%[1]s
 domain: %[2]s
 listen: %[3]s
@@ -115,7 +133,7 @@
     demandSummaries: true
     order: fair
     placement: endTime
-`, ip, zone, at(ip, s.ports.listen), at(ip, s.ports.front), s.storeAddr, at(ip, s.ports.extra), at(ip, s.ports.readiness)))
+`, ip, zone, at(ip, s.ports.listen), at(ip, s.ports.front), storeAddr, at(ip, s.ports.extra), at(ip, s.ports.readiness)))
 }
 
 // startAgent starts the agent of a worker.
