Review cases 11 and 12: end in time, and say when nothing was shown

Cause: a script that was told to end left its temporary folder and exited with the signal's status, its time limit was not enforced, and a play in which hardly anything was served would have counted as held. Done: it ends its processes and exits with 2 then; so does a play without answers or starts.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held and 2 if the case couldn't run. TROUBLE=0 leaves
-# the label out.
+# the crashes and the freezes out, TROUBLE=crash the freezes alone.
 here=$(cd "$(dirname "$0")" && pwd)
 target="$here/../../target"
 [ -x "$target/standin3" ] && [ -x "$target/camphorcroft" ] || { echo "build first: the deploy file's build, then review/build-3.sh"; exit 2; }
--- a/review/standin-3/label.go
+++ b/review/standin-3/label.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -16,6 +17,8 @@
 const (
 	labelRounds  = 15
 	labelClients = 20
+	// labelLeast is the number of starts below which a play shows nothing.
+	labelLeast = 1000
 	// labelFreeze is how long the entry stands still, and labelDown how long its worker is down
 	// meanwhile.
 	labelFreeze = 250 * time.Millisecond
@@ -99,5 +102,8 @@
 		}
 	}
 	s.rec.add("%d starts", len(s.starts.list()))
+	if len(s.starts.list()) < labelLeast {
+		return nil, errors.New("too few tasks were started")
+	}
 	return broken, nil
 }
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -12,7 +12,9 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -57,12 +59,27 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), caseLimit)
 	defer cancel()
+	ended, release := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer release()
 	s, err := newSystem(program, dir, rec, c.timeout)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
 	defer s.stop()
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		select {
+		case <-done:
+		case <-ended.Done():
+			// Out of time, or told to end.
+			s.stop()
+			rec.add("could not run: ended before its end")
+			_ = os.RemoveAll(dir)
+			os.Exit(2)
+		}
+	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	broken, err := c.play(ctx, s, trouble)
 	for _, b := range broken {
--- a/review/standin-3/routes.go
+++ b/review/standin-3/routes.go
@@ -72,6 +72,7 @@
 	acked := time.Now()
 	s.rec.add("version 14 with %d routes more is acked", more)
 	var broken []string
+	served := map[string]int{}
 	clients := map[string]*http.Client{}
 	for _, ip := range ips {
 		clients[ip] = client()
@@ -80,11 +81,17 @@
 		for _, ip := range ips {
 			sent := time.Now()
 			a := s.call(ctx, clients[ip], http.MethodGet, ip, otherPrefix(more-1), nil, time.Second)
+			if a.status == http.StatusOK {
+				served[ip]++
+			}
 			if late := sent.Sub(acked); a.status == http.StatusNotFound && late > routesApply {
 				broken = append(broken, fmt.Sprintf("CONFIG: entry %s answers 404 for a route that was acked %d ms before", ip, late.Milliseconds()))
 			}
 		}
 		time.Sleep(250 * time.Millisecond)
 	}
+	if len(broken) == 0 && len(served) < len(ips) {
+		return nil, errors.New("an entry has neither the new route nor an answer")
+	}
 	return broken, nil
 }
--- a/review/standin-3/system.go
+++ b/review/standin-3/system.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -28,7 +30,9 @@
 	store        *store
 	jobs         *jobs
 	starts       *starts
+	mu           sync.Mutex
 	processes    []*exec.Cmd
+	stopped      bool
 	// environment is added to that of the programs.
 	environment []string
 	// storeOf is the address by which an entry reaches the store, if it isn't the store's own.
@@ -174,6 +178,11 @@
 	cmd.Env = append(os.Environ(), s.environment...)
 	// The program ends with this process, however that ends.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped {
+		return nil, errors.New("the case has ended")
+	}
 	if err := cmd.Start(); err != nil {
 		return nil, err
 	}
@@ -184,6 +193,12 @@
 
 // stop ends all programs.
 func (s *system) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped {
+		return
+	}
+	s.stopped = true
 	for _, cmd := range s.processes {
 		_ = cmd.Process.Signal(syscall.SIGCONT)
 		_ = cmd.Process.Kill()
