Store calls: end by lack of progress, and watch on from the revision

Cause: a call had one second with its whole body, and a watch its wait and 0.7 s. 1,400 routes take 1.39 s at 2 Mbit/s, so a watch that had waited long enough was given up while its response arrived, and follow listed then. Each list was given up as well and begun anew, at the price of the whole link.

Ruled out: longer limits. The platform's values may have 1 MiB, 5.6 s at that bandwidth and any time at a lower one, and a longer limit on the first byte would make a store that is away be noticed later.

An entry goes on watching from the last revision after a failure, takes the items that a reset brings instead of listing once more, and waits for as long as a broken transfer took before it repeats one. Lists have no limit of their own besides, and the lease of the entry's record is kept until the store says that it has ended.

Not mended by this: the plan on its way to agents, on the same link.

--- a/io/cccli/platform.go
+++ b/io/cccli/platform.go
@@ -67,9 +67,9 @@
 	return cclog.NewMalformed(log.Logger.WithName("malformed"), set.Map("malformedItems"))
 }
 
-func newPlatformStore(cfg *ccconfig.Config, malformed *cclog.Malformed) *ccplatform.Store {
+func newPlatformStore(cfg *ccconfig.Config, malformed *cclog.Malformed, log *cclog.Log) *ccplatform.Store {
 	store := ccplatform.NewStore(cfg.Store)
-	store.Malformed = malformed
+	store.Malformed, store.Log = malformed, log.Logger.WithName("store")
 	return store
 }
 
@@ -84,7 +84,7 @@
 				return ccreplay.New(ccreplay.Config{
 					Node: self, Domain: cfg.Domain, Listen: cfg.Listen, AwayFactor: cfg.Platform.AwayFactor,
 					Order: orderSettings(cfg), EndTimePlacement: endTimePlacement(cfg), DemandSummaries: cfg.Platform.ActiveScheduling().DemandSummaries,
-					Admission: admission(cfg), Store: newPlatformStore(cfg, malformed), PlanSource: ccplatform.Operator{},
+					Admission: admission(cfg), Store: newPlatformStore(cfg, malformed, log), PlanSource: ccplatform.Operator{},
 					Metrics: set, Malformed: malformed, Log: log.Logger.WithName("entry"), Limit: gate.Streams, MaxTasks: gate.MaxTasks(),
 				})
 			},
@@ -140,7 +140,7 @@
 			func(self ccnode.Ref, set *ccmetric.Set, log *cclog.Log, malformed *cclog.Malformed) *cclease.Agent {
 				worker := ccplatform.NewWorker(cfg.Platform.Worker)
 				worker.Malformed = malformed
-				directory := ccreplay.NewDirectory(newPlatformStore(cfg, malformed))
+				directory := ccreplay.NewDirectory(newPlatformStore(cfg, malformed, log))
 				directory.Malformed = malformed
 				return cclease.New(cclease.Config{
 					Node: self, Domain: cfg.Domain, Worker: worker,
--- a/io/ccreplay/follow.go
+++ b/io/ccreplay/follow.go
@@ -10,6 +10,7 @@
 	"camphorcroft/core/ccroute"
 	"camphorcroft/core/ccsubset"
 	"camphorcroft/io/ccstore"
+	"camphorcroft/io/cctransfer"
 )
 
 const (
@@ -29,13 +30,14 @@
 	renewInterval = 5 * time.Second
 	// entryPrefix is the key prefix of all entries' records.
 	entryPrefix = "entries/live/"
-	// callTimeout bounds one call to the store. Watches are not limited by it.
+	// callTimeout bounds one call to the store. Lists and watches are not limited by it.
 	callTimeout = time.Second
-	// listTimeout bounds all pages of a list.
-	listTimeout = 10 * time.Second
+	// maxTransferBackoff limits the pause after a transfer that was broken off.
+	maxTransferBackoff = 5 * time.Second
 )
 
-// Store is the part of the platform's store that an entry needs.
+// Store is the part of the platform's store that an entry needs. Lists and watches end by
+// themselves if they make no progress.
 type Store interface {
 	List(ctx context.Context, prefix string) ([]ccstore.Item, uint64, error)
 	Watch(ctx context.Context, prefix string, revision uint64, wait time.Duration) (ccstore.Change, error)
@@ -55,68 +57,85 @@
 // follow calls changed with all items below the prefix that are accepted, once at the
 // start and then after each change, until the entry is closed.
 func (e *Entry) follow(prefix string, wait time.Duration, accept func(ccstore.Item) bool, changed func(items []ccstore.Item, revision uint64)) {
+	f := follower{accept: accept, changed: changed}
 	backoff := retryMin
-	byKey := map[string]ccstore.Item{}
-	revision := uint64(0)
-	listed := false
 	reachable := true
-	logReachability := func(err error) {
+	for e.ctx.Err() == nil {
+		err := f.step(e.ctx, e.cfg.Store, prefix, wait)
 		if (err == nil) != reachable {
 			reachable = err == nil
 			if reachable {
-				e.cfg.Log.Info("Store is reached again.", "prefix", prefix, "revision", revision)
+				e.cfg.Log.Info("Store is reached again.", "prefix", prefix, "revision", f.revision)
 			} else {
-				e.cfg.Log.Info("Store is not reached.", "prefix", prefix, "error", err.Error())
+				e.cfg.Log.Info("Store is not reached.", "prefix", prefix, "revision", f.revision, "error", err.Error())
 			}
 		}
-	}
-	for e.ctx.Err() == nil {
-		if !listed {
-			ctx, cancel := context.WithTimeout(e.ctx, listTimeout)
-			items, at, err := e.cfg.Store.List(ctx, prefix)
-			cancel()
-			logReachability(err)
-			if err != nil {
-				backoff = e.sleepBackoff(backoff)
-				continue
-			}
-			backoff, listed, revision = retryMin, true, at
-			byKey = map[string]ccstore.Item{}
-			for _, item := range items {
-				if accept(item) {
-					byKey[item.Key] = item
-				}
-			}
-			changed(sortedItems(byKey), revision)
-		}
-		change, err := e.cfg.Store.Watch(e.ctx, prefix, revision, wait)
-		logReachability(err)
-		if err != nil {
-			backoff = e.sleepBackoff(backoff)
-			// An interrupted watch may have missed changes, so list again.
-			listed = false
+		if err == nil {
+			backoff = retryMin
 			continue
 		}
-		if change.Reset {
-			listed = false
-			continue
+		// A repetition of a transfer that was broken off takes the link once more, so it waits
+		// for as long as the first one took.
+		e.sleep(max(backoff, min(cctransfer.Cost(err), maxTransferBackoff)))
+		backoff = min(2*backoff, retryMax)
+	}
+}
+
+// follower holds the items below a prefix.
+type follower struct {
+	accept   func(ccstore.Item) bool
+	changed  func(items []ccstore.Item, revision uint64)
+	listed   bool
+	byKey    map[string]ccstore.Item
+	revision uint64
+}
+
+// step lists the items, or watches for a change of them. A watch that fails loses nothing: the
+// next one returns the changes since the same revision, or reports that this history is gone.
+func (f *follower) step(ctx context.Context, store Store, prefix string, wait time.Duration) error {
+	if !f.listed {
+		items, revision, err := store.List(ctx, prefix)
+		if err == nil {
+			f.reset(items, revision)
 		}
-		backoff = retryMin
-		if len(change.Items) == 0 {
-			// Keep the revision: the next watch returns a change that this one has missed,
-			// or reports that the history since this revision is gone.
-			continue
+		return err
+	}
+	change, err := store.Watch(ctx, prefix, f.revision, wait)
+	switch {
+	case err != nil:
+		return err
+	case change.Reset:
+		f.reset(change.Items, change.Revision)
+	case len(change.Items) > 0:
+		f.update(change)
+	}
+	// Without items, the revision is kept: the next watch returns a change that this one has
+	// missed.
+	return nil
+}
+
+// reset replaces all items.
+func (f *follower) reset(items []ccstore.Item, revision uint64) {
+	f.listed, f.byKey, f.revision = true, map[string]ccstore.Item{}, revision
+	for _, item := range items {
+		if f.accept(item) {
+			f.byKey[item.Key] = item
 		}
-		revision = max(revision, change.Revision)
-		for _, item := range change.Items {
-			if item.Revision == 0 || !accept(item) {
-				delete(byKey, item.Key)
-			} else {
-				byKey[item.Key] = item
-			}
+	}
+	f.changed(sortedItems(f.byKey), f.revision)
+}
+
+// update applies a change to the items.
+func (f *follower) update(change ccstore.Change) {
+	f.revision = max(f.revision, change.Revision)
+	for _, item := range change.Items {
+		if item.Revision == 0 || !f.accept(item) {
+			delete(f.byKey, item.Key)
+		} else {
+			f.byKey[item.Key] = item
 		}
-		changed(sortedItems(byKey), revision)
 	}
+	f.changed(sortedItems(f.byKey), f.revision)
 }
 
 // sortedItems returns the items in the order of their keys.
@@ -132,11 +151,16 @@
 // sleepBackoff waits for the backoff or until the entry is closed, and returns the next
 // backoff.
 func (e *Entry) sleepBackoff(backoff time.Duration) time.Duration {
+	e.sleep(backoff)
+	return min(2*backoff, retryMax)
+}
+
+// sleep waits for d or until the entry is closed.
+func (e *Entry) sleep(d time.Duration) {
 	select {
-	case <-time.After(backoff):
+	case <-time.After(d):
 	case <-e.ctx.Done():
 	}
-	return min(2*backoff, retryMax)
 }
 
 // followPlan passes each new plan from the store to the scheduler.
@@ -183,7 +207,7 @@
 }
 
 // maintainRecord writes this entry's record under a lease and renews the lease. It
-// writes the record again under a new lease when the renewal fails or the record is
+// writes the record again under a new lease when the lease has ended or the record is
 // missing.
 func (e *Entry) maintainRecord(missing <-chan struct{}) {
 	lease := ccstore.NoLease
@@ -199,7 +223,9 @@
 		cancel()
 		if err != nil {
 			e.cfg.Log.V(1).Info("Cannot write or renew the entry's record.", "error", err.Error())
-			lease = ccstore.NoLease
+			if ccstore.KindOf(err) == ccstore.KindLeaseGone {
+				lease = ccstore.NoLease
+			}
 			backoff = e.sleepBackoff(backoff)
 			continue
 		}
@@ -223,5 +249,8 @@
 	if err != nil {
 		return ccstore.NoLease, &Error{Op: "write record", Kind: KindMessage, Err: err}
 	}
-	return lease, e.cfg.Store.Put(ctx, entryPrefix+string(e.cfg.Node.ID), value, lease)
+	if err := e.cfg.Store.Put(ctx, entryPrefix+string(e.cfg.Node.ID), value, lease); err != nil {
+		return ccstore.NoLease, err
+	}
+	return lease, nil
 }
--- a/io/ccstore/client.go
+++ b/io/ccstore/client.go
@@ -21,8 +21,9 @@
 type ClientConfig struct {
 	// Addr is the address of the store.
 	Addr netip.AddrPort
-	// Timeout limits the duration of a call. For a watch, its wait is added.
-	// The default is one second.
+	// Timeout limits the time until the response to a call begins. For a watch, its
+	// wait is added. The response then goes on for as long as it makes progress, as
+	// cctransfer defines it. The default is one second.
 	Timeout time.Duration
 	// MaxConnections limits the number of connections to the store. Further
 	// calls wait for a connection within their timeout. The default is 16.
--- a/io/ccstore/request.go
+++ b/io/ccstore/request.go
@@ -6,17 +6,18 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"camphorcroft/io/cctransfer"
 )
 
-// request describes a call to the HTTP API. wait extends the timeout of the
-// call, and a successful response is decoded into result unless that is nil.
+// request describes a call to the HTTP API. wait extends the time until the
+// response must begin, and a successful response is decoded into result unless that is nil.
 type request struct {
 	call   Call
 	method string
@@ -30,13 +31,13 @@
 // do makes the call and decodes its response.
 func (c *Client) do(ctx context.Context, r request) error {
 	c.counters.Count(r.call)
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout+r.wait)
-	defer cancel()
+	guard := cctransfer.NewGuard(ctx, cctransfer.Limits{Response: c.cfg.Timeout + r.wait})
+	defer guard.Stop()
 
 	// The request cannot have been sent before a connection was obtained. After
 	// that it may have been.
 	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+	ctx = httptrace.WithClientTrace(guard.Context(), &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
 	req, err := c.newRequest(ctx, r)
@@ -45,16 +46,13 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return c.failCall(r.call, connected.Load(), err)
+		return c.failCall(r.call, connected.Load(), guard.Explain(err))
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, c.cfg.MaxResponseBytes+1))
+	body, err := guard.ReadBody(resp.Body, int(c.cfg.MaxResponseBytes))
 	if err != nil {
 		return c.failCall(r.call, true, err)
 	}
-	if int64(len(body)) > c.cfg.MaxResponseBytes {
-		return c.failCall(r.call, true, fmt.Errorf("response exceeds %d bytes", c.cfg.MaxResponseBytes))
-	}
 	return c.decodeResponse(r, resp.StatusCode, body)
 }
 
