Start orders: name the worker that they were placed for

Cause: an entry places by the last report that it has read, and the agent started what an order says for whoever its worker is by then. An order named no service, label or life. The call to the worker is safe, since it names the life; the order wasn't.

Change: StartOrder.Worker is the number of the worker's domain, service and labels (ccwire.WorkerInfo.Number), which entry and agent compute alike. The agent refuses an order for another number with the new outcome otherWorker, also before it sends a start again. The report with the refusal has the present description, so the entry places the task again at once, without a price in attempts. An entry places nothing on a worker whose description is too long to keep: it kept the former one till now.

The own interface is not concerned: a dispatch names the agent's incarnation, whose service and domain are in its configuration.

The golden log lines have the new fields; nothing was taken out of them.

--- a/core/cclease/lifecycle.go
+++ b/core/cclease/lifecycle.go
@@ -93,6 +93,7 @@
 	m.workerInfo = &ccwire.WorkerInfo{
 		Domain: worker.Domain, Service: worker.Service, Labels: worker.Labels, Capacity: worker.Capacity,
 	}
+	m.workerNumber = m.workerInfo.Number()
 }
 
 // resetWorkerState discards the state of an earlier incarnation of the worker.
--- a/core/cclease/manager.go
+++ b/core/cclease/manager.go
@@ -80,6 +80,7 @@
 	lost         lostWorker
 	leaving      bool               // The worker has said that it is leaving, and may still be there.
 	workerInfo   *ccwire.WorkerInfo // The description of the worker that is sent to entries.
+	workerNumber uint32             // That of workerInfo.
 	pausedReason string             // Why the worker gets no starts until pausedUntil.
 	pausedUntil  time.Time
 	heartbeatAt  time.Time
--- a/core/cclease/order.go
+++ b/core/cclease/order.go
@@ -65,6 +65,10 @@
 		m.refuseOrder(now, o.ref, order, ccwire.RunRefused, reason)
 		return
 	}
+	if reason := m.otherWorkerReason(order.Worker); reason != "" {
+		m.refuseOrder(now, o.ref, order, ccwire.RunOtherWorker, reason)
+		return
+	}
 	if r := m.runs[order.Task]; r != nil {
 		// A run of the same task by another owner must end first.
 		if r.stopRequestedAt.IsZero() && r.owner != o.ref {
@@ -95,7 +99,7 @@
 	r := &run{
 		task: order.Task, number: m.runNumbers[order.Task].number + 1, order: order.Order,
 		owner: o.ref, need: order.Need, payload: order.Payload, started: now,
-		estimate: time.Duration(order.EstimateMS) * time.Millisecond, class: order.Class, crashes: order.Crashes,
+		estimate: time.Duration(order.EstimateMS) * time.Millisecond, class: order.Class, crashes: order.Crashes, worker: order.Worker,
 	}
 	o.useOffer(order.Need)
 	m.addRun(r)
--- a/core/cclease/repeat.go
+++ b/core/cclease/repeat.go
@@ -12,7 +12,7 @@
 func (m *Manager) canRepeatStart(now time.Time, r *run) bool {
 	return !m.ownerSilent(now, r) && r.unanswered && r.repeats < maxStartRepeats && r.stopRequestedAt.IsZero() &&
 		!m.draining && !m.leaving && !m.worker.Draining && !now.Before(m.pausedUntil) && !m.workerClockAt.IsZero() &&
-		r.need.Fits(m.Free().Plus(r.need))
+		r.need.Fits(m.Free().Plus(r.need)) && m.otherWorkerReason(r.worker) == ""
 }
 
 // ownerSilent reports whether the entry of a run has been silent for longer than OwnerTimeout, or
--- a/core/cclease/response.go
+++ b/core/cclease/response.go
@@ -97,6 +97,10 @@
 		m.endRun(now, r, ccwire.RunRefused, "worker: "+string(status))
 		return
 	}
+	if reason := m.otherWorkerReason(r.worker); reason != "" {
+		m.endRun(now, r, ccwire.RunOtherWorker, reason)
+		return
+	}
 	if !r.need.Fits(m.Free().Plus(r.need)) {
 		m.endRun(now, r, ccwire.RunNoCapacity, "worker has less capacity than when the start was ordered")
 		return
--- a/core/cclease/run.go
+++ b/core/cclease/run.go
@@ -54,6 +54,8 @@
 	// class and crashes are those of the order, for reports of crashes.
 	class   uint32
 	crashes int
+	// worker is the number of the worker that the order names, or 0.
+	worker  uint32
 	retries int
 	// unanswered is set if the start got no response and the worker has not restarted
 	// since. repeats is how often such a start was repeated.
--- a/core/ccreplay/agent.go
+++ b/core/ccreplay/agent.go
@@ -42,6 +42,7 @@
 	service  string
 	labels   []string
 	capacity ccresource.Amount
+	number   uint32 // The ccwire.WorkerInfo.Number of the worker.
 	// attached is true while the agent has a session with this entry.
 	attached   bool
 	session    uint64 // The number of the latest session.
@@ -169,8 +170,8 @@
 	a.inFlight = slices.DeleteFunc(a.inFlight, func(f inFlightStart) bool { return f.sequence <= report.HandledSequence })
 	a.updateAvailable()
 	s.handlePlanRevision(now, a, report.PlanRevision, report.PlanVersion)
-	if w := report.Worker; w != nil && w.TextBytes() <= ccwire.MaxWorkerText {
-		a.domain, a.service, a.labels, a.capacity = w.Domain, w.Service, w.Labels, w.Capacity
+	if report.Worker != nil {
+		s.setWorker(a, *report.Worker)
 	}
 	s.adoptNewerPlan(now, a, report)
 	s.handleDomain(a, report.DomainOutRevision)
@@ -187,6 +188,19 @@
 	s.handleResults(now, a, report.Results)
 }
 
+// setWorker records the description of an agent's worker. Nothing is placed on one whose
+// description is too long to keep.
+func (s *Scheduler) setWorker(a *agent, w ccwire.WorkerInfo) {
+	if w.TextBytes() > ccwire.MaxWorkerText {
+		w = ccwire.WorkerInfo{}
+	}
+	a.domain, a.service, a.labels, a.capacity = w.Domain, w.Service, w.Labels, w.Capacity
+	if number := w.Number(); number != a.number {
+		a.number = number
+		s.recordChange(Change{Message: "Worker described.", Agent: a.ref.ID, Worker: number, Reason: w.Service})
+	}
+}
+
 func openOrClosed(closed string) string {
 	if closed == "" {
 		return "open"
--- a/core/ccreplay/end.go
+++ b/core/ccreplay/end.go
@@ -16,7 +16,7 @@
 	j.placed--
 	tk.state = taskQueued
 	j.queued++
-	j.started = j.started || ended.Outcome != ccwire.RunNoCapacity && ended.Outcome != ccwire.RunRefused
+	j.started = j.started || !neverStarted(ended.Outcome)
 	switch ended.Outcome {
 	case ccwire.RunDone:
 		tk.state = taskDone
@@ -26,9 +26,9 @@
 		tk.failures++
 		tk.avoidAgent = a.ref.ID
 		s.recordChange(Change{Message: "Run failed.", Job: j.request.ID, Index: i, Agent: a.ref.ID, Reason: ended.Reason, Age: now.Sub(tk.placedAt), Count: tk.failures, Order: tk.order})
-	case ccwire.RunNoCapacity, ccwire.RunRefused:
-		// The report with a RunNoCapacity also has the current free capacity. After a
-		// refusal for another reason, the agent's state may not be in a report yet, so
+	case ccwire.RunNoCapacity, ccwire.RunRefused, ccwire.RunOtherWorker:
+		// The report with a RunNoCapacity also has the current free capacity, and one with a
+		// RunOtherWorker describes the worker. After a refusal for another reason, the agent's state may not be in a report yet, so
 		// the task waits for the next one.
 		if ended.Outcome == ccwire.RunRefused {
 			tk.notBefore = now.Add(refusalBackoff)
@@ -46,6 +46,11 @@
 	s.advanceJob(now, j, i)
 }
 
+// neverStarted reports whether a run ended before it started.
+func neverStarted(outcome ccwire.RunOutcome) bool {
+	return outcome == ccwire.RunNoCapacity || outcome == ccwire.RunRefused || outcome == ccwire.RunOtherWorker
+}
+
 // advanceJob releases, answers or requeues a job after the end of a task's run.
 func (s *Scheduler) advanceJob(now time.Time, j *job, i int) {
 	tk := &j.tasks[i]
--- a/core/ccreplay/place.go
+++ b/core/ccreplay/place.go
@@ -146,7 +146,7 @@
 		}
 		placed.Quiet = placed.Quiet && tk.suppressLog()
 		placed.Placements = append(placed.Placements, Placement{
-			Index: i, Agent: a.ref.ID, Attempt: tk.attempt + 1, Order: s.lastOrder + 1, FreeCPU: a.available.CPU, Pace: a.pace, ReportAge: now.Sub(a.lastReport),
+			Index: i, Agent: a.ref.ID, Attempt: tk.attempt + 1, Order: s.lastOrder + 1, Worker: a.number, FreeCPU: a.available.CPU, Pace: a.pace, ReportAge: now.Sub(a.lastReport),
 		})
 		s.placeTask(now, j, i, a)
 		if a.available.CPU < s.leastNeed {
@@ -254,7 +254,7 @@
 	ref := ccwire.TaskRef{Job: j.request.ID, Index: i}
 	a.orders.Starts = append(a.orders.Starts, ccwire.StartOrder{
 		Task: ref, Order: tk.order, Payload: j.request.Payload, Need: j.request.Need,
-		EstimateMS: j.expected.Milliseconds(), Class: j.class, Crashes: s.crashes.Crashes(ref),
+		EstimateMS: j.expected.Milliseconds(), Class: j.class, Crashes: s.crashes.Crashes(ref), Worker: a.number,
 	})
 	a.inFlight = append(a.inFlight, inFlightStart{sequence: a.sequence + 1, need: j.request.Need})
 	a.available = a.available.Minus(j.request.Need)
--- a/core/ccreplay/scheduler.go
+++ b/core/ccreplay/scheduler.go
@@ -54,6 +54,8 @@
 	// Order is the number of the start order of the run that the change is about. Zero is
 	// none.
 	Order uint64
+	// Worker is the ccwire.WorkerInfo.Number of a worker.
+	Worker uint32
 	// Incarnation and Clock are those of the agent: Clock is the time from its start to
 	// its report.
 	Incarnation ccnode.Incarnation
@@ -73,6 +75,7 @@
 	Agent   ccnode.ID
 	Attempt int
 	Order   uint64 // The number of the start order.
+	Worker  uint32 // The ccwire.WorkerInfo.Number of the worker that the task was placed for.
 	// FreeCPU is the agent's free CPU in thousandths of a core, Pace the slowdown of its
 	// worker, and ReportAge the age of the report with both.
 	FreeCPU   int64
--- a/core/ccwire/session.go
+++ b/core/ccwire/session.go
@@ -1,8 +1,11 @@
 package ccwire
 
 import (
+	"encoding/binary"
 	"net/netip"
 
+	"github.com/cespare/xxhash/v2"
+
 	"camphorcroft/core/ccnode"
 	"camphorcroft/core/ccresource"
 	"camphorcroft/core/ccroute"
@@ -57,6 +60,9 @@
 	RunNoCapacity RunOutcome = "noRoom"
 	// RunRefused is an order that did not start for another reason.
 	RunRefused RunOutcome = "refused"
+	// RunOtherWorker is an order that did not start because the worker is another one than the
+	// order names. The same report, or one before it, describes the present one.
+	RunOtherWorker RunOutcome = "otherWorker"
 )
 
 // Attach opens a session. It replaces any earlier session of the same agent: runs
@@ -131,6 +137,19 @@
 	Capacity ccresource.Amount `cbor:"4,keyasint"`
 }
 
+// Number identifies what is placed by: the worker's failure domain, service and labels. It is
+// never 0. Lives of a worker that are alike in these have the same number. Capacity has no part
+// in it, since the agent compares an order with what is free.
+func (w WorkerInfo) Number() uint32 {
+	digest := xxhash.New()
+	for _, text := range append([]string{w.Domain, w.Service}, w.Labels...) {
+		// The length keeps texts apart.
+		_ = binary.Write(digest, binary.BigEndian, uint32(len(text)))
+		_, _ = digest.WriteString(text)
+	}
+	return max(uint32(digest.Sum64()), 1)
+}
+
 const (
 	// MaxWorkerText limits the text of a WorkerInfo, in bytes.
 	MaxWorkerText = 1 << 10
@@ -213,6 +232,10 @@
 	// which the task was running. An agent only reports them when its worker crashes.
 	Class   uint32 `cbor:"6,keyasint,omitempty"`
 	Crashes int    `cbor:"7,keyasint,omitempty"`
+	// Worker is the WorkerInfo.Number of the worker that the task was placed for. An agent
+	// refuses the order if its worker has another one by now. Zero names none: entries that
+	// don't know the field send no number.
+	Worker uint32 `cbor:"9,keyasint,omitempty"`
 }
 
 // Demand tells an agent what an entry would start if it had the capacity. The agent offers
--- a/io/ccreplay/record.go
+++ b/io/ccreplay/record.go
@@ -65,15 +65,15 @@
 func placementFields(c ccreplay.Change) []any {
 	n := len(c.Placements)
 	indexes, agents, attempts := make([]int, n), make([]string, n), make([]int, n)
-	orders := make([]uint64, n)
+	orders, workers := make([]uint64, n), make([]uint32, n)
 	rooms, paces, ages := make([]int64, n), make([]float64, n), make([]int64, n)
 	for i, p := range c.Placements {
 		indexes[i], agents[i], attempts[i] = p.Index, string(p.Agent), p.Attempt
-		orders[i] = p.Order
+		orders[i], workers[i] = p.Order, p.Worker
 		rooms[i], paces[i], ages[i] = p.FreeCPU, math.Round(100*p.Pace)/100, p.ReportAge.Milliseconds()
 	}
 	return []any{
-		"job", c.Job, "waitedMs", c.Age.Milliseconds(), "indexes", indexes, "agents", agents, "attempts", attempts, "orders", orders,
+		"job", c.Job, "waitedMs", c.Age.Milliseconds(), "indexes", indexes, "agents", agents, "attempts", attempts, "orders", orders, "workers", workers,
 		"rooms", rooms, "paces", paces, "reportAgesMs", ages,
 	}
 }
@@ -106,6 +106,9 @@
 	if c.Order != 0 {
 		fields = append(fields, "order", c.Order)
 	}
+	if c.Worker != 0 {
+		fields = append(fields, "worker", c.Worker)
+	}
 	if c.Incarnation != 0 {
 		fields = append(fields, "incarnation", uint64(c.Incarnation), "clockMs", c.Clock.Milliseconds())
 	}
--- a/io/ccreplay/record_test.go
+++ b/io/ccreplay/record_test.go
@@ -25,8 +25,8 @@
 	for _, c := range []ccreplay.Change{
 		{Message: "Job taken.", Job: "5c0e", Route: "r0", Age: 90 * ms, Count: 2},
 		{Message: "Tasks placed.", Job: "5c0e", Age: 3 * ms, Count: 2, Placements: []ccreplay.Placement{
-			{Index: 0, Agent: "agent-1", Attempt: 1, Order: 803, FreeCPU: 2500, Pace: 0.7, ReportAge: 12 * ms},
-			{Index: 1, Agent: "agent-2", Attempt: 1, Order: 804, FreeCPU: 4000, Pace: 1.25, ReportAge: 40 * ms},
+			{Index: 0, Agent: "agent-1", Attempt: 1, Order: 803, Worker: 17, FreeCPU: 2500, Pace: 0.7, ReportAge: 12 * ms},
+			{Index: 1, Agent: "agent-2", Attempt: 1, Order: 804, Worker: 18, FreeCPU: 4000, Pace: 1.25, ReportAge: 40 * ms},
 		}},
 		{Message: "Run failed.", Job: "5c0e", Index: 1, Agent: "agent-2", Age: 80 * ms, Count: 1, Order: 804},
 		{Message: "Start refused.", Job: "5c0e", Index: 1, Agent: "agent-2", Reason: "no room in the agent's ledger"},
@@ -40,6 +40,7 @@
 		{Message: "Session request refused.", Agent: "agent-2", Incarnation: 1764922456000000, Clock: 60700 * ms, Session: 40, LatestSession: 41},
 		{Message: "Agent is closed.", Agent: "agent-2", Reason: "worker is draining"},
 		{Message: "Agent is open.", Agent: "agent-2"},
+		{Message: "Worker described.", Agent: "agent-2", Worker: 18, Reason: "proof"},
 		{Message: "Agent detached.", Agent: "agent-2", Age: 340 * ms, Count: 2},
 		{Message: "Agent forgotten.", Agent: "agent-2"},
 		{Message: "Plan received from an agent.", Agent: "agent-2", Count: 17},
