Proof: workers that return as another kind while a process stands still

The model of replayable jobs gets labels: a worker draws one with each life, and jobs ask for one. A start on a worker without the label is a violation.

--- a/core/ccproof/replay_link_test.go
+++ b/core/ccproof/replay_link_test.go
@@ -44,6 +44,11 @@
 	if w.now.Before(link.cutUntil) || session == 0 {
 		return
 	}
+	if w.unnamed {
+		for i := range m.Orders.Starts {
+			m.Orders.Starts[i].Worker = 0
+		}
+	}
 	w.schedule(w.networkDelay(), func() {
 		a.deliver(func() {
 			if link.session == session && w.entry(ref.ID).ref == ref {
--- a/core/ccproof/replay_worker_test.go
+++ b/core/ccproof/replay_worker_test.go
@@ -27,6 +27,7 @@
 	lastEnded  uint64
 	capacity   int64
 	lives      int // How often it has returned under another ID.
+	label      string
 	leaseEnd   time.Duration
 	onStart    func(task ccwire.TaskRef) // Called for each start. May be nil.
 	down       bool                      // Nothing listens at the worker's address.
@@ -93,7 +94,7 @@
 func (m *modelWorker) self() cclease.Worker {
 	return cclease.Worker{
 		ID: m.id, StartTime: m.startedAt, Service: "s", Domain: m.domain, Sequence: m.heartbeats, Clock: m.clock(),
-		Capacity: ccresource.Amount{CPU: m.capacity},
+		Capacity: ccresource.Amount{CPU: m.capacity}, Labels: []string{m.label},
 	}
 }
 
@@ -110,6 +111,9 @@
 		m.lives++
 		m.id = fmt.Sprintf("%s-%d", m.id[:1], m.lives)
 	}
+	if m.w.kinds {
+		m.label = kindLabels[m.w.rng.IntN(len(kindLabels))]
+	}
 	m.startedAt, m.heartbeats, m.token, m.leaseEnd, m.lastEnded, m.called = m.w.now, 0, 0, 0, 0, false
 	m.mute, m.answersLeft = false, 0
 	m.runs, m.closed, m.ended = map[ccwire.TaskRef]*modelRun{}, map[ccwire.TaskRef]uint64{}, nil
@@ -193,6 +197,7 @@
 		number: c.Run, remaining: m.w.between(m.w.workerModel.minRun, m.w.workerModel.maxRun), updatedAt: m.w.now,
 	}
 	m.w.starts++
+	m.w.checkLabel(m, c.Task)
 	if m.onStart != nil {
 		m.onStart(c.Task)
 	}
--- a/core/ccproof/replay_world_test.go
+++ b/core/ccproof/replay_world_test.go
@@ -80,6 +80,10 @@
 	// entry learns of it up to breakNotice later.
 	breaks      int
 	breakNotice time.Duration
+	// kinds has workers return as another kind, and jobs ask for one.
+	kinds bool
+	// unnamed has orders name no worker.
+	unnamed bool
 	// watch is told of what processes decide on runs. May be nil.
 	watch     runWatch
 	starts    int
@@ -413,6 +417,9 @@
 		Route:    ccroute.Route{Service: "s", MaxAttempts: 3, Stretch: 1.6, Allowance: 60 * time.Millisecond},
 		Estimate: time.Duration(60+w.rng.IntN(600)) * time.Millisecond, Deadline: deadline,
 	}
+	if w.kinds {
+		request.Label = labelOf(id)
+	}
 	w.send(e, request, func(state ccreplay.State) {
 		if tries > 0 && (state == "" || state == ccreplay.StateExpired || state == ccreplay.StateUnknown) {
 			w.schedule(resendAfter, func() { w.submit(id, tries-1, w.now.Add(3*time.Second)) })
