Plans: between entries and agents in pieces that are asked for

Cause: an entry sent each plan whole to eight agents within 300 ms. 1,400 routes are 189 KB of CBOR, so eight of them take 6 s of such a link, and every later message of every session waited behind them. Entries and agents took each other for silent (0.33 and 0.6 s), the agents attached again, others became those that relay plans, and got the plan whole anew.

Ruled out: compression alone, since a value of 1 MiB need not compress; a longer silence, since callers come again after 1.3 s and runs must be over by then.

Change: core/ccrelay. Its receiver asks for each, so at most one for each agent is on its way, and heartbeats pass between them. What has arrived outlives a session and is continued by any other holder, after 500 ms without a piece. Both directions use it. Peers of the version before get and send plans whole, as before; a request for a session says what the agent knows. What is assembled is bounded: 2 MiB encoded, 8 MiB decoded.

--- a/core/cclease/manager.go
+++ b/core/cclease/manager.go
@@ -137,6 +137,7 @@
 	runNumbers map[ccwire.TaskRef]lastRunNumber
 	reserved   ccresource.Amount
 	plan       *ccroute.Plan
+	relay      planRelay
 	domain     ccwire.DomainState // The newest state of the worker's failure domain.
 	prunedAt   time.Time          // When prune was last called.
 	draining   bool
@@ -199,6 +200,7 @@
 	m.expireSilentOwners(now)
 	m.retryStops(now)
 	m.expireLease(now)
+	m.resumePlan(now)
 	if now.Sub(m.prunedAt) >= pruneInterval {
 		m.prune(now)
 	}
--- a/core/cclease/order.go
+++ b/core/cclease/order.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"camphorcroft/core/ccnode"
+	"camphorcroft/core/ccroute"
 	"camphorcroft/core/ccwire"
 )
 
@@ -45,10 +46,20 @@
 	if orders.WantPlan && m.plan != nil && m.plan.Revision > orders.PlanRevision {
 		o.wantsPlan, o.reportNow = true, true
 	}
-	if !orders.Plan.Newer(m.plan) {
-		return
+	if orders.PlanWant != nil && m.plan != nil && m.plan.Revision > orders.PlanRevision {
+		o.pieceWanted, o.reportNow = orders.PlanWant, true
+	}
+	if orders.PlanPiece != nil {
+		m.handlePiece(now, o, orders.PlanPiece)
+	}
+	if orders.Plan.Newer(m.plan) {
+		m.setPlan(now, o, orders.Plan)
 	}
-	m.plan = orders.Plan
+}
+
+// setPlan adopts a newer plan.
+func (m *Manager) setPlan(now time.Time, o *owner, plan *ccroute.Plan) {
+	m.plan = plan
 	m.actions.Changes = append(m.actions.Changes, Change{Message: "Plan received.", Entry: o.ref.ID, Count: int(m.plan.Revision)})
 	// Entries that can't reach the store learn from the next report that they can ask for
 	// the plan here.
--- a/core/cclease/owner.go
+++ b/core/cclease/owner.go
@@ -20,17 +20,22 @@
 	handledSequence uint64
 	lastOrder       uint64 // The number of the last start order.
 	wantsPlan       bool   // The entry has asked for the plan.
-	retiring        bool   // The session is about to be closed.
-	sentInfo        *ccwire.WorkerInfo
-	sentToken       uint64
-	pendingEnds     []ccwire.RunResult
-	recentEnds      []recentEnd
-	pendingCrashes  []ccwire.CrashReport
-	reportedAt      time.Time
-	reportNow       bool
-	demand          *ccwire.Demand // Nil is none.
-	demandAt        time.Time
-	offer           offer
+	// pieceWanted is the piece of the plan that the entry has asked for, holdsPlan the revision
+	// of the plan of which it has sent a piece, and asksPiece is set if it is asked for the next.
+	pieceWanted    *ccwire.PlanPosition
+	holdsPlan      uint64
+	asksPiece      bool
+	retiring       bool // The session is about to be closed.
+	sentInfo       *ccwire.WorkerInfo
+	sentToken      uint64
+	pendingEnds    []ccwire.RunResult
+	recentEnds     []recentEnd
+	pendingCrashes []ccwire.CrashReport
+	reportedAt     time.Time
+	reportNow      bool
+	demand         *ccwire.Demand // Nil is none.
+	demandAt       time.Time
+	offer          offer
 	// summary has the rows of the summary in the entry's last orders, less what was offered
 	// since. It is nil if they had none.
 	summary []ccdemand.Row
@@ -77,7 +82,7 @@
 	}
 	m.requests[entry.ID] = sessionRequest{entry: entry, session: session, at: now}
 	m.SessionClosed(entry.ID)
-	attach := ccwire.Attach{Node: self, Session: session, Runs: []ccwire.RunRef{}}
+	attach := ccwire.Attach{Node: self, Session: session, Runs: []ccwire.RunRef{}, PlanPieces: true}
 	o := m.owners[entry.ID]
 	if o != nil && o.ref != entry {
 		o = nil // What an earlier incarnation ordered does not concern this one.
@@ -135,6 +140,7 @@
 	// The request for the session has the earlier ones.
 	o.pendingCrashes = m.crashesSince(request.at)
 	o.retiring, o.wantsPlan = false, false
+	o.pieceWanted, o.holdsPlan, o.asksPiece = nil, 0, false
 	o.demand, o.summary, o.offer = nil, nil, offer{}
 	m.actions.Changes = append(m.actions.Changes, Change{Message: "Session opened.", Entry: entry.ID, Clock: request.at.Sub(m.cfg.StartTime), Session: session})
 	m.sendDueReports(now)
--- a/core/cclease/poll.go
+++ b/core/cclease/poll.go
@@ -160,7 +160,7 @@
 			m.endRun(now, r, ccwire.RunLost, "worker fails what it starts")
 			return
 		}
-	case ccwire.RunStopped, ccwire.RunLost, ccwire.RunNoCapacity, ccwire.RunRefused:
+	case ccwire.RunStopped, ccwire.RunLost, ccwire.RunNoCapacity, ccwire.RunRefused, ccwire.RunOtherWorker:
 	}
 	m.endRun(now, r, end, "")
 }
--- a/core/cclease/report.go
+++ b/core/cclease/report.go
@@ -58,6 +58,7 @@
 				m.actions.Changes = append(m.actions.Changes, Change{Message: "Plan sent.", Entry: id, Count: int(m.plan.Revision)})
 			}
 			o.wantsPlan = false
+			m.addPieces(o, &report)
 			report.Crashes, o.pendingCrashes = o.pendingCrashes, nil
 			if m.workerInfo != nil && o.sentInfo != m.workerInfo {
 				report.Worker, o.sentInfo = m.workerInfo, m.workerInfo
--- a/core/ccreplay/agent.go
+++ b/core/ccreplay/agent.go
@@ -63,7 +63,10 @@
 	// as out, or 0, and toldDomain that of the last plan that it was told of in this session.
 	domainOutRevision, toldDomain uint64
 
-	relay              bool // The agent relays plans.
+	relay      bool // The agent relays plans.
+	planPieces bool // It sends and receives plans in pieces.
+	// pieceWanted is the piece of the plan that it has asked for. Nil is none.
+	pieceWanted        *ccwire.PlanPosition
 	relayRank          uint64
 	isolatedFor        uint32             // The isolated class that the agent is kept for, or 0.
 	settledIncarnation ccnode.Incarnation // The latest one whose predecessors have no runs left.
@@ -174,6 +177,7 @@
 		s.setWorker(a, *report.Worker)
 	}
 	s.adoptNewerPlan(now, a, report)
+	s.handlePieces(now, a, report)
 	s.handleDomain(a, report.DomainOutRevision)
 	if report.PriorRunsEnded && a.settledIncarnation != a.ref.Incarnation && a.knownToken.fencesPrior() {
 		a.settledIncarnation = a.ref.Incarnation
--- a/core/ccreplay/attach.go
+++ b/core/ccreplay/attach.go
@@ -44,6 +44,7 @@
 	a.ref = attach.Node
 	a.entriesSent = attach.EntriesDigest == ccsubset.Digest(s.entries)
 	a.planRevision, a.toldDomain = 0, 0
+	a.planPieces, a.pieceWanted = attach.PlanPieces, nil
 	s.relay.stale = true
 	a.attached, a.sequence, a.inFlight, a.orders = true, 0, nil, ccwire.Orders{}
 	a.clockOffset.reset()
--- a/core/ccreplay/outbox.go
+++ b/core/ccreplay/outbox.go
@@ -36,10 +36,7 @@
 		orders.CapacityIntervalMS = interval
 		if s.plan != nil {
 			orders.PlanRevision = s.plan.Revision
-			if s.planDue(now, a) {
-				orders.Plan = s.plan
-				a.planRevision = s.plan.Revision
-			}
+			s.addPlan(now, a, &orders)
 			if orders.Domain = s.domainDue(a); orders.Domain != nil {
 				a.toldDomain = s.plan.Revision
 			}
--- a/core/ccreplay/relay.go
+++ b/core/ccreplay/relay.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"camphorcroft/core/ccnode"
+	"camphorcroft/core/ccrelay"
 	"camphorcroft/core/ccroute"
 )
 
@@ -39,6 +40,9 @@
 	heardVersion uint64
 	askedAt      time.Time
 	requests     int
+	// holder sends the current plan in pieces, and assembly gets a newer one from agents.
+	holder   ccrelay.Holder
+	assembly ccrelay.Assembly
 }
 
 // planDue reports whether the agent must be sent the plan now.
@@ -129,7 +133,12 @@
 	a := holders[s.relay.requests%len(holders)]
 	s.relay.requests++
 	s.relay.askedAt = now
-	a.orders.WantPlan = true
+	if a.planPieces {
+		position := s.relay.assembly.Position()
+		a.orders.PlanWant = &position
+	} else {
+		a.orders.WantPlan = true
+	}
 	s.recordChange(Change{Message: "Plan requested.", Agent: a.ref.ID, Age: now.Sub(s.relay.heardAt), Count: int(s.relay.heard)})
 	s.sendNow(a)
 }
@@ -146,6 +155,7 @@
 	plan.BuildIndex()
 	_, lag := s.PlanLag(now)
 	s.plan, s.planSetAt, s.relay.requests = plan, now, 0
+	s.relay.assembly = ccrelay.Assembly{}
 	s.checkShares()
 	s.recordChange(Change{Message: "Plan in force.", Age: lag, Count: int(plan.Revision), Reported: s.relay.heard})
 }
--- a/core/ccwire/session.go
+++ b/core/ccwire/session.go
@@ -82,6 +82,8 @@
 	// with this incarnation of the entry, or 0. Report.HandledSequence is that of its last
 	// orders.
 	PreviousSession uint64 `cbor:"6,keyasint"`
+	// PlanPieces says that the agent sends and receives plans in pieces. Others get them whole.
+	PlanPieces bool `cbor:"8,keyasint,omitempty"`
 }
 
 // IdentifyReply names the entry that answers at an address.
@@ -203,6 +205,9 @@
 	// Offer says for which jobs a part of Free is reserved for the entry. It is only set for
 	// entries that send a Summary. Nil is no reservation.
 	Offer *Offer `cbor:"22,keyasint,omitempty"`
+	// PlanPiece answers a PlanWant of the entry, and PlanWant asks for the next piece of its plan.
+	PlanPiece *PlanPiece    `cbor:"23,keyasint,omitempty"`
+	PlanWant  *PlanPosition `cbor:"24,keyasint,omitempty"`
 }
 
 // Offer is a reservation for the jobs of an entry that are at least as urgent. It ends with
@@ -280,6 +285,9 @@
 	Summary []byte `cbor:"15,keyasint,omitempty"`
 	// WantPlan asks for the agent's plan if it is newer than PlanRevision.
 	WantPlan bool `cbor:"11,keyasint,omitempty"`
+	// PlanPiece and PlanWant take the place of Plan and WantPlan with agents that know pieces.
+	PlanPiece *PlanPiece    `cbor:"16,keyasint,omitempty"`
+	PlanWant  *PlanPosition `cbor:"17,keyasint,omitempty"`
 	// Domain tells the agent of its failure domain: that it is out, with each plan that says
 	// so, and that it is back. Nil is nothing new.
 	Domain *DomainState `cbor:"14,keyasint,omitempty"`
