Store responses: leave room on the link, and keep sessions meanwhile

Cause: the response takes the link for 1.5 s, and agents' reports wait behind it. The entry closed its sessions after 0.33 s without a report, and the agents after 0.6 s with an old echo, though its orders arrived all the while. Each closed session came back over the same link.

Change: a large response is read in parts of 4 KB at 0.6 of the rate at which it comes, as long as it can be read in 2.5 s; a link that is too narrow for that is used whole. An entry that hears none of at least three agents keeps their sessions for up to 0.5 s more. An agent keeps a session for 1.2 s in place of 0.6 s with an old echo if orders arrive. Neither touches what runs depend on: a start with an echo of over 0.4 s is refused, runs of a silent entry are stopped at 0.4 s, and tasks are placed by the silence as before. A suspension still closes all sessions.

--- a/core/cclease/bounds.go
+++ b/core/cclease/bounds.go
@@ -45,6 +45,10 @@
 	// sessionTimeout is how long a session may be silent before it is closed and
 	// reopened: four report intervals.
 	sessionTimeout = 4 * maxReportInterval
+	// oldEchoTimeout is the same for a session in which orders come, and maxOrdersGap the
+	// longest time between two of them, a little more than the interval of an entry's heartbeats.
+	oldEchoTimeout = 2 * sessionTimeout
+	maxOrdersGap   = 330 * time.Millisecond
 	// unhealthyPause is how long a worker gets no starts after it refused one
 	// because it is unhealthy.
 	unhealthyPause = 300 * time.Millisecond
--- a/core/cclease/order.go
+++ b/core/cclease/order.go
@@ -14,6 +14,7 @@
 	if o == nil || !o.connected {
 		return
 	}
+	o.lastMessage = now
 	if heard := m.cfg.StartTime.Add(time.Duration(orders.EchoMS) * time.Millisecond); heard.After(o.lastHeard) {
 		o.lastHeard = heard
 	}
--- a/core/cclease/owner.go
+++ b/core/cclease/owner.go
@@ -17,6 +17,7 @@
 	// lastHeard is the latest agent clock value that the entry has echoed: the time of
 	// the last report that it certainly received.
 	lastHeard       time.Time
+	lastMessage     time.Time // When its last orders came, however old their echo was.
 	handledSequence uint64
 	lastOrder       uint64 // The number of the last start order.
 	wantsPlan       bool   // The entry has asked for the plan.
@@ -203,7 +204,7 @@
 	}
 	m.actions.Changes = append(m.actions.Changes, Change{Message: "Process was paused.", Count: len(m.runList)})
 	for _, o := range m.ownerList {
-		o.lastHeard = now.Add(-2 * OwnerTimeout)
+		o.lastHeard, o.lastMessage = now.Add(-2*OwnerTimeout), time.Time{}
 	}
 	m.expireSilentOwners(now)
 }
@@ -218,13 +219,23 @@
 		if age > OwnerTimeout {
 			m.stopOwnedRunsAged(now, o.ref, "entry is silent", age)
 		}
-		if o.connected && age > sessionTimeout {
+		if o.connected && age > o.silenceLimit(now) {
 			m.actions.CloseSessions = append(m.actions.CloseSessions, id)
 			m.SessionClosed(id)
 		}
 	}
 }
 
+// silenceLimit returns how old the entry's echo may be before its session is closed. An entry whose
+// orders arrive is there: the agent's reports wait on its link, and a new session would add to what
+// waits there.
+func (o *owner) silenceLimit(now time.Time) time.Duration {
+	if now.Sub(o.lastMessage) <= maxOrdersGap {
+		return oldEchoTimeout
+	}
+	return sessionTimeout
+}
+
 func (m *Manager) stopOwnedRuns(now time.Time, entry ccnode.Ref, reason string) {
 	m.stopOwnedRunsAged(now, entry, reason, 0)
 }
--- a/core/ccreplay/agent.go
+++ b/core/ccreplay/agent.go
@@ -47,11 +47,12 @@
 	attached   bool
 	session    uint64 // The number of the latest session.
 	lastReport time.Time
-	// stalledAtReport is how long the entry had been stalled in all at the last report.
-	stalledAtReport time.Duration
-	clockMS         int64 // The agent's clock in its latest report, echoed in orders.
-	clockOffset     clockOffset
-	closedReason    string // Why the agent takes no starts. Empty if it does.
+	// stalledAtReport is how long the entry had been stalled in all at the last report, and
+	// quietAtReport how long all agents had been silent together.
+	stalledAtReport, quietAtReport time.Duration
+	clockMS                        int64 // The agent's clock in its latest report, echoed in orders.
+	clockOffset                    clockOffset
+	closedReason                   string // Why the agent takes no starts. Empty if it does.
 	// free is the free capacity in the agent's latest report.
 	free         ccresource.Amount
 	available    ccresource.Amount // What updateAvailable has computed last.
@@ -134,6 +135,16 @@
 	return now.Sub(a.lastReport) - (s.lateness.stalled - a.stalledAtReport) - s.lateness.reports
 }
 
+// silenceOfAgent is silence without what all agents have in common: their reports wait on the
+// entry's own link, for example behind a large response of the store.
+func (s *Scheduler) silenceOfAgent(now time.Time, a *agent) time.Duration {
+	common := time.Duration(0)
+	if s.attached >= minQuietAgents {
+		common = min(s.quiet.at(now)-a.quietAtReport, maxCommonSilence)
+	}
+	return s.silence(now, a) - common
+}
+
 // heartbeatPeriod returns the longest time between two messages to the agent.
 func (a *agent) heartbeatPeriod() time.Duration {
 	if len(a.runs) > 0 {
@@ -154,7 +165,8 @@
 }
 
 func (s *Scheduler) handleReport(now time.Time, a *agent, report ccwire.RunReport) {
-	a.lastReport, a.stalledAtReport = now, s.lateness.stalled
+	s.quiet.heard(now)
+	a.lastReport, a.stalledAtReport, a.quietAtReport = now, s.lateness.stalled, s.quiet.total
 	a.knownToken.observe(a.ref.Incarnation, report.Token)
 	s.lateness.observe(a.clockOffset.delay(now, report.ClockMS))
 	a.clockMS = max(a.clockMS, report.ClockMS)
--- a/core/ccreplay/scheduler.go
+++ b/core/ccreplay/scheduler.go
@@ -142,6 +142,7 @@
 	announcedAt time.Time
 	summary     demandSummary
 	lateness    lateness
+	quiet       quiet
 	overload    overload
 	// placements and arrivals are the rates of placed tasks, and of the tasks of new jobs
 	// by their priority.
--- a/core/ccreplay/tick.go
+++ b/core/ccreplay/tick.go
@@ -41,7 +41,7 @@
 		}
 		return
 	}
-	if silence := s.silence(now, a); silence > suspectAfter && len(a.runs) > 0 || silence > idleSessionTimeout {
+	if silence := s.silenceOfAgent(now, a); silence > suspectAfter && len(a.runs) > 0 || silence > idleSessionTimeout {
 		s.actions.CloseSessions = append(s.actions.CloseSessions, a.ref.ID)
 		s.Detach(now, a.ref.ID)
 		return
--- a/io/ccstore/request.go
+++ b/io/ccstore/request.go
@@ -49,7 +49,7 @@
 		return c.failCall(r.call, connected.Load(), guard.Explain(err))
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := guard.ReadBody(resp.Body, int(c.cfg.MaxResponseBytes))
+	body, err := guard.ReadBody(resp.Body, resp.ContentLength, int(c.cfg.MaxResponseBytes))
 	if err != nil {
 		return c.failCall(r.call, true, err)
 	}
--- a/io/cctransfer/doc.go
+++ b/io/cctransfer/doc.go
@@ -15,5 +15,5 @@
 //	if err != nil {
 //		return guard.Explain(err)
 //	}
-//	body, err := guard.ReadBody(response.Body, maxBytes)
+//	body, err := guard.ReadBody(response.Body, response.ContentLength, maxBytes)
 package cctransfer
--- a/io/cctransfer/guard.go
+++ b/io/cctransfer/guard.go
@@ -10,7 +10,7 @@
 const (
 	opCall = "call"
 	opRead = "read body"
-	// readPart is how much of a body is read at a time.
+	// readPart is the least by which the buffer of a body grows.
 	readPart = 16 << 10
 )
 
@@ -61,13 +61,15 @@
 	return time.Since(g.began)
 }
 
-// ReadBody reads the body of the response for as long as it makes progress.
-func (g *Guard) ReadBody(body io.Reader, maxBytes int) ([]byte, error) {
+// ReadBody reads the body of the response for as long as it makes progress. Length is that of the
+// body, or negative if it is unknown. A body that is large for the link leaves room for others.
+func (g *Guard) ReadBody(body io.Reader, length int64, maxBytes int) ([]byte, error) {
 	if !g.timer.Stop() {
 		return nil, g.fail(opCall, errNoResponse)
 	}
 	g.began = time.Now()
 	windowStart, windowReceived := g.began, 0
+	pace := pacer{start: g.began, length: length}
 	g.timer = time.AfterFunc(g.limits.Silence, func() { g.cancel(errSilent) })
 	var data []byte
 	for {
@@ -76,13 +78,13 @@
 			copy(grown, data)
 			data = grown
 		}
-		n, err := body.Read(data[len(data):cap(data)])
+		readAt := time.Now()
+		n, err := body.Read(data[len(data) : len(data)+pacedPart])
 		data = data[:len(data)+n]
 		g.received += n
-		if n > 0 {
-			g.timer.Reset(g.limits.Silence)
-		}
-		switch now := time.Now(); {
+		now := time.Now()
+		pace.observe(n, now.Sub(readAt))
+		switch {
 		case len(data) > maxBytes:
 			return nil, g.fail(opRead, errTooLarge)
 		case errors.Is(err, io.EOF):
@@ -96,6 +98,10 @@
 		default:
 			windowStart, windowReceived = now, g.received
 		}
+		if n > 0 {
+			time.Sleep(pace.delay(now, g.received))
+			g.timer.Reset(g.limits.Silence)
+		}
 	}
 }
 
--- a/io/cctransfer/guard_test.go
+++ b/io/cctransfer/guard_test.go
@@ -31,7 +31,7 @@
 		return nil, guard.Explain(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	return guard.ReadBody(response.Body, 1<<20)
+	return guard.ReadBody(response.Body, response.ContentLength, 1<<20)
 }
 
 // sendPieces writes n pieces of size bytes with a pause after each.
