Store responses: read a change that has waited for another at once

Callers would have seen: with two large configurations 0.7 s apart on a link of 2 Mbit/s, 404 for the routes of the second one for 4.3 s, since both were read in 2.5 s.

Cause: pacing knew only its own response, and not how long the change had waited.

Ruled out: 1.75 s for each response.

The rate of the link is taken from reads without a pause before them: after a pause a part of the data is there already, and the rate came out as whatever the pace was. An agent logs that it sends a plan as before, once for all its pieces.

--- a/core/cclease/plan.go
+++ b/core/cclease/plan.go
@@ -87,6 +87,10 @@
 			m.actions.Changes = append(m.actions.Changes, Change{Message: "Plan cannot be sent.", Entry: o.ref.ID, Reason: err.Error()})
 		}
 		report.PlanPiece = piece
+		if piece != nil {
+			// The entry asks for the first piece once.
+			m.actions.Changes = append(m.actions.Changes, Change{Message: "Plan sent.", Entry: o.ref.ID, Count: int(m.plan.Revision), Quiet: piece.Offset > 0})
+		}
 	}
 	o.asksPiece, o.pieceWanted = false, nil
 }
--- a/io/cctransfer/guard.go
+++ b/io/cctransfer/guard.go
@@ -70,6 +70,7 @@
 	g.began = time.Now()
 	windowStart, windowReceived := g.began, 0
 	pace := pacer{start: g.began, length: length}
+	hurry := g.limits.Hurry != nil && g.limits.Hurry()
 	g.timer = time.AfterFunc(g.limits.Silence, func() { g.cancel(errSilent) })
 	var data []byte
 	for {
@@ -99,7 +100,9 @@
 			windowStart, windowReceived = now, g.received
 		}
 		if n > 0 {
-			time.Sleep(pace.delay(now, g.received))
+			if !hurry {
+				time.Sleep(pace.next(now, g.received))
+			}
 			g.timer.Reset(g.limits.Silence)
 		}
 	}
--- a/io/cctransfer/limits.go
+++ b/io/cctransfer/limits.go
@@ -18,6 +18,9 @@
 	// defaults are 16 KiB and 5 s.
 	Window      time.Duration
 	WindowBytes int
+	// Hurry returns whether the body must be read as fast as the link brings it. It is called
+	// when the response has begun. Nil is no.
+	Hurry func() bool
 }
 
 // withDefaults returns the limits with the defaults for the values that are zero.
--- a/io/cctransfer/pacer.go
+++ b/io/cctransfer/pacer.go
@@ -4,7 +4,7 @@
 
 const (
 	// paceTarget is the time in which a body is read at a part of the link's rate, if it can be. A
-	// longer one takes all of the link: a change of the settings must be in force in 5 s.
+	// longer one takes all of the link: a change of the settings must be in force in 4 s.
 	paceTarget = 2500 * time.Millisecond
 	// paceShare is the part of the link's rate.
 	paceShare = 0.6
@@ -15,7 +15,7 @@
 	// the link's rate.
 	blockedRead = time.Millisecond
 	// unpacedBytes is the size up to which a body is not paced, and maxPause the longest pause.
-	unpacedBytes = 8 << 10
+	unpacedBytes = 16 << 10
 	maxPause     = 100 * time.Millisecond
 )
 
@@ -27,17 +27,24 @@
 	// blockedBytes and blockedTime are those of the reads that had to wait for their data.
 	blockedBytes int
 	blockedTime  time.Duration
+	pause        time.Duration // Before the next read.
 }
 
 // observe records a read.
 func (p *pacer) observe(n int, took time.Duration) {
-	if took >= blockedRead {
+	// After a pause, a part of the data was there already.
+	if took >= blockedRead && p.pause == 0 {
 		p.blockedBytes += n
 		p.blockedTime += took
 	}
 }
 
-// delay returns how long to wait before the next read.
+// next returns how long to wait before the next read.
+func (p *pacer) next(now time.Time, received int) time.Duration {
+	p.pause = p.delay(now, received)
+	return p.pause
+}
+
 func (p *pacer) delay(now time.Time, received int) time.Duration {
 	elapsed := now.Sub(p.start)
 	left := paceTarget - elapsed
--- a/io/cctransfer/pacer_test.go
+++ b/io/cctransfer/pacer_test.go
@@ -17,7 +17,7 @@
 		if missing := float64(received+n) - arrived; missing > 0 {
 			wait = time.Duration(missing / bytesPerSecond * float64(time.Second))
 		}
-		pause := p.delay(now, received)
+		pause := p.next(now, received)
 		passed := wait + pause
 		arrived = min(arrived+passed.Seconds()*bytesPerSecond, float64(received+64<<10))
 		arrived = max(arrived, float64(received+n))
