Plans: one that was begun and has no holder makes way

Read, not seen: an entry or agent that has the first pieces of a plan kept waiting for the rest when the only process with that plan was gone, and refused the pieces of an earlier plan that it lacked as well. An entry without the store could stay without any plan.

Change: an agent drops what it has begun when an earlier plan comes and no entry with a session has the begun one; an entry does when it asks an agent that has only an earlier one. As long as a holder is there, the rest is asked of it.

--- a/core/cclease/plan.go
+++ b/core/cclease/plan.go
@@ -26,6 +26,9 @@
 		return
 	}
 	o.holdsPlan = piece.Revision
+	if begun := m.relay.assembly.Revision(); piece.Revision < begun && len(m.planHolders(begun)) == 0 {
+		m.relay.assembly = ccrelay.Assembly{}
+	}
 	before := m.relay.assembly.Revision()
 	progress, err := m.relay.assembly.Add(piece)
 	if err != nil {
@@ -61,12 +64,7 @@
 		m.relay.assembly = ccrelay.Assembly{}
 		return
 	}
-	var holders []*owner
-	for _, o := range m.ownerList {
-		if o.connected && o.holdsPlan >= revision {
-			holders = append(holders, o)
-		}
-	}
+	holders := m.planHolders(revision)
 	if len(holders) == 0 {
 		return
 	}
@@ -75,6 +73,17 @@
 	o.asksPiece, o.reportNow = true, true
 }
 
+// planHolders returns the entries with a session that have a plan, or a later one.
+func (m *Manager) planHolders(revision uint64) []*owner {
+	var holders []*owner
+	for _, o := range m.ownerList {
+		if o.connected && o.holdsPlan >= revision {
+			holders = append(holders, o)
+		}
+	}
+	return holders
+}
+
 // addPieces adds the piece that the entry wants, and the request for the next one, to a report.
 func (m *Manager) addPieces(o *owner, report *ccwire.RunReport) {
 	if o.asksPiece && m.relay.assembly.Revision() != 0 {
--- a/core/ccreplay/relay.go
+++ b/core/ccreplay/relay.go
@@ -134,6 +134,10 @@
 	s.relay.requests++
 	s.relay.askedAt = now
 	if a.planPieces {
+		if a.heldPlan < s.relay.assembly.Revision() {
+			// No attached agent has the plan that was begun.
+			s.relay.assembly = ccrelay.Assembly{}
+		}
 		position := s.relay.assembly.Position()
 		a.orders.PlanWant = &position
 	} else {
