Common silence: longer than the time between two reports

Read while the diff was looked through, not seen: agents that report together every 150 ms leave gaps of over 100 ms in ordinary operation. They counted as common silence, so the session of one silent agent was kept for 0.5 s too long.

Change: a gap counts from 200 ms on, longer than the longest interval of one agent's reports.

Evidence: the new case of TestCommonSilenceClosesNoSession, agents that report together, failed with 100 ms (no session closed) and passes with 200.

--- a/core/ccreplay/agent.go
+++ b/core/ccreplay/agent.go
@@ -135,7 +135,7 @@
 	return now.Sub(a.lastReport) - (s.lateness.stalled - a.stalledAtReport) - s.lateness.reports
 }
 
-// silenceOfAgent is silence without what all agents have in common: their reports wait on the
+// silenceOfAgent returns the silence without what all agents have in common: their reports wait on the
 // entry's own link, for example behind a large response of the store.
 func (s *Scheduler) silenceOfAgent(now time.Time, a *agent) time.Duration {
 	common := time.Duration(0)
--- a/core/ccreplay/end.go
+++ b/core/ccreplay/end.go
@@ -28,8 +28,8 @@
 		s.recordChange(Change{Message: "Run failed.", Job: j.request.ID, Index: i, Agent: a.ref.ID, Reason: ended.Reason, Age: now.Sub(tk.placedAt), Count: tk.failures, Order: tk.order})
 	case ccwire.RunNoCapacity, ccwire.RunRefused, ccwire.RunOtherWorker:
 		// The report with a RunNoCapacity also has the current free capacity, and one with a
-		// RunOtherWorker describes the worker. After a refusal for another reason, the agent's state may not be in a report yet, so
-		// the task waits for the next one.
+		// RunOtherWorker describes the worker. After a refusal for another reason, the agent's
+		// state may not be in a report yet, so the task waits for the next one.
 		if ended.Outcome == ccwire.RunRefused {
 			tk.notBefore = now.Add(refusalBackoff)
 		}
--- a/core/ccreplay/quiet.go
+++ b/core/ccreplay/quiet.go
@@ -4,13 +4,13 @@
 
 const (
 	// quietThreshold is the time without a report of any agent from which on it counts as common
-	// silence. Each agent sends a report every 150 ms.
-	quietThreshold = 100 * time.Millisecond
+	// silence. Each agent sends a report every 150 ms, so it has none in ordinary operation.
+	quietThreshold = 200 * time.Millisecond
 	// minQuietAgents is the number of agents with sessions from which on their common silence
 	// tells of the entry's link, and not of them.
 	minQuietAgents = 3
-	// maxCommonSilence limits how much longer a session is kept for it. Agents close it after
-	// 600 ms, and their runs are over 1.15 s after the last report.
+	// maxCommonSilence limits how much longer a session is kept for it. The session is closed
+	// before its runs are certainly over, 1.15 s after the last report.
 	maxCommonSilence = 500 * time.Millisecond
 )
 
--- a/core/ccreplay/quiet_test.go
+++ b/core/ccreplay/quiet_test.go
@@ -49,6 +49,15 @@
 			t.Error("no session was closed in a second")
 		}
 	})
+	t.Run("but that of one agent does, when the others report together", func(t *testing.T) {
+		f := newWorld(t)
+		closed := f.runQuiet(600*time.Millisecond, func(agent int) bool {
+			return agent != 2 && f.now.Sub(epoch)%(150*time.Millisecond) == 0
+		})
+		if len(closed) != 1 || closed[0] != "agent-2" {
+			t.Errorf("closed: got %v, want agent-2", closed)
+		}
+	})
 	t.Run("but that of one agent does", func(t *testing.T) {
 		f := newWorld(t)
 		closed := f.runQuiet(400*time.Millisecond, func(agent int) bool { return agent != 2 })
